--- a/trefoilpin/admin.py
+++ b/trefoilpin/admin.py
@@ -115,8 +115,9 @@
         return [body]
 
     def start():
+        listener = frontends.listen(address)
         kernel.spawn(
-            frontends.serve, address, application, MAX_CONNECTIONS, IDLE_SECONDS
+            frontends.serve, listener, application, MAX_CONNECTIONS, IDLE_SECONDS
         )
 
     kernel.register("admin", application, start)
--- a/trefoilpin/balancers.py
+++ b/trefoilpin/balancers.py
@@ -69,7 +69,7 @@
         )
         return Success(Choice(upstream, pool.id, state.choices))
 
-    def release(choice, attempt, account):
+    def release(choice, attempt, account, fingerprint):
         state.in_flight_by_upstream[(choice.pool, choice.upstream.id)] -= 1
 
     service = Balancers(choose, release)
--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -30,7 +30,7 @@
 __all__ = ["assemble", "run"]
 
 
-def assemble(settings, kernel=None):
+def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
     Parameters
@@ -39,6 +39,8 @@
         Checked settings by name.
     kernel : Kernel, optional
         A new one with the system's clock by default.
+    write_log : callable, optional
+        Takes finished log lines in place of standard error.
 
     Returns
     -------
@@ -47,7 +49,7 @@
     """
     if kernel is None:
         kernel = create_kernel(clocks.system_clock(eventlet.sleep), eventlet.spawn)
-    events.create(kernel, settings["log.format"], settings["log.sample"])
+    events.create(kernel, settings["log.format"], settings["log.sample"], write_log)
     metrics.create(kernel)
     stores.create(
         kernel, settings["store.addresses"], settings["store.timeout_seconds"]
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -218,6 +218,6 @@
             eventlet.sleep(FLUSH_SECONDS)
             flush()
 
-    service = Events(emit)
+    service = Events(emit, flush)
     kernel.register("events", service, lambda: kernel.spawn(write_forever), flush)
     return service
--- /dev/null
+++ b/trefoilpin/fakes/fleets.py
@@ -0,0 +1,110 @@
+"""Stand-ins for membership and notices, for measures of other decisions."""
+
+import random
+
+from trefoilpin import hashes
+from trefoilpin.services import Memberships, Notice, Notices
+
+__all__ = ["Board", "FleetView", "create_memberships", "create_notices", "spread"]
+
+
+class FleetView:
+    """What one host believes of the fleet; a test sets it."""
+
+    def __init__(self, own, hosts):
+        self.own = own
+        self.host_by_incarnation = {host.incarnation: host for host in hosts}
+        self.absent: set[str] = set()
+        self.successor_by_incarnation: dict[str, str] = {}
+        self.is_current = True
+        self.has_majority = True
+        self.subscribers: list = []
+
+
+def create_memberships(view):
+    """Create the service ``memberships`` over a view that a test sets."""
+
+    def live():
+        present = set(view.host_by_incarnation) - view.absent
+        return tuple(view.host_by_incarnation[name] for name in sorted(present))
+
+    def ranked(name):
+        incarnations = [host.incarnation for host in live()]
+        ordered = hashes.rank(name, incarnations)
+        return tuple(view.host_by_incarnation[item] for item in ordered)
+
+    def age(incarnation):
+        return float("inf") if incarnation in view.absent else 0.0
+
+    return Memberships(
+        own=lambda: view.own,
+        live=live,
+        find=view.host_by_incarnation.get,
+        age=age,
+        is_current=lambda: view.is_current,
+        has_majority=lambda: view.has_majority,
+        first=lambda name: ranked(name)[0],
+        ranked=ranked,
+        successor=view.successor_by_incarnation.get,
+        subscribe=view.subscribers.append,
+    )
+
+
+class Board:
+    """Notices as one host knows them."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.notice_by_key: dict[tuple[str, str, str], Notice] = {}
+        self.functions_by_topic: dict[str, list] = {}
+
+
+def learn(board, notice):
+    """Take over a notice unless a later one is known."""
+    key = (notice.topic, notice.key, notice.publisher)
+    known = board.notice_by_key.get(key)
+    if known is not None and known.expires_at >= notice.expires_at:
+        return
+    board.notice_by_key[key] = notice
+    for function in board.functions_by_topic.get(notice.topic, ()):
+        function(notice)
+
+
+def create_notices(board, now):
+    """Create the service ``notices`` over one host's board."""
+
+    def publish(topic, key, value, lifetime):
+        notice = Notice(topic, key, value, board.incarnation, now() + lifetime)
+        board.notice_by_key.pop((topic, key, board.incarnation), None)
+        learn(board, notice)
+
+    def read(topic):
+        found = board.notice_by_key.values()
+        return tuple(
+            notice
+            for notice in found
+            if notice.topic == topic and notice.expires_at > now()
+        )
+
+    def subscribe(topic, function):
+        board.functions_by_topic.setdefault(topic, []).append(function)
+
+    return Notices(publish, read, subscribe)
+
+
+def spread(boards, rng: random.Random, passes):
+    """Have each host pull once from a random other one.
+
+    Parameters
+    ----------
+    boards : sequence of Board
+    rng : random.Random
+    passes : callable
+        ``passes(sender, receiver)`` tells whether a message arrives.
+    """
+    for board in boards:
+        source = rng.choice(boards)
+        if source is board or not passes(source.incarnation, board.incarnation):
+            continue
+        for notice in list(source.notice_by_key.values()):
+            learn(board, notice)
--- a/trefoilpin/fakes/loops.py
+++ b/trefoilpin/fakes/loops.py
@@ -68,7 +68,8 @@
     """Return a kernel whose tasks do not run: the loop calls their steps."""
     rng = random.Random(state.rng.random())
     kernel = create_kernel(movable_clock(state), spawn or (lambda *task: None), rng)
-    kernel.register("events", Events(emit or (lambda event, **fields: None)))
+    emit = emit or (lambda event, **fields: None)
+    kernel.register("events", Events(emit, lambda: None))
     return kernel
 
 
--- a/trefoilpin/frontends.py
+++ b/trefoilpin/frontends.py
@@ -17,7 +17,7 @@
 from trefoilpin.messages import CallerRequest
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
-__all__ = ["create", "create_application", "serve"]
+__all__ = ["create", "create_application", "listen", "serve"]
 
 logger = logging.getLogger(__name__)
 
@@ -163,19 +163,33 @@
     return application
 
 
-def serve(address, application, max_connections, idle_seconds):
-    """Serve an application until the task is killed.
+def listen(address):
+    """Return a listening socket.
 
     Parameters
     ----------
     address : str
         ``ip:port``.
+
+    Raises
+    ------
+    OSError
+        When the address can't be bound.
+    """
+    host, _, port = address.rpartition(":")
+    return eventlet.listen((host, int(port)), backlog=LISTEN_BACKLOG)
+
+
+def serve(listener, application, max_connections, idle_seconds):
+    """Serve an application until the task is killed.
+
+    Parameters
+    ----------
+    listener : socket
     application : callable
     max_connections : int
     idle_seconds : float
     """
-    host, _, port = address.rpartition(":")
-    listener = eventlet.listen((host, int(port)), backlog=LISTEN_BACKLOG)
     eventlet.wsgi.server(
         listener,
         application,
@@ -192,7 +206,8 @@
     application = create_application(kernel, kernel.find("proxies"), max_body)
 
     def start():
-        kernel.spawn(serve, address, application, max_connections, idle_seconds)
+        listener = listen(address)
+        kernel.spawn(serve, listener, application, max_connections, idle_seconds)
 
     kernel.register("frontends", application, start)
     return application
--- a/trefoilpin/proxies.py
+++ b/trefoilpin/proxies.py
@@ -91,7 +91,7 @@
                 break
             choice = taken.unwrap()
             last = forwarders.exchange(choice.upstream, stripped, deadline, idempotent)
-            balancers.release(choice, last, account and account.id)
+            balancers.release(choice, last, account and account.id, "")
             queues.released(pool.id)
             tried = tried | {choice.upstream.id}
             if not may_send_again(last, idempotent) or now() >= deadline:
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -38,12 +38,16 @@
     "Keys",
     "Limits",
     "Memberships",
+    "Notice",
+    "Notices",
     "Operations",
     "PeerFailure",
     "Peers",
     "Proxies",
+    "Quarantines",
     "Queues",
     "Routes",
+    "Shutdowns",
     "Store",
     "StoreChange",
     "StoreFailure",
@@ -57,9 +61,11 @@
     """``events``: one line for each decision.
 
     ``emit(event, **fields)`` takes an event of the catalogue and its fields.
+    ``flush()`` writes every line that still waits.
     """
 
     emit: Callable[..., None]
+    flush: Callable[[], None]
 
 
 class StoreOutcome(Enum):
@@ -214,6 +220,65 @@
     subscribe: Callable[[Callable[[], None]], None]
 
 
+class Notice(NamedTuple):
+    """Soft state published by one host.
+
+    Attributes
+    ----------
+    topic, key, value : str
+    publisher : str
+        Incarnation.
+    expires_at : float
+        Seconds of this host's clock.
+    """
+
+    topic: str
+    key: str
+    value: str
+    publisher: str
+    expires_at: float
+
+
+class Notices(NamedTuple):
+    """``notices``: small soft state that gossip carries to every host.
+
+    ``publish(topic, key, value, lifetime)`` replaces this host's own notice for that
+    topic and key; ``lifetime`` is in seconds, 0 withdraws it. ``read(topic)`` gives a
+    tuple of the live ``Notice`` of all publishers. ``subscribe(topic, function)`` has
+    ``function(notice)`` called for each one that is new or changed.
+    """
+
+    publish: Callable[[str, str, str, float], None]
+    read: Callable[[str], tuple[Notice, ...]]
+    subscribe: Callable[[str, Callable[[Notice], None]], None]
+
+
+class Shutdowns(NamedTuple):
+    """``shutdowns``: the planned stop of this host.
+
+    ``on_hand_over(name, function)`` has ``function(successor)`` called with the
+    ``Host`` that takes this one's place, or None when there is none, after the last
+    request ended; it returns True once everything arrived. ``is_stopping()`` is True
+    from the leave notice on. ``stop()`` runs the whole stop and returns at its end.
+    """
+
+    on_hand_over: Callable[[str, Callable[[Host | None], bool]], None]
+    is_stopping: Callable[[], bool]
+    stop: Callable[[], None]
+
+
+class Quarantines(NamedTuple):
+    """``quarantines``: requests that break each upstream that runs them.
+
+    ``check(fingerprint)`` gives None or a ``Refusal``. ``report(fingerprint,
+    upstream)`` tells that a request broke an upstream's connection after it was
+    written.
+    """
+
+    check: Callable[[str], Refusal | None]
+    report: Callable[[str, str], None]
+
+
 class Routes(NamedTuple):
     """``routes``: ``match(host, path, method)`` gives a ``Route`` or ``Refusal``."""
 
@@ -268,12 +333,12 @@
 
     ``choose(pool, excluded)`` gives a ``Choice`` or a ``Refusal``, whose reason is
     ``OVERLOADED`` when every upstream that may be used is at its cap; ``excluded``
-    are ids of upstreams already tried. ``release(choice, attempt, account)`` must
-    follow, once; ``account`` is the client account's id or None.
+    are ids of upstreams already tried. ``release(choice, attempt, account,
+    fingerprint)`` must follow, once; ``account`` is the client account's id or None.
     """
 
     choose: Callable[[Pool, frozenset[str]], Result]
-    release: Callable[[Choice, Attempt, str | None], None]
+    release: Callable[[Choice, Attempt, str | None, str], None]
 
 
 class Forwarders(NamedTuple):
