Peers, membership by pull gossip with ages, and notices

Cause: services that decide for the whole fleet need calls between hosts, a view of which hosts run that is safe without agreed clocks, and soft state.

Change: peers (thrift frames over TCP, a tag over each envelope made from both sides' challenges and a counter), memberships (ages as upper bounds, roster in the store, leave notices, majority, current), notices (only what is recent and not known to the puller is sent; a digest finds what was missed).

Found on the way: a host's evidence of itself, told by others, counted twice for its majority; test_a_cut_off_minority_is_not_current failed with it. The request of a puller is no evidence, for it may have waited in a socket; only replies are. The order of ages is known by a digest of the roster.

Costs are not measured yet.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -39,6 +39,7 @@
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.02
 SALT = "00ff"
+SECRET = "a secret of the fleet's own"
 
 
 class HostProcess(NamedTuple):
@@ -172,6 +173,7 @@
             "admin_address": admin,
         },
         "store": {"addresses": [fleet.store_address]},
+        "peers": {"secret": SECRET},
     }
     for section, table in (extra or {}).items():
         tables.setdefault(section, {}).update(table)
--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -1,6 +1,7 @@
 """One host's daemon: its services put together in order, and its life."""
 
 import logging
+import secrets
 import signal
 
 import eventlet
@@ -17,8 +18,11 @@
     frontends,
     keys,
     limits,
+    memberships,
     metrics,
+    notices,
     operations,
+    peers,
     proxies,
     queues,
     routes,
@@ -26,9 +30,24 @@
     tickets,
 )
 from trefoilpin.kernel import create_kernel
+from trefoilpin.records import Host
 
 __all__ = ["assemble", "run"]
 
+INCARNATION_BYTES = 8
+
+
+def create_own_host(settings):
+    """Return this start of the daemon as a host of the fleet."""
+    return Host(
+        secrets.token_hex(INCARNATION_BYTES),
+        settings["host.name"],
+        settings["host.zone"],
+        settings["host.region"],
+        settings["host.caller_address"],
+        settings["host.peer_address"],
+    )
+
 
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
@@ -55,6 +74,10 @@
         kernel, settings["store.addresses"], settings["store.timeout_seconds"]
     )
     configurations.create(kernel)
+    own = create_own_host(settings)
+    peers.create(kernel, own.peer_address, settings["peers.secret"], own.incarnation)
+    notices.create(kernel, own.incarnation)
+    memberships.create(kernel, own, settings["peers.seeds"])
     tickets.create(kernel, checks.check)
     routes.create(kernel)
     keys.create(kernel)
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -121,6 +121,34 @@
 )
 
 # 3xx: peers, membership, addresses and shutdown.
+PEER_REFUSED = Event(
+    300,
+    "peer_refused",
+    logging.WARNING,
+    ("peer", "detail"),
+    "A connection was closed because the other side broke the protocol.",
+)
+HOST_JOINED = Event(
+    310,
+    "host_joined",
+    logging.INFO,
+    ("host", "incarnation", "zone", "address"),
+    "A host was added to the roster.",
+)
+HOST_LEFT = Event(
+    311,
+    "host_left",
+    logging.INFO,
+    ("incarnation", "successor"),
+    "A host left by plan, was replaced or was gone for long.",
+)
+CURRENT_CHANGED = Event(
+    320,
+    "current_changed",
+    logging.WARNING,
+    ("current", "store_age", "majority", "ticket"),
+    "The host became sure of having the configuration in force, or lost that.",
+)
 
 # 4xx: operations, retries and forwarding.
 
--- a/trefoilpin/fakes/fleets.py
+++ b/trefoilpin/fakes/fleets.py
@@ -2,10 +2,49 @@
 
 import random
 
-from trefoilpin import hashes
+from trefoilpin import configurations, hashes, memberships, notices
+from trefoilpin.fakes import loops
+from trefoilpin.records import Host
 from trefoilpin.services import Memberships, Notice, Notices
 
-__all__ = ["Board", "FleetView", "create_memberships", "create_notices", "spread"]
+__all__ = [
+    "Board",
+    "FleetView",
+    "create_host",
+    "create_memberships",
+    "create_notices",
+    "spread",
+]
+
+
+def create_host(network, store, name, zone, incarnation=None, seeds=()):
+    """Create the services of the fleet for one host in a plain loop.
+
+    Parameters
+    ----------
+    network : Network
+    store : Store
+    name, zone : str
+    incarnation : str, optional
+        The name by default.
+    seeds : sequence of str
+        Peer addresses asked while the roster is unknown.
+
+    Returns
+    -------
+    Kernel
+        With every service up to ``memberships``.
+    """
+    kernel = loops.create_host_kernel(network.state)
+    incarnation = incarnation or name
+    address = f"peer-{incarnation}"
+    kernel.register("store", store)
+    kernel.register("peers", network.connect(address, incarnation))
+    configurations.create(kernel)
+    notices.create(kernel, incarnation)
+    own = Host(incarnation, name, zone, "default", f"caller-{incarnation}", address)
+    memberships.create(kernel, own, seeds)
+    return kernel
 
 
 class FleetView:
--- a/trefoilpin/fakes/loops.py
+++ b/trefoilpin/fakes/loops.py
@@ -104,7 +104,16 @@
                 return Failure(PeerFailure(True, "timeout"))
             return Success(reply)
 
-        return Peers(call, handler_by_method.__setitem__)
+        def call_all(receivers, method, message, timeout, enough):
+            replied = []
+            for receiver in receivers:
+                if len(replied) >= enough:
+                    break
+                if isinstance(call(receiver, method, message, timeout), Success):
+                    replied.append(receiver)
+            return tuple(replied)
+
+        return Peers(call, handler_by_method.__setitem__, call_all)
 
     return Network(state, connect)
 
--- /dev/null
+++ b/trefoilpin/memberships.py
@@ -0,0 +1,364 @@
+"""The fleet as one host sees it: pull gossip with ages.
+
+Every age is an upper bound on the seconds since someone had direct evidence that a
+host runs. A reply is such evidence, as old as the whole round trip at most; the
+puller adds that round trip to every age it is told and keeps the least. Ages grow by
+the host's own clock and need no agreement between clocks, however late a message.
+
+A host is current when it is sure that every ticket accepted more than
+``FRESH_SECONDS`` ago is in force here: either its ``store_age`` is below that, or it
+has fresh ages of a majority and every ticket that any of them had heard of, for a
+ticket counts as accepted only once a majority had heard of it.
+"""
+
+from returns.result import Failure, Success
+
+from trefoilpin import events, hashes
+from trefoilpin.rosters import (
+    NEVER,
+    MembershipState,
+    PullReply,
+    PullRequest,
+    SyncReply,
+    SyncRequest,
+    decode_host,
+    encode_ages,
+    encode_host,
+    merge_ages,
+    note_head,
+    settle_heads,
+    update_order,
+)
+from trefoilpin.services import Memberships
+
+__all__ = ["FRESH_SECONDS", "create"]
+
+FRESH_SECONDS = 4.0
+LIVE_SECONDS = 8.0
+FORGET_SECONDS = 900.0
+RECORD_SECONDS = 1800.0
+DEPARTED_SECONDS = 21600.0
+PULL_SECONDS = 0.4
+PULL_TIMEOUT_SECONDS = 2.0
+SYNC_SECONDS = 5.0
+ENROLL_SECONDS = 10.0
+PARTNERS = 24
+PULLS_PER_PARTNER_CHANGE = 20
+WATCHERS_PER_ZONE = 2
+MAX_RANKED_NAMES = 512
+MEMBER_TOPIC = "members"
+DEPARTED_TOPIC = "departed"
+ROSTER_PREFIX = "roster/"
+
+
+def create(kernel, own, seeds=()):
+    """Create the service ``memberships``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    own : Host
+    seeds : sequence of str
+        Peer addresses asked while the roster is unknown.
+
+    Returns
+    -------
+    Memberships
+    """
+    state = MembershipState(own)
+    now, rng = kernel.clock.now, kernel.rng
+    emit = kernel.find("events").emit
+    peers = kernel.find("peers")
+    store = kernel.find("store")
+    notices = kernel.find("notices")
+    configurations = kernel.find("configurations")
+
+    def add(host):
+        known = state.host_by_incarnation
+        if host.incarnation in known or host.incarnation in state.successor_by_departed:
+            return
+        known[host.incarnation] = host
+        state.expires_at.setdefault(host.incarnation, now() + RECORD_SECONDS)
+        update_order(state)
+        emit(
+            events.HOST_JOINED,
+            host=host.name,
+            incarnation=host.incarnation,
+            zone=host.zone,
+            address=host.peer_address,
+        )
+
+    def remove(incarnation, successor):
+        if incarnation == own.incarnation:
+            return
+        state.heard_at.pop(incarnation, None)
+        state.expires_at.pop(incarnation, None)
+        if state.host_by_incarnation.pop(incarnation, None) is None:
+            return
+        update_order(state)
+        refresh_live()
+        emit(events.HOST_LEFT, incarnation=incarnation, successor=successor or None)
+
+    def learn_member(notice):
+        host = decode_host(notice.value)
+        if host is None or host.incarnation != notice.key:
+            return
+        state.expires_at[host.incarnation] = notice.expires_at
+        add(host)
+
+    def learn_departed(notice):
+        if notice.key == own.incarnation and not state.leaving:
+            return
+        if notice.value or notice.key not in state.successor_by_departed:
+            state.successor_by_departed[notice.key] = notice.value
+        remove(notice.key, notice.value)
+
+    def join(hosts):
+        state.joined = True
+        for host in hosts:
+            add(host)
+
+    def age(incarnation):
+        if incarnation == own.incarnation:
+            return 0.0
+        return now() - state.heard_at.get(incarnation, NEVER)
+
+    def refresh_live():
+        found = []
+        for incarnation in state.order:
+            if age(incarnation) <= LIVE_SECONDS:
+                found.append(state.host_by_incarnation[incarnation])
+        if tuple(found) == state.live:
+            return
+        state.live = tuple(found)
+        state.ranked_by_name.clear()
+        for function in state.subscribers:
+            function()
+
+    def ranked(name):
+        hosts = state.ranked_by_name.get(name)
+        if hosts is not None:
+            return hosts
+        ordered = hashes.rank(name, [host.incarnation for host in state.live])
+        hosts = tuple(state.host_by_incarnation[item] for item in ordered)
+        if len(state.ranked_by_name) >= MAX_RANKED_NAMES:
+            state.ranked_by_name.clear()
+        state.ranked_by_name[name] = hosts
+        return hosts
+
+    def successor(incarnation):
+        found = None
+        for _ in range(len(state.successor_by_departed)):
+            following = state.successor_by_departed.get(found or incarnation)
+            if not following:
+                break
+            found = following
+        return found
+
+    def has_majority():
+        if not state.joined:
+            return False
+        limit = now() - FRESH_SECONDS
+        fresh = sum(1 for instant in state.heard_at.values() if instant >= limit)
+        return 2 * (fresh + state.caught_up) > len(state.order)
+
+    def store_age():
+        settle_heads(state, configurations.head())
+        return now() - state.store_seen_at
+
+    def is_current():
+        if store_age() > FRESH_SECONDS:
+            if configurations.head() < state.known_number or not has_majority():
+                return False
+        state.caught_up = True
+        return True
+
+    def report_number(number):
+        state.known_number = max(state.known_number, number)
+
+    def pull(sender, request):
+        settle_heads(state, configurations.head())
+        seen = state.store_seen_at > NEVER
+        return PullReply(
+            state.digest,
+            encode_ages(state, now()),
+            state.order if request.explain else (),
+            configurations.head(),
+            state.known_number,
+            state.store_head,
+            store_age() if seen else -1.0,
+            notices.digest(),
+            notices.news(request.recent_notices),
+            state.joined,
+            sender in state.host_by_incarnation,
+        )
+
+    def sync(sender, request):
+        notices.learn(request.notices, 0.0)
+        return SyncReply(notices.missing(request.notice_ids))
+
+    def draw_partner():
+        others = [item for item in state.order if item != own.incarnation]
+        known = state.host_by_incarnation
+        state.partners = [item for item in state.partners if item in known]
+        if state.pulls % PULLS_PER_PARTNER_CHANGE == 0 and state.partners:
+            state.partners.pop(rng.randrange(len(state.partners)))
+        wanted = min(PARTNERS, len(others)) - len(state.partners)
+        if wanted > 0:
+            left = sorted(set(others) - set(state.partners))
+            state.partners += rng.sample(left, wanted)
+        hosts = [state.host_by_incarnation[item] for item in state.partners]
+        distant = [host for host in hosts if host.zone != own.zone]
+        return rng.choice(distant if distant and state.pulls % 2 else hosts)
+
+    def choose_address():
+        if len(state.order) > 1:
+            host = draw_partner()
+            return host, host.peer_address
+        others = [seed for seed in seeds if seed != own.peer_address]
+        return None, rng.choice(others) if others else None
+
+    def pull_once():
+        state.pulls += 1
+        host, address = choose_address()
+        if address is None:
+            return False
+        request = PullRequest(
+            state.digest, state.explain, notices.digest(), notices.recent_ids()
+        )
+        began_at = now()
+        result = peers.call(address, "memberships.pull", request, PULL_TIMEOUT_SECONDS)
+        if isinstance(result, Failure):
+            refresh_live()
+            return False
+        merge(address, result.unwrap(), began_at)
+        if host is not None and result.unwrap().head > configurations.head():
+            for function in state.behind_functions:
+                function(host)
+        return True
+
+    def merge(address, reply, began_at):
+        state.known_number = max(state.known_number, reply.known_number, reply.head)
+        if reply.store_age >= 0:
+            note_head(state, reply.store_head, began_at - reply.store_age)
+        notices.learn(reply.notices, now() - began_at)
+        order = reply.incarnations or state.rosters_by_digest.get(reply.roster_digest)
+        state.explain = order is None
+        if order is not None:
+            merge_ages(state, order, reply.ages, began_at)
+        is_due = now() - state.synced_at >= SYNC_SECONDS
+        is_behind = is_due and reply.notice_digest != notices.digest()
+        if is_behind or not (reply.knows_sender or state.leaving):
+            sync_with(address)
+        if reply.joined and order and set(order) <= state.host_by_incarnation.keys():
+            state.joined = True
+        refresh_live()
+
+    def sync_with(address):
+        state.synced_at = began_at = now()
+        record = notices.own_items(MEMBER_TOPIC)
+        request = SyncRequest(notices.all_ids(), record)
+        result = peers.call(address, "memberships.sync", request, PULL_TIMEOUT_SECONDS)
+        if isinstance(result, Failure):
+            return
+        notices.learn(result.unwrap().notices, now() - began_at)
+
+    def renew_once():
+        notices.expire()
+        due = now() - state.enroll_tried_at > ENROLL_SECONDS
+        if not state.enrolled and not state.leaving and due:
+            enroll_once()
+        if not state.leaving and now() - state.renewed_at > RECORD_SECONDS / 2:
+            state.renewed_at = now()
+            text = encode_host(own)
+            notices.publish(MEMBER_TOPIC, own.incarnation, text, RECORD_SECONDS)
+        if not has_majority():
+            return
+        for incarnation in state.order:
+            ended = now() > state.expires_at.get(incarnation, float("inf"))
+            if ended and age(incarnation) > FORGET_SECONDS:
+                remove(incarnation, None)
+
+    def enroll_once():
+        """Read the roster in the store and add this host to it."""
+        state.enroll_tried_at = now()
+        listed = store.list(ROSTER_PREFIX)
+        if isinstance(listed, Failure):
+            return False
+        hosts = [decode_host(str(stored.value)) for stored in listed.unwrap()]
+        join([host for host in hosts if host is not None])
+        for stored, host in zip(listed.unwrap(), hosts):
+            replaced = host is not None and host.name == own.name
+            if replaced and host.incarnation != own.incarnation:
+                depart(host.incarnation, "")
+                store.delete(stored.path, stored.version)
+        path = ROSTER_PREFIX + own.incarnation
+        created = store.create(path, encode_host(own))
+        state.enrolled = isinstance(created, Success) or created.failure().conflict
+        return state.enrolled
+
+    def depart(incarnation, following):
+        notices.publish(DEPARTED_TOPIC, incarnation, following, DEPARTED_SECONDS)
+
+    def leave(incarnation):
+        state.leaving = True
+        depart(own.incarnation, incarnation or "")
+
+    def is_watcher():
+        zone = [host.incarnation for host in state.live if host.zone == own.zone]
+        watchers = hashes.rank("watchers", zone)[:WATCHERS_PER_ZONE]
+        return own.incarnation in watchers
+
+    def report_current():
+        current = is_current()
+        if current == state.was_current or not state.caught_up:
+            return
+        state.was_current = current
+        emit(
+            events.CURRENT_CHANGED,
+            current=current,
+            store_age=round(store_age(), 1),
+            majority=has_majority(),
+            ticket=configurations.head(),
+        )
+
+    def start():
+        enroll_once()
+        kernel.spawn(pull_forever)
+
+    def pull_forever():
+        while True:
+            renew_once()
+            pull_once()
+            report_current()
+            kernel.clock.sleep(PULL_SECONDS * (0.5 + rng.random()))
+
+    update_order(state)
+    notices.subscribe(MEMBER_TOPIC, learn_member)
+    notices.subscribe(DEPARTED_TOPIC, learn_departed)
+    peers.serve("memberships.pull", pull)
+    peers.serve("memberships.sync", sync)
+    service = Memberships(
+        own=lambda: own,
+        live=lambda: state.live,
+        find=state.host_by_incarnation.get,
+        age=age,
+        is_current=is_current,
+        has_majority=has_majority,
+        first=lambda name: ranked(name)[0],
+        ranked=ranked,
+        successor=successor,
+        subscribe=state.subscribers.append,
+        roster=lambda: tuple(state.host_by_incarnation[item] for item in state.order),
+        leave=leave,
+        pull_once=pull_once,
+        renew_once=renew_once,
+        report_head=lambda head, at: note_head(state, head, at),
+        report_number=report_number,
+        store_age=store_age,
+        is_watcher=is_watcher,
+        on_behind=state.behind_functions.append,
+        join=join,
+    )
+    kernel.register("memberships", service, start)
+    return service
--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -4,6 +4,7 @@
 appended has the same fields. ``METHODS`` lists the messages of each method.
 """
 
+import functools
 import types
 import typing
 from typing import Any, NamedTuple
@@ -13,6 +14,9 @@
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.transport.TTransport import TMemoryBuffer
 
+from trefoilpin import rosters
+from trefoilpin.thrift_gen.memberships import ttypes as membership_types
+
 __all__ = ["METHODS", "Method", "decode", "encode"]
 
 MAX_STRING_BYTES = 4_194_304
@@ -38,12 +42,36 @@
 
 METHODS: dict[str, Method] = {
     # Peers, membership and configuration.
+    "memberships.pull": Method(
+        rosters.PullRequest,
+        rosters.PullReply,
+        membership_types.PullRequestStruct,
+        membership_types.PullReplyStruct,
+    ),
+    "memberships.sync": Method(
+        rosters.SyncRequest,
+        rosters.SyncReply,
+        membership_types.SyncRequestStruct,
+        membership_types.SyncReplyStruct,
+    ),
     # Operations.
     # Limits.
     # Health and balancing.
 }
 
 
+@functools.cache
+def type_hints(message_type):
+    """Return the type of each field of a message."""
+    return tuple(typing.get_type_hints(message_type).items())
+
+
+@functools.cache
+def struct_fields(struct_type):
+    """Return the type arguments of each field of a generated class."""
+    return {spec[2]: spec[3] for spec in struct_type.thrift_spec if spec}
+
+
 def is_message(hint):
     """Tell whether a type is a ``NamedTuple``."""
     return isinstance(hint, type) and hasattr(hint, "_fields")
@@ -52,10 +80,9 @@
 def to_struct(value, struct_type):
     """Return a generated struct that holds a message."""
     struct = struct_type()
-    spec_by_name = {spec[2]: spec for spec in struct_type.thrift_spec if spec}
-    for name in value._fields:
-        item = getattr(value, name)
-        setattr(struct, name, to_field(item, spec_by_name[name][3]))
+    arguments_by_name = struct_fields(struct_type)
+    for name, item in zip(value._fields, value):
+        setattr(struct, name, to_field(item, arguments_by_name[name]))
     return struct
 
 
@@ -71,7 +98,7 @@
 def from_struct(struct, message_type):
     """Return the message a struct holds; ``ValueError`` for a missing field."""
     values = []
-    for name, hint in typing.get_type_hints(message_type).items():
+    for name, hint in type_hints(message_type):
         values.append(from_field(getattr(struct, name), hint, name))
     return message_type(*values)
 
--- /dev/null
+++ b/trefoilpin/peers.py
@@ -0,0 +1,392 @@
+"""Calls between the hosts of the fleet, over TCP by IP number.
+
+A frame is a length and an envelope in thrift's binary protocol. The listening side
+opens each connection with a random challenge and the calling side answers with one
+of its own; every later envelope carries a tag made with the fleet's secret from both
+challenges, the direction and a counter, so that nothing recorded can be replayed.
+A peer that sends anything else is disconnected.
+"""
+
+import hmac
+import logging
+import os
+import struct
+from typing import NamedTuple
+
+import eventlet
+import eventlet.event
+from eventlet.green import socket
+from eventlet.semaphore import Semaphore
+from returns.result import Failure, Success
+
+from trefoilpin import events, peer_codecs
+from trefoilpin.services import PeerFailure, Peers
+from trefoilpin.thrift_gen.envelopes.ttypes import EnvelopeStruct
+
+__all__ = ["Envelope", "create"]
+
+logger = logging.getLogger(__name__)
+
+MAX_FRAME_BYTES = 4_194_304
+MAX_HANDSHAKE_BYTES = 1024
+MAX_CONNECTIONS = 2000
+MAX_CALLS_PER_CONNECTION = 256
+BACKLOG = 256
+CHALLENGE_BYTES = 16
+TAG_BYTES = 16
+HANDSHAKE_SECONDS = 2.0
+CALLER_IDLE_SECONDS = 120.0
+LISTENER_IDLE_SECONDS = 300.0
+LENGTH = struct.Struct("!I")
+TAGGED = struct.Struct("!BQQ?")
+TO_LISTENER, TO_CALLER = 0, 1
+
+
+class Envelope(NamedTuple):
+    """Frame of every message.
+
+    Attributes
+    ----------
+    method : str
+    call_id : int
+    sender : str
+        Incarnation; only in the first envelope of a connection.
+    body : bytes
+    tag : bytes
+    is_reply : bool
+    """
+
+    method: str
+    call_id: int
+    sender: str
+    body: bytes
+    tag: bytes
+    is_reply: bool
+
+
+class Connection:
+    """One connection, from either side.
+
+    Attributes
+    ----------
+    waiting_by_call : dict
+        Method name and event of each call that awaits its reply.
+    """
+
+    def __init__(self, sock, address):
+        self.sock = sock
+        self.address = address
+        self.challenges = b""
+        self.outgoing = TO_LISTENER
+        self.sent = 0
+        self.received = 0
+        self.calls = 0
+        self.sender = ""
+        self.closed = False
+        self.send_lock = Semaphore()
+        self.waiting_by_call: dict[int, tuple] = {}
+
+
+class PeerState:
+    """Kept connections and what this host serves."""
+
+    def __init__(self, secret, incarnation):
+        self.secret = secret.encode()
+        self.incarnation = incarnation
+        self.connection_by_address: dict[str, Connection] = {}
+        self.lock_by_address: dict[str, Semaphore] = {}
+        self.accepted: set[Connection] = set()
+        self.handler_by_method: dict = {}
+        self.listener = None
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+
+def read_exactly(sock, size):
+    """Read a number of bytes; ``ConnectionError`` when the stream ends before."""
+    data = bytearray()
+    while len(data) < size:
+        part = sock.recv(min(size - len(data), 65536))
+        if not part:
+            raise ConnectionError("closed by the other side")
+        data += part
+    return bytes(data)
+
+
+def read_envelope(state, connection, limit=MAX_FRAME_BYTES):
+    """Read one envelope, its tag not checked yet."""
+    (size,) = LENGTH.unpack(read_exactly(connection.sock, LENGTH.size))
+    if size > limit:
+        raise ValueError(f"a frame of {size} bytes is over the limit")
+    state.bytes_received += LENGTH.size + size
+    data = read_exactly(connection.sock, size)
+    decoded = peer_codecs.decode(data, Envelope, EnvelopeStruct)
+    if isinstance(decoded, Failure):
+        raise ValueError(decoded.failure())
+    return decoded.unwrap()
+
+
+def write_envelope(state, connection, envelope):
+    """Write one envelope as it is."""
+    data = peer_codecs.encode(envelope, EnvelopeStruct)
+    if len(data) > MAX_FRAME_BYTES:
+        raise ValueError(f"a message of {len(data)} bytes is over the limit")
+    state.bytes_sent += LENGTH.size + len(data)
+    connection.sock.sendall(LENGTH.pack(len(data)) + data)
+
+
+def compute_tag(state, connection, direction, counter, envelope):
+    """Return the tag that proves an envelope's sender, place and content."""
+    head = TAGGED.pack(direction, counter, envelope.call_id, envelope.is_reply)
+    names = f"{envelope.method}\0{envelope.sender}\0".encode()
+    text = connection.challenges + head + names + envelope.body
+    return hmac.digest(state.secret, text, "sha256")[:TAG_BYTES]
+
+
+def send(state, connection, envelope):
+    """Tag and write one envelope."""
+    with connection.send_lock:
+        counter = connection.sent
+        connection.sent += 1
+        tag = compute_tag(state, connection, connection.outgoing, counter, envelope)
+        write_envelope(state, connection, envelope._replace(tag=tag))
+
+
+def receive(state, connection, limit=MAX_FRAME_BYTES):
+    """Read one envelope and check its tag."""
+    envelope = read_envelope(state, connection, limit)
+    incoming = TO_CALLER if connection.outgoing == TO_LISTENER else TO_LISTENER
+    tag = compute_tag(state, connection, incoming, connection.received, envelope)
+    if not hmac.compare_digest(tag, envelope.tag):
+        raise ValueError("the tag does not fit the fleet's secret")
+    connection.received += 1
+    return envelope
+
+
+def close(connection):
+    """Close a connection and fail every call that waits on it."""
+    connection.closed = True
+    try:
+        connection.sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    connection.sock.close()
+    waiting, connection.waiting_by_call = connection.waiting_by_call, {}
+    for _, event in waiting.values():
+        event.send(Failure(PeerFailure(True, "the connection was lost")))
+
+
+def open_connection(state, address):
+    """Connect to a host and exchange challenges."""
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host.strip("[]"), int(port)), HANDSHAKE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection = Connection(sock, address)
+    try:
+        challenge = read_envelope(state, connection, MAX_HANDSHAKE_BYTES)
+        own = os.urandom(CHALLENGE_BYTES)
+        connection.challenges = challenge.body + own
+        hello = Envelope("hello", 0, state.incarnation, own, b"", False)
+        send(state, connection, hello)
+    except BaseException:
+        close(connection)
+        raise
+    sock.settimeout(None)
+    return connection
+
+
+def accept_connection(state, connection):
+    """Exchange challenges with a host that connected, and learn who it is."""
+    sock = connection.sock
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.settimeout(HANDSHAKE_SECONDS)
+    connection.outgoing = TO_CALLER
+    own = os.urandom(CHALLENGE_BYTES)
+    write_envelope(state, connection, Envelope("challenge", 0, "", own, b"", False))
+    hello = read_envelope(state, connection, MAX_HANDSHAKE_BYTES)
+    connection.challenges = own + hello.body
+    tag = compute_tag(state, connection, TO_LISTENER, 0, hello)
+    if hello.method != "hello" or not hmac.compare_digest(tag, hello.tag):
+        raise ValueError("the tag does not fit the fleet's secret")
+    connection.received = 1
+    connection.sender = hello.sender
+    sock.settimeout(LISTENER_IDLE_SECONDS)
+
+
+def create(kernel, address, secret, incarnation):
+    """Create the service ``peers``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    address : str
+        ``ip:port`` to listen on.
+    secret : str
+        Known to every host of the fleet and to nobody else.
+    incarnation : str
+        Unique for this start of the daemon.
+
+    Returns
+    -------
+    Peers
+    """
+    state = PeerState(secret, incarnation)
+    emit = kernel.find("events").emit
+
+    def answer(connection, envelope, method, message):
+        try:
+            reply = state.handler_by_method[envelope.method](connection.sender, message)
+            body = peer_codecs.encode(reply, method.reply_struct)
+            sent = Envelope(envelope.method, envelope.call_id, "", body, b"", True)
+            send(state, connection, sent)
+        except (OSError, ValueError) as error:
+            close(connection)
+            logger.debug("reply to %s not sent: %s", connection.address, error)
+        except Exception:
+            logger.exception("handler of %s failed", envelope.method)
+            close(connection)
+
+    def dispatch(pool, connection):
+        envelope = receive(state, connection)
+        method = peer_codecs.METHODS.get(envelope.method)
+        if method is None or envelope.method not in state.handler_by_method:
+            raise ValueError(f"unknown method {envelope.method!r}")
+        decoded = peer_codecs.decode(
+            envelope.body, method.request, method.request_struct
+        )
+        if isinstance(decoded, Failure):
+            raise ValueError(f"{envelope.method}: {decoded.failure()}")
+        pool.spawn_n(answer, connection, envelope, method, decoded.unwrap())
+
+    def serve_connection(sock, remote):
+        connection = Connection(sock, f"{remote[0]}:{remote[1]}")
+        state.accepted.add(connection)
+        pool = eventlet.GreenPool(MAX_CALLS_PER_CONNECTION)
+        try:
+            accept_connection(state, connection)
+            while True:
+                dispatch(pool, connection)
+        except ValueError as error:
+            emit(events.PEER_REFUSED, peer=connection.address, detail=str(error))
+        except OSError as error:
+            logger.debug("connection of %s ended: %s", connection.address, error)
+        finally:
+            state.accepted.discard(connection)
+            close(connection)
+
+    def read_replies(connection):
+        connection.sock.settimeout(CALLER_IDLE_SECONDS)
+        try:
+            while not connection.closed:
+                take_reply(connection)
+        except ValueError as error:
+            emit(events.PEER_REFUSED, peer=connection.address, detail=str(error))
+        except OSError as error:
+            logger.debug("connection to %s ended: %s", connection.address, error)
+        finally:
+            forget(connection)
+
+    def take_reply(connection):
+        envelope = receive(state, connection)
+        name, event = connection.waiting_by_call.pop(envelope.call_id, (None, None))
+        if event is None:
+            return
+        method = peer_codecs.METHODS[name]
+        decoded = peer_codecs.decode(envelope.body, method.reply, method.reply_struct)
+        if isinstance(decoded, Failure):
+            event.send(Failure(PeerFailure(True, "the reply is malformed")))
+            raise ValueError(f"reply to {name}: {decoded.failure()}")
+        event.send(decoded)
+
+    def forget(connection):
+        if state.connection_by_address.get(connection.address) is connection:
+            del state.connection_by_address[connection.address]
+        close(connection)
+
+    def find_connection(target):
+        with state.lock_by_address.setdefault(target, Semaphore()):
+            connection = state.connection_by_address.get(target)
+            if connection is not None and not connection.closed:
+                return connection
+            connection = open_connection(state, target)
+            state.connection_by_address[target] = connection
+        kernel.spawn(read_replies, connection)
+        return connection
+
+    def call(target, name, message, timeout):
+        method = peer_codecs.METHODS[name]
+        body = peer_codecs.encode(message, method.request_struct)
+        started = False
+        event = eventlet.event.Event()
+        connection = call_id = None
+        limit = eventlet.Timeout(timeout)
+        try:
+            with limit:
+                connection = find_connection(target)
+                connection.calls += 1
+                call_id = connection.calls
+                connection.waiting_by_call[call_id] = (name, event)
+                started = True
+                send(state, connection, Envelope(name, call_id, "", body, b"", False))
+                started = None
+                return event.wait()
+        except eventlet.Timeout as expired:
+            if expired is not limit:
+                raise
+            if started:
+                forget(connection)
+            return Failure(PeerFailure(connection is not None, "timeout"))
+        except (OSError, ValueError) as error:
+            if connection is not None:
+                forget(connection)
+            detail = f"{type(error).__name__}: {error}"
+            return Failure(PeerFailure(connection is not None, detail))
+        finally:
+            if connection is not None:
+                connection.waiting_by_call.pop(call_id, None)
+
+    def call_all(targets, name, message, timeout, enough):
+        replies = eventlet.Queue()
+        waiting = len(targets)
+        succeeded = []
+        for target in targets:
+            kernel.spawn(
+                lambda target: replies.put(
+                    (target, call(target, name, message, timeout))
+                ),
+                target,
+            )
+        while waiting and len(succeeded) < enough:
+            target, result = replies.get()
+            waiting -= 1
+            if isinstance(result, Success):
+                succeeded.append(target)
+        return tuple(succeeded)
+
+    def accept_forever():
+        while True:
+            sock, remote = state.listener.accept()
+            if len(state.accepted) >= MAX_CONNECTIONS:
+                sock.close()
+                continue
+            kernel.spawn(serve_connection, sock, remote)
+
+    def start():
+        host, _, port = address.rpartition(":")
+        state.listener = eventlet.listen((host.strip("[]"), int(port)), backlog=BACKLOG)
+        kernel.spawn(accept_forever)
+
+    def stop():
+        for connection in list(state.connection_by_address.values()):
+            forget(connection)
+        for connection in list(state.accepted):
+            close(connection)
+        if state.listener is not None:
+            state.listener.close()
+
+    def traffic():
+        return state.bytes_sent, state.bytes_received
+
+    service = Peers(call, state.handler_by_method.__setitem__, call_all, traffic)
+    kernel.register("peers", service, start, stop)
+    return service
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -186,11 +186,16 @@
     ``call(address, method, message, timeout)`` gives a ``Result`` of the reply or a
     ``PeerFailure``. ``serve(method, handler)`` has ``handler(sender, message)``
     called, which returns the reply; ``sender`` is the caller's incarnation. Messages
-    are ``NamedTuple`` types listed in ``peer_codecs``.
+    are ``NamedTuple`` types listed in ``peer_codecs``. ``call_all(addresses, method,
+    message, timeout, enough)`` calls many hosts at the same time and gives the
+    addresses that replied, as soon as there are ``enough`` of them. ``traffic()``
+    gives the bytes sent and received so far.
     """
 
     call: Callable[[str, str, Any, float], Result]
     serve: Callable[[str, Callable[[str, Any], Any]], None]
+    call_all: Callable[[list[str], str, Any, float, int], tuple[str, ...]] = None
+    traffic: Callable[[], tuple[int, int]] = None
 
 
 class Memberships(NamedTuple):
@@ -206,6 +211,17 @@
     ``ranked(name)`` are all live hosts in that order. ``successor(incarnation)`` is
     the incarnation to which a departed host handed its place, or None.
     ``subscribe(function)`` has ``function()`` called when ``live()`` changed.
+
+    ``roster()`` are all hosts that count for a majority, live or not.
+    ``leave(successor)`` spreads that this host goes and names the incarnation that
+    takes its place, or None. ``pull_once()`` exchanges with one other host;
+    ``renew_once()`` spreads this host's own record. ``report_head(head, began_at)``
+    tells that a read of the store, begun at an instant, found that ticket to be the
+    last; ``report_number(number)`` that a ticket of that number exists.
+    ``store_age()`` bounds the seconds since a read of the store whose head is in
+    force here. ``is_watcher()`` tells whether this host is to watch the store for its
+    zone. ``on_behind(function)`` has ``function(host)`` called after a pull from a
+    host that has tickets this one lacks. ``join(hosts)`` adds hosts to the roster.
     """
 
     own: Callable[[], Host]
@@ -218,6 +234,16 @@
     ranked: Callable[[str], tuple[Host, ...]]
     successor: Callable[[str], str | None]
     subscribe: Callable[[Callable[[], None]], None]
+    roster: Callable[[], tuple[Host, ...]] = None
+    leave: Callable[[str | None], None] = None
+    pull_once: Callable[[], bool] = None
+    renew_once: Callable[[], None] = None
+    report_head: Callable[[int, float], None] = None
+    report_number: Callable[[int], None] = None
+    store_age: Callable[[], float] = None
+    is_watcher: Callable[[], bool] = None
+    on_behind: Callable[[Callable[[Host], None]], None] = None
+    join: Callable[[tuple[Host, ...]], None] = None
 
 
 class Notice(NamedTuple):
@@ -246,11 +272,26 @@
     topic and key; ``lifetime`` is in seconds, 0 withdraws it. ``read(topic)`` gives a
     tuple of the live ``Notice`` of all publishers. ``subscribe(topic, function)`` has
     ``function(notice)`` called for each one that is new or changed.
+
+    Gossip uses the rest. ``learn(items, elapsed)`` takes over items that were sent at
+    most ``elapsed`` seconds ago. ``recent_ids()`` and ``all_ids()`` are identifiers of
+    known notices, one after the other; ``news(known_ids)`` and ``missing(known_ids)``
+    give the recent ones and all those that are not among them; ``own_items(topic)``
+    those that this host published. ``digest()`` is
+    equal on hosts that know the same. ``expire()`` forgets what ended.
     """
 
     publish: Callable[[str, str, str, float], None]
     read: Callable[[str], tuple[Notice, ...]]
     subscribe: Callable[[str, Callable[[Notice], None]], None]
+    learn: Callable[[tuple, float], None] = None
+    recent_ids: Callable[[], bytes] = None
+    news: Callable[[bytes], tuple] = None
+    missing: Callable[[bytes], tuple] = None
+    own_items: Callable[[str], tuple] = None
+    all_ids: Callable[[], bytes] = None
+    digest: Callable[[], bytes] = None
+    expire: Callable[[], None] = None
 
 
 class Shutdowns(NamedTuple):
--- a/trefoilpin/settings.py
+++ b/trefoilpin/settings.py
@@ -202,6 +202,20 @@
         "Time after which a caller's idle connection is closed.",
     ),
     # Peers and membership.
+    Setting(
+        "peers.secret",
+        None,
+        "a string of at least 16 characters",
+        lambda value: isinstance(value, str) and len(value) >= 16,
+        "Known to every host of the fleet and to nobody else.",
+    ),
+    Setting(
+        "peers.seeds",
+        [],
+        "a list of IP numbers and ports",
+        is_address_list,
+        "Peer addresses of some hosts, asked at the start when the store is down.",
+    ),
     # Shutdown.
     # Operations and retries.
     # Limits and queues.
--- /dev/null
+++ b/trefoilpin/tests/test_memberships.py
@@ -0,0 +1,196 @@
+"""Ages are bounds, majorities meet, departed hosts stay away."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpin import memberships
+from trefoilpin.fakes import fleets, loops
+from trefoilpin.rosters import MembershipState, encode_ages, merge_ages, update_order
+
+FRESH = memberships.FRESH_SECONDS
+
+
+def create_fleet(count, seed=1):
+    """Return the loop's state, kernels by name and the store's faults."""
+    state = loops.LoopState(seed)
+    network = loops.create_network(state)
+    store, faults, _ = loops.create_store(state)
+    kernel_by_name = {}
+    for number in range(count):
+        name = f"h{number}"
+        kernel = fleets.create_host(network, store, name, "abc"[number % 3])
+        kernel_by_name[name] = kernel
+    for kernel in kernel_by_name.values():
+        enroll(kernel)
+    run(state, kernel_by_name, 10)
+    return state, network, kernel_by_name, (store, faults)
+
+
+def enroll(kernel):
+    """Read the store once, as the task of the tickets does."""
+    service = kernel.find("memberships")
+    service.renew_once()
+    service.report_head(kernel.find("configurations").head(), kernel.clock.now())
+
+
+def run(state, kernel_by_name, rounds, seconds=0.4):
+    """Let every host that runs pull once in each round."""
+    for _ in range(rounds):
+        state.now += seconds
+        for name, kernel in kernel_by_name.items():
+            address = f"peer-{name}"
+            if address in state.dead or address in state.frozen:
+                continue
+            kernel.find("memberships").renew_once()
+            kernel.find("memberships").pull_once()
+            kernel.find("memberships").is_current()
+
+
+def view(kernel):
+    return kernel.find("memberships")
+
+
+def names(kernel):
+    return {host.name for host in view(kernel).live()}
+
+
+def test_every_host_learns_of_every_other():
+    _, _, kernel_by_name, _ = create_fleet(7)
+    for kernel in kernel_by_name.values():
+        assert names(kernel) == set(kernel_by_name)
+        assert view(kernel).is_current() and view(kernel).has_majority()
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(st.integers(0, 2**32), st.floats(0, 0.6))
+def test_an_age_is_never_below_the_truth(seed, loss):
+    state, _, kernel_by_name, _ = create_fleet(6, seed)
+    state.loss_share = loss
+    frozen_at = state.now
+    state.frozen = {"peer-h1"}
+    for _ in range(12):
+        run(state, kernel_by_name, 1, state.rng.uniform(0.1, 1.0))
+        truth = state.now - frozen_at
+        for name, kernel in kernel_by_name.items():
+            if name != "h1":
+                assert view(kernel).age("h1") >= truth
+    assert "h1" not in names(kernel_by_name["h0"]) or truth <= 8.0
+
+
+def test_a_late_reply_is_evidence_of_when_the_pull_began():
+    own, other = [fleets.Host(name, name, "a", "r", "", "") for name in "ab"]
+    state = MembershipState(own)
+    state.host_by_incarnation[other.incarnation] = other
+    update_order(state)
+    source = MembershipState(other)
+    source.caught_up = True
+    source.host_by_incarnation[own.incarnation] = own
+    update_order(source)
+    began_at = 100.0
+    ages = encode_ages(source, 107.0)
+    merge_ages(state, state.order, ages, began_at)
+    assert 107.5 - state.heard_at["b"] >= 7.5
+
+
+def test_a_cut_off_minority_is_not_current():
+    state, _, kernel_by_name, (_, faults) = create_fleet(5)
+    faults.down = True
+    minority = {"peer-h0", "peer-h1"}
+    addresses = {f"peer-{name}" for name in kernel_by_name}
+    for one in minority:
+        for other in addresses - minority:
+            state.cut_pairs |= {(one, other), (other, one)}
+    run(state, kernel_by_name, 12)
+    for name, kernel in kernel_by_name.items():
+        assert view(kernel).is_current() == (f"peer-{name}" not in minority)
+
+
+def test_with_the_store_down_a_whole_fleet_stays_current():
+    state, _, kernel_by_name, (_, faults) = create_fleet(12)
+    faults.down = True
+    for _ in range(100):
+        run(state, kernel_by_name, 1)
+        assert all(view(kernel).is_current() for kernel in kernel_by_name.values())
+
+
+def test_a_host_that_heard_of_a_ticket_it_lacks_is_not_current():
+    state, _, kernel_by_name, (_, faults) = create_fleet(5)
+    faults.down = True
+    run(state, kernel_by_name, 11)
+    view(kernel_by_name["h0"]).report_number(1)
+    run(state, kernel_by_name, 10)
+    assert not any(view(kernel).is_current() for kernel in kernel_by_name.values())
+
+
+def test_a_thawed_host_is_not_current_before_it_pulled():
+    state, _, kernel_by_name, (_, faults) = create_fleet(3)
+    state.now += FRESH + 0.1
+    assert not view(kernel_by_name["h0"]).is_current()
+    assert not view(kernel_by_name["h0"]).has_majority()
+
+
+def test_chains_of_successors_collapse_and_the_departed_stay_away():
+    state, _, kernel_by_name, _ = create_fleet(5)
+    view(kernel_by_name["h1"]).leave("h2")
+    run(state, kernel_by_name, 6)
+    view(kernel_by_name["h2"]).leave("h3")
+    run(state, kernel_by_name, 6)
+    for name in ("h0", "h3", "h4"):
+        service = view(kernel_by_name[name])
+        assert service.successor("h1") == service.successor("h2") == "h3"
+        assert service.successor("h3") is None
+        assert len(service.roster()) == 3
+        assert names(kernel_by_name[name]) == {"h0", "h3", "h4"}
+
+
+def test_a_restarted_host_joins_while_the_store_is_down():
+    state, network, kernel_by_name, (store, faults) = create_fleet(4)
+    faults.down = True
+    run(state, kernel_by_name, 20)
+    view(kernel_by_name["h1"]).leave("h2")
+    run(state, kernel_by_name, 6)
+    state.dead.add("peer-h1")
+    fresh = fleets.create_host(network, store, "h1", "b", "h1-again", ["peer-h0"])
+    assert not view(fresh).is_current() and not view(fresh).has_majority()
+    kernel_by_name["h1-again"] = fresh
+    del kernel_by_name["h1"]
+    run(state, kernel_by_name, 15)
+    for kernel in kernel_by_name.values():
+        assert names(kernel) == {"h0", "h1", "h2", "h3"}
+        assert len(view(kernel).roster()) == 4
+        assert view(kernel).is_current()
+
+
+def test_two_strangers_do_not_make_a_fleet():
+    state = loops.LoopState(1)
+    network = loops.create_network(state)
+    store, faults, _ = loops.create_store(state)
+    faults.down = True
+    kernels = {}
+    for name, seed in (("h0", "peer-h1"), ("h1", "peer-h0")):
+        kernels[name] = fleets.create_host(network, store, name, "a", name, [seed])
+    run(state, kernels, 30)
+    assert not any(view(kernel).has_majority() for kernel in kernels.values())
+    assert not any(view(kernel).is_current() for kernel in kernels.values())
+
+
+def test_a_host_gone_for_long_is_dropped_only_by_a_majority():
+    state, _, kernel_by_name, _ = create_fleet(4)
+    state.dead.add("peer-h3")
+    kept = {name: kernel_by_name[name] for name in ("h0", "h1", "h2")}
+    run(state, kept, 40, memberships.RECORD_SECONDS / 30)
+    run(state, kept, 10)
+    for kernel in kept.values():
+        assert len(view(kernel).roster()) == 3
+    state.dead |= {"peer-h1", "peer-h2"}
+    run(state, {"h0": kept["h0"]}, 80, memberships.RECORD_SECONDS / 30)
+    assert len(view(kept["h0"]).roster()) == 3
+    assert not view(kept["h0"]).has_majority()
+
+
+def test_watchers_are_few_in_each_zone():
+    _, _, kernel_by_name, _ = create_fleet(12)
+    watchers = [
+        name for name in kernel_by_name if view(kernel_by_name[name]).is_watcher()
+    ]
+    assert len(watchers) == 3 * memberships.WATCHERS_PER_ZONE
--- /dev/null
+++ b/trefoilpin/tests/test_peers.py
@@ -0,0 +1,204 @@
+"""Calls between hosts over real sockets: tags, limits, crossed and late replies."""
+
+import random
+import struct
+
+import eventlet
+import pytest
+from eventlet.green import socket
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from trefoilpin import clocks, peer_codecs, peers
+from trefoilpin.kernel import create_kernel
+from trefoilpin.rosters import SyncReply, SyncRequest
+from trefoilpin.services import Events
+from trefoilpin.tests.sessions import free_address
+
+SECRET = "a secret of the fleet's own"
+METHOD = "memberships.sync"
+
+
+class Node:
+    """One end with its log."""
+
+    def __init__(self, secret=SECRET):
+        self.tasks = []
+        self.lines = []
+        self.address = free_address()
+        clock = clocks.system_clock(eventlet.sleep)
+        self.kernel = create_kernel(clock, self.spawn, random.Random(1))
+        emit = lambda event, **fields: self.lines.append((event.name, fields))  # noqa
+        self.kernel.register("events", Events(emit, lambda: None))
+        self.peers = peers.create(self.kernel, self.address, secret, "0" * 16)
+        self.kernel.start()
+
+    def spawn(self, function, *arguments):
+        task = eventlet.spawn(function, *arguments)
+        self.tasks.append(task)
+        return task
+
+
+def end(node):
+    node.kernel.stop()
+    for task in node.tasks:
+        task.kill()
+
+
+@pytest.fixture
+def nodes():
+    made = [Node(), Node()]
+    yield made
+    for node in made:
+        end(node)
+
+
+def call(node, target, data=b"", timeout=2.0):
+    return node.peers.call(target.address, METHOD, SyncRequest(data, ()), timeout)
+
+
+def test_crossed_replies_reach_their_callers(nodes):
+    caller, listener = nodes
+    first_may_go = eventlet.event.Event()
+
+    def handle(sender, message):
+        if message.notice_ids == b"first":
+            first_may_go.wait()
+        else:
+            first_may_go.send()
+        return SyncReply(())
+
+    listener.peers.serve(METHOD, handle)
+    first = eventlet.spawn(call, caller, listener, b"first")
+    eventlet.sleep(0)
+    second = eventlet.spawn(call, caller, listener, b"second")
+    assert second.wait().unwrap() == SyncReply(())
+    assert first.wait().unwrap() == SyncReply(())
+
+
+def test_late_reply_is_dropped_and_the_connection_kept(nodes):
+    caller, listener = nodes
+    release = eventlet.event.Event()
+    listener.peers.serve(METHOD, lambda sender, message: release.wait())
+    late = call(caller, listener, timeout=0.05)
+    assert late.failure().may_have_arrived
+    release.send(SyncReply(()))
+    listener.peers.serve(METHOD, lambda sender, message: SyncReply(()))
+    assert call(caller, listener).unwrap() == SyncReply(())
+    assert not caller.lines and not listener.lines
+
+
+def test_no_connection_means_that_nothing_arrived(nodes):
+    caller, _ = nodes
+    failed = caller.peers.call(free_address(), METHOD, SyncRequest(b"", ()), 1.0)
+    assert not failed.failure().may_have_arrived
+
+
+def test_stranger_is_refused_and_nothing_runs(nodes):
+    _, listener = nodes
+    ran = []
+    listener.peers.serve(METHOD, lambda sender, message: ran.append(message))
+    stranger = Node("another secret, just as long")
+    failed = call(stranger, listener, timeout=1.0)
+    assert isinstance(failed, Failure)
+    assert not ran
+    assert listener.lines[0][0] == "peer_refused"
+    end(stranger)
+
+
+def record(node, listener):
+    """Return the bytes that a whole call sent, taken by a relay."""
+    taken = bytearray()
+    relay = eventlet.listen(("127.0.0.1", 0))
+
+    def run():
+        near, _ = relay.accept()
+        host, _, port = listener.address.rpartition(":")
+        far = socket.create_connection((host, int(port)))
+        node.spawn(copy, far, near, bytearray())
+        copy(near, far, taken)
+
+    def copy(source, sink, kept):
+        while part := source.recv(65536):
+            kept += part
+            sink.sendall(part)
+
+    node.spawn(run)
+    address = f"127.0.0.1:{relay.getsockname()[1]}"
+    node.peers.call(address, METHOD, SyncRequest(b"", ()), 2.0).unwrap()
+    return bytes(taken)
+
+
+def test_replayed_bytes_are_refused(nodes):
+    caller, listener = nodes
+    ran = []
+
+    def handle(sender, message):
+        ran.append(message)
+        return SyncReply(())
+
+    listener.peers.serve(METHOD, handle)
+    taken = record(caller, listener)
+    assert len(ran) == 1
+    assert listener.lines == []
+    assert send_raw(listener, taken) == b""
+    assert len(ran) == 1
+    assert "tag" in listener.lines[0][1]["detail"]
+
+
+def send_raw(listener, data):
+    """Send bytes after the challenge; return what comes until the end."""
+    host, _, port = listener.address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), 5.0)
+    (size,) = struct.unpack("!I", sock.recv(4))
+    sock.recv(size)
+    sock.sendall(data)
+    sock.shutdown(socket.SHUT_WR)
+    try:
+        return sock.recv(65536)
+    except ConnectionResetError:
+        return b""
+    finally:
+        sock.close()
+
+
+@settings(derandomize=True, max_examples=30, deadline=None)
+@given(st.binary(max_size=300))
+def test_garbage_closes_its_own_connection_alone(data):
+    listener, caller = Node(), Node()
+    listener.peers.serve(METHOD, lambda sender, message: SyncReply(()))
+    assert call(caller, listener).unwrap() == SyncReply(())
+    assert send_raw(listener, data) == b""
+    assert call(caller, listener).unwrap() == SyncReply(())
+    end(listener)
+    end(caller)
+
+
+def test_oversized_frame_is_refused(nodes):
+    _, listener = nodes
+    assert send_raw(listener, struct.pack("!I", 2**31) + b"x") == b""
+    assert "over the limit" in listener.lines[0][1]["detail"]
+
+
+def test_unknown_method_closes_the_connection(nodes):
+    caller, listener = nodes
+    failed = call(caller, listener, timeout=2.0)
+    assert failed.failure().may_have_arrived
+    assert "unknown method" in listener.lines[0][1]["detail"]
+
+
+def test_call_all_stops_once_enough_replied(nodes):
+    caller, listener = nodes
+    listener.peers.serve(METHOD, lambda sender, message: SyncReply(()))
+    targets = [listener.address, free_address()]
+    request = SyncRequest(b"", ())
+    assert caller.peers.call_all(targets, METHOD, request, 1.0, 1) == (targets[0],)
+    assert len(caller.peers.call_all(targets, METHOD, request, 1.0, 2)) == 1
+
+
+def test_envelopes_survive_the_wire():
+    envelope = peers.Envelope("m", 2**40, "s", b"\x00\xff", b"t", True)
+    struct_type = peers.EnvelopeStruct
+    data = peer_codecs.encode(envelope, struct_type)
+    assert peer_codecs.decode(data, peers.Envelope, struct_type).unwrap() == envelope
--- a/trefoilpin/tickets.py
+++ b/trefoilpin/tickets.py
@@ -75,17 +75,20 @@
     """
     store = kernel.find("store")
     configurations = kernel.find("configurations")
+    memberships = kernel.find("memberships")
     emit = kernel.find("events").emit
 
     def catch_up():
         """Join every ticket after the head; return a store result."""
         while True:
             after = ticket_path(configurations.head())
+            began_at = kernel.clock.now()
             listed = store.list(TICKET_PREFIX, after)
             if isinstance(listed, Failure):
                 return listed
             rows = listed.unwrap()
             if not rows:
+                memberships.report_head(configurations.head(), began_at)
                 return Success(configurations.head())
             before = configurations.head()
             for stored in rows:
