--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -38,10 +39,14 @@
 READY_SECONDS = 20.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.02
+PORTS = (10_000, 32_000)
 SALT = "00ff"
 SECRET = "a secret of the fleet's own"
 
 
+given_ports: set[int] = set()
+
+
 class HostProcess(NamedTuple):
     """A daemon with its addresses."""
 
@@ -76,10 +81,21 @@
 
 
 def free_address():
-    """Return an address whose port the system chose."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address that nothing uses, each one only once.
+
+    Ports are drawn below those that the system gives to outgoing connections.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        if port in given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def call(method, address, path, value=None, timeout=10.0):
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 import eventlet
+import eventlet.event
 
 from trefoilpin.services import Events
 
@@ -197,6 +198,7 @@
         self.waiting = deque()
         self.dropped = 0
         self.seen_by_number: dict[int, int] = {}
+        self.has_lines = eventlet.event.Event()
 
 
 def format_text(when, event, fields):
@@ -252,6 +254,8 @@
             state.dropped += 1
             return
         state.waiting.append((wall(), event, fields))
+        if not state.has_lines.ready():
+            state.has_lines.send()
 
     def flush():
         lines = []
@@ -266,7 +270,9 @@
 
     def write_forever():
         while True:
+            state.has_lines.wait()
             eventlet.sleep(FLUSH_SECONDS)
+            state.has_lines = eventlet.event.Event()
             flush()
 
     service = Events(emit, flush)
--- a/trefoilpin/peers.py
+++ b/trefoilpin/peers.py
@@ -32,6 +32,7 @@
 MAX_CONNECTIONS = 2000
 MAX_CALLS_PER_CONNECTION = 256
 BACKLOG = 256
+READ_BYTES = 65536
 CHALLENGE_BYTES = 16
 TAG_BYTES = 16
 HANDSHAKE_SECONDS = 2.0
@@ -82,6 +83,7 @@
         self.received = 0
         self.calls = 0
         self.sender = ""
+        self.buffer = bytearray()
         self.closed = False
         self.send_lock = Semaphore()
         self.waiting_by_call: dict[int, tuple] = {}
@@ -102,24 +104,26 @@
         self.bytes_received = 0
 
 
-def read_exactly(sock, size):
+def read_exactly(connection, size):
     """Read a number of bytes; ``ConnectionError`` when the stream ends before."""
-    data = bytearray()
-    while len(data) < size:
-        part = sock.recv(min(size - len(data), 65536))
+    received = connection.buffer
+    while len(received) < size:
+        part = connection.sock.recv(READ_BYTES)
         if not part:
             raise ConnectionError("closed by the other side")
-        data += part
-    return bytes(data)
+        received += part
+    data = bytes(received[:size])
+    del received[:size]
+    return data
 
 
 def read_envelope(state, connection, limit=MAX_FRAME_BYTES):
     """Read one envelope, its tag not checked yet."""
-    (size,) = LENGTH.unpack(read_exactly(connection.sock, LENGTH.size))
+    (size,) = LENGTH.unpack(read_exactly(connection, LENGTH.size))
     if size > limit:
         raise ValueError(f"a frame of {size} bytes is over the limit")
     state.bytes_received += LENGTH.size + size
-    data = read_exactly(connection.sock, size)
+    data = read_exactly(connection, size)
     decoded = peer_codecs.decode(data, Envelope, EnvelopeStruct)
     if isinstance(decoded, Failure):
         raise ValueError(decoded.failure())
@@ -373,7 +377,9 @@
 
     def start():
         host, _, port = address.rpartition(":")
-        state.listener = eventlet.listen((host.strip("[]"), int(port)), backlog=BACKLOG)
+        state.listener = eventlet.listen(
+            (host.strip("[]"), int(port)), backlog=BACKLOG, reuse_port=False
+        )
         kernel.spawn(accept_forever)
 
     def stop():
