--- a/trefoilpin/fakes/fleets.py
+++ b/trefoilpin/fakes/fleets.py
@@ -2,7 +2,17 @@
 
 import random
 
-from trefoilpin import configurations, hashes, memberships, notices
+from trefoilpin import (
+    checks,
+    codecs,
+    configurations,
+    hashes,
+    keys,
+    memberships,
+    notices,
+    snapshots,
+    tickets,
+)
 from trefoilpin.fakes import loops
 from trefoilpin.records import Host
 from trefoilpin.services import Memberships, Notice, Notices
@@ -10,12 +20,32 @@
 __all__ = [
     "Board",
     "FleetView",
+    "LoopHost",
+    "advance",
     "create_host",
+    "create_hosts",
     "create_memberships",
     "create_notices",
     "spread",
 ]
 
+SNAPSHOT_CODEC = snapshots.SnapshotCodec(
+    codecs.encode_ticket_text,
+    codecs.decode_ticket_text,
+    codecs.encode_versions,
+    codecs.decode_versions,
+)
+
+
+class LoopHost:
+    """One host in a plain loop, and when its tasks are due."""
+
+    def __init__(self, kernel, address):
+        self.kernel = kernel
+        self.address = address
+        self.pull_at = 0.0
+        self.watch_at = 0.0
+
 
 def create_host(network, store, name, zone, incarnation=None, seeds=()):
     """Create the services of the fleet for one host in a plain loop.
@@ -33,7 +63,7 @@
     Returns
     -------
     Kernel
-        With every service up to ``memberships``.
+        With every service up to ``keys``.
     """
     kernel = loops.create_host_kernel(network.state)
     incarnation = incarnation or name
@@ -44,9 +74,53 @@
     notices.create(kernel, incarnation)
     own = Host(incarnation, name, zone, "default", f"caller-{incarnation}", address)
     memberships.create(kernel, own, seeds)
+    snapshots.create(kernel, SNAPSHOT_CODEC)
+    tickets.create(kernel, checks.check)
+    keys.create(kernel)
     return kernel
 
 
+def create_hosts(network, count, store=None):
+    """Create and enroll hosts in three zones; return ``LoopHost`` by name."""
+    store = store or loops.create_store(network.state)[0]
+    host_by_name = {}
+    for number in range(count):
+        name = f"h{number:03d}"
+        kernel = create_host(network, store, name, "abc"[number % 3])
+        host_by_name[name] = LoopHost(kernel, f"peer-{name}")
+    for host in host_by_name.values():
+        host.kernel.find("memberships").renew_once()
+        host.kernel.find("tickets").next_number()
+    return host_by_name
+
+
+def advance(state, host_by_name, seconds, step=0.05):
+    """Move time and let every host that runs do what is due."""
+    rng, end = state.rng, state.now + seconds
+    while state.now < end:
+        state.now += step
+        hosts = list(host_by_name.values())
+        rng.shuffle(hosts)
+        for host in hosts:
+            if host.address not in state.dead | state.frozen:
+                run_due(state, host)
+
+
+def run_due(state, host):
+    """Run the steps of one host's tasks that are due; a lost call takes its time."""
+    if state.now >= host.pull_at:
+        state.lost_seconds_by_address[host.address] = 0.0
+        service = host.kernel.find("memberships")
+        service.renew_once()
+        pause = service.pull_once()
+        lost = state.lost_seconds_by_address[host.address]
+        host.pull_at = state.now + pause + lost
+    if state.now >= host.watch_at:
+        host.kernel.find("tickets").watch_once()
+        pause = tickets.WATCH_SECONDS * (0.5 + state.rng.random())
+        host.watch_at = state.now + pause
+
+
 class FleetView:
     """What one host believes of the fleet; a test sets it."""
 
--- a/trefoilpin/fakes/loops.py
+++ b/trefoilpin/fakes/loops.py
@@ -46,6 +46,7 @@
         self.dead: set[str] = set()
         self.handler_by_method_by_address: dict[str, dict[str, Callable]] = {}
         self.calls = 0
+        self.lost_seconds_by_address: dict[str, float] = {}
 
 
 class Network(NamedTuple):
@@ -91,6 +92,13 @@
 
         def call(receiver, method, message, timeout):
             state.calls += 1
+            result = exchange(receiver, method, message)
+            if isinstance(result, Failure) and result.failure().may_have_arrived:
+                lost = state.lost_seconds_by_address.get(address, 0.0)
+                state.lost_seconds_by_address[address] = lost + timeout
+            return result
+
+        def exchange(receiver, method, message):
             if receiver not in state.handler_by_method_by_address:
                 return Failure(PeerFailure(False, "no connection"))
             down = receiver in state.dead or receiver in state.frozen
--- a/trefoilpin/memberships.py
+++ b/trefoilpin/memberships.py
@@ -39,9 +39,13 @@
 RECORD_SECONDS = 1800.0
 DEPARTED_SECONDS = 21600.0
 PULL_SECONDS = 0.5
-PULL_TIMEOUT_SECONDS = 2.0
+PULL_TIMEOUT_SECONDS = 0.4
+FAILED_PULL_SECONDS = 0.05
+BEHIND_PULL_SECONDS = 0.15
+SYNC_TIMEOUT_SECONDS = 2.0
 SYNC_SECONDS = 5.0
 ENROLL_SECONDS = 10.0
+SWEEP_SECONDS = 10.0
 PARTNERS = 24
 PULLS_PER_PARTNER_CHANGE = 20
 WATCHERS_PER_ZONE = 2
@@ -79,7 +83,7 @@
             return
         known[host.incarnation] = host
         state.expires_at.setdefault(host.incarnation, now() + RECORD_SECONDS)
-        update_order(state)
+        state.is_stale = True
         emit(
             events.HOST_JOINED,
             host=host.name,
@@ -95,7 +99,7 @@
         state.expires_at.pop(incarnation, None)
         if state.host_by_incarnation.pop(incarnation, None) is None:
             return
-        update_order(state)
+        state.is_stale = True
         refresh_live()
         emit(events.HOST_LEFT, incarnation=incarnation, successor=successor or None)
 
@@ -124,10 +128,13 @@
         return now() - state.heard_at.get(incarnation, NEVER)
 
     def refresh_live():
-        found = []
+        update_order(state)
+        limit, found = now() - LIVE_SECONDS, []
         for incarnation in state.order:
-            if age(incarnation) <= LIVE_SECONDS:
+            if state.heard_at.get(incarnation, NEVER) >= limit:
                 found.append(state.host_by_incarnation[incarnation])
+            elif incarnation == own.incarnation:
+                found.append(own)
         if tuple(found) == state.live:
             return
         state.live = tuple(found)
@@ -160,7 +167,7 @@
             return False
         limit = now() - FRESH_SECONDS
         fresh = sum(1 for instant in state.heard_at.values() if instant >= limit)
-        return 2 * (fresh + state.caught_up) > len(state.order)
+        return 2 * (fresh + state.caught_up) > len(state.host_by_incarnation)
 
     def store_age():
         settle_heads(state, configurations.head())
@@ -183,6 +190,7 @@
         state.known_number = max(state.known_number, number)
 
     def pull(sender, request):
+        update_order(state)
         settle_heads(state, configurations.head())
         seen = state.store_seen_at > NEVER
         return PullReply(
@@ -204,14 +212,14 @@
         return SyncReply(notices.missing(request.notice_ids))
 
     def draw_partner():
-        others = [item for item in state.order if item != own.incarnation]
         known = state.host_by_incarnation
         state.partners = [item for item in state.partners if item in known]
         if state.pulls % PULLS_PER_PARTNER_CHANGE == 0 and state.partners:
             state.partners.pop(rng.randrange(len(state.partners)))
-        wanted = min(PARTNERS, len(others)) - len(state.partners)
+        wanted = min(PARTNERS, len(state.order) - 1) - len(state.partners)
         if wanted > 0:
-            left = sorted(set(others) - set(state.partners))
+            taken = {own.incarnation, *state.partners}
+            left = [item for item in state.order if item not in taken]
             state.partners += rng.sample(left, wanted)
         hosts = [state.host_by_incarnation[item] for item in state.partners]
         distant = [host for host in hosts if host.zone != own.zone]
@@ -225,17 +233,23 @@
         return None, rng.choice(others) if others else None
 
     def pull_once():
+        update_order(state)
         state.pulls += 1
         host, address = choose_address()
-        if address is None:
-            return False
+        pulled = address is None or pull_from(host, address)
+        refresh_live()
+        pause = PULL_SECONDS if pulled else FAILED_PULL_SECONDS
+        if state.known_number > configurations.head():
+            pause = min(pause, BEHIND_PULL_SECONDS)
+        return pause * (0.5 + rng.random())
+
+    def pull_from(host, address):
         request = PullRequest(
             state.digest, state.explain, notices.digest(), notices.recent_ids()
         )
         began_at = now()
         result = peers.call(address, "memberships.pull", request, PULL_TIMEOUT_SECONDS)
         if isinstance(result, Failure):
-            refresh_live()
             return False
         merge(address, result.unwrap(), began_at)
         if host is not None and result.unwrap().head > configurations.head():
@@ -256,22 +270,27 @@
         is_behind = is_due and reply.notice_digest != notices.digest()
         if is_behind or not (reply.knows_sender or state.leaving):
             sync_with(address)
-        if reply.joined and order and set(order) <= state.host_by_incarnation.keys():
+        if (
+            not state.joined
+            and reply.joined
+            and order
+            and set(order) <= state.host_by_incarnation.keys()
+        ):
             state.joined = True
         note_caught_up()
-        refresh_live()
 
     def sync_with(address):
         state.synced_at = began_at = now()
         record = notices.own_items(MEMBER_TOPIC)
         request = SyncRequest(notices.all_ids(), record)
-        result = peers.call(address, "memberships.sync", request, PULL_TIMEOUT_SECONDS)
+        result = peers.call(address, "memberships.sync", request, SYNC_TIMEOUT_SECONDS)
         if isinstance(result, Failure):
             return
         notices.learn(result.unwrap().notices, now() - began_at)
 
     def renew_once():
-        notices.expire()
+        if now() - state.swept_at > SWEEP_SECONDS:
+            notices.expire()
         due = now() - state.enroll_tried_at > ENROLL_SECONDS
         if not state.enrolled and not state.leaving and due:
             enroll_once()
@@ -279,9 +298,10 @@
             state.renewed_at = now()
             text = encode_host(own)
             notices.publish(MEMBER_TOPIC, own.incarnation, text, RECORD_SECONDS)
-        if not has_majority():
+        if now() - state.swept_at < SWEEP_SECONDS or not has_majority():
             return
-        for incarnation in state.order:
+        state.swept_at = now()
+        for incarnation in list(state.host_by_incarnation):
             ended = now() > state.expires_at.get(incarnation, float("inf"))
             if ended and age(incarnation) > FORGET_SECONDS:
                 remove(incarnation, None)
@@ -336,9 +356,9 @@
     def pull_forever():
         while True:
             renew_once()
-            pull_once()
+            pause = pull_once()
             report_current()
-            kernel.clock.sleep(PULL_SECONDS * (0.5 + rng.random()))
+            kernel.clock.sleep(pause)
 
     update_order(state)
     notices.subscribe(MEMBER_TOPIC, learn_member)
@@ -356,12 +376,13 @@
         ranked=ranked,
         successor=successor,
         subscribe=state.subscribers.append,
-        roster=lambda: tuple(state.host_by_incarnation[item] for item in state.order),
+        roster=lambda: tuple(state.host_by_incarnation.values()),
         leave=leave,
         pull_once=pull_once,
         renew_once=renew_once,
         report_head=report_head,
         report_number=report_number,
+        known_number=lambda: state.known_number,
         store_age=store_age,
         is_watcher=is_watcher,
         on_behind=state.behind_functions.append,
--- a/trefoilpin/rosters.py
+++ b/trefoilpin/rosters.py
@@ -120,6 +120,7 @@
         self.rosters_by_digest: OrderedDict[bytes, tuple[str, ...]] = OrderedDict()
         self.order: tuple[str, ...] = ()
         self.digest = b""
+        self.is_stale = True
         self.joined = False
         self.caught_up = False
         self.leaving = False
@@ -128,6 +129,7 @@
         self.explain = True
         self.synced_at = NEVER
         self.renewed_at = NEVER
+        self.swept_at = NEVER
         self.pulls = 0
         self.partners: list[str] = []
         self.live: tuple[Host, ...] = (own,)
@@ -153,7 +155,10 @@
 
 
 def update_order(state):
-    """Sort the roster anew and remember its order by digest."""
+    """Sort the roster anew if it changed, and remember its order by digest."""
+    if not state.is_stale:
+        return
+    state.is_stale = False
     state.order = tuple(sorted(state.host_by_incarnation))
     text = "\n".join(state.order).encode()
     state.digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
@@ -169,13 +174,16 @@
     A host gives no evidence of itself before it knows every ticket that a majority
     knows, so that a replaced host can't vouch for what it has forgotten.
     """
-    ages = bytearray()
-    for incarnation in state.order:
-        seconds = instant - state.heard_at.get(incarnation, NEVER)
-        if incarnation == state.own.incarnation and state.caught_up:
-            seconds = 0.0
-        steps = min(seconds / AGE_STEP_SECONDS, UNKNOWN_AGE - 1) + 1
-        ages.append(int(min(steps, UNKNOWN_AGE)))
+    heard_at, never = state.heard_at, instant - UNKNOWN_AGE * AGE_STEP_SECONDS
+    ages = [
+        min(
+            UNKNOWN_AGE,
+            int((instant - heard_at.get(item, never)) / AGE_STEP_SECONDS) + 1,
+        )
+        for item in state.order
+    ]
+    if state.caught_up:
+        ages[state.order.index(state.own.incarnation)] = 1
     return bytes(ages)
 
 
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -239,10 +239,12 @@
 
     ``roster()`` are all hosts that count for a majority, live or not.
     ``leave(successor)`` spreads that this host goes and names the incarnation that
-    takes its place, or None. ``pull_once()`` exchanges with one other host;
+    takes its place, or None. ``pull_once()`` exchanges with one other host and gives
+    the seconds until the next time;
     ``renew_once()`` spreads this host's own record. ``report_head(head, began_at)``
     tells that a read of the store, begun at an instant, found that ticket to be the
-    last; ``report_number(number)`` that a ticket of that number exists.
+    last; ``report_number(number)`` that a ticket of that number exists,
+    and ``known_number()`` is the highest of those.
     ``store_age()`` bounds the seconds since a read of the store whose head is in
     force here. ``is_watcher()`` tells whether this host is to watch the store for its
     zone. ``on_behind(function)`` has ``function(host)`` called after a pull from a
@@ -261,10 +263,11 @@
     subscribe: Callable[[Callable[[], None]], None]
     roster: Callable[[], tuple[Host, ...]] = None
     leave: Callable[[str | None], None] = None
-    pull_once: Callable[[], bool] = None
+    pull_once: Callable[[], float] = None
     renew_once: Callable[[], None] = None
     report_head: Callable[[int, float], None] = None
     report_number: Callable[[int], None] = None
+    known_number: Callable[[], int] = None
     store_age: Callable[[], float] = None
     is_watcher: Callable[[], bool] = None
     on_behind: Callable[[Callable[[Host], None]], None] = None
--- a/trefoilpin/snapshots.py
+++ b/trefoilpin/snapshots.py
@@ -29,7 +29,8 @@
 MAX_PART_BYTES = 900_000
 MAX_PARTS = 100_000
 MAX_TAIL_BYTES = 2_000_000
-CALL_TIMEOUT_SECONDS = 5.0
+PART_TIMEOUT_SECONDS = 5.0
+TAIL_TIMEOUT_SECONDS = 0.5
 TICKETS_PER_SNAPSHOT = 500
 WRITE_SECONDS = 60.0
 HOSTS_ASKED = 4
@@ -160,7 +161,7 @@
     def fetch(host):
         request = TailRequest(configurations.head())
         called = peers.call(
-            host.peer_address, "snapshots.tail", request, CALL_TIMEOUT_SECONDS
+            host.peer_address, "snapshots.tail", request, TAIL_TIMEOUT_SECONDS
         )
         if isinstance(called, Failure):
             return False
@@ -180,7 +181,7 @@
                 host.peer_address,
                 "snapshots.part",
                 PartRequest(position, parts),
-                CALL_TIMEOUT_SECONDS,
+                PART_TIMEOUT_SECONDS,
             )
             if isinstance(called, Failure):
                 return fail(host.name, called.failure().detail)
--- a/trefoilpin/tickets.py
+++ b/trefoilpin/tickets.py
@@ -7,6 +7,7 @@
 majority then knows that it lacks a ticket.
 """
 
+from collections import OrderedDict
 from enum import Enum
 from typing import NamedTuple
 
@@ -29,8 +30,11 @@
 NUMBER_DIGITS = 12
 WATCH_SECONDS = 0.75
 ASK_SHARE = 0.6
+BEHIND_SECONDS = 1.0
 ASK_JITTER_SHARE = 0.25
-ANNOUNCE_TIMEOUT_SECONDS = 2.0
+ANNOUNCE_TIMEOUT_SECONDS = 1.0
+ANNOUNCE_ROUNDS = 3
+MAX_UNCERTAIN = 1000
 MAX_TICKET_BYTES = 900_000
 
 
@@ -88,6 +92,11 @@
     return Failure(TicketFailure(TicketOutcome.REFUSED, detail, next_number))
 
 
+def is_taken(ticket, failure):
+    """Tell whether another ticket has this one's number."""
+    return failure.next_number is not None and failure.next_number > ticket.number
+
+
 def unknown(detail):
     """Return the failure of a ticket that may have been accepted."""
     return Failure(TicketFailure(TicketOutcome.UNKNOWN, detail))
@@ -102,6 +111,8 @@
     def __init__(self):
         self.reported_paths: set[str] = set()
         self.ask_share = ASK_SHARE
+        self.behind_since: float | None = None
+        self.uncertain_digests: OrderedDict[str, None] = OrderedDict()
 
 
 def create(kernel, check):
@@ -169,6 +180,7 @@
         result = write(ticket) if fault is None else fault
         if isinstance(result, Success):
             result = announce(ticket)
+        result = result.lash(lambda failure: keep_uncertain(ticket, failure))
         if isinstance(result, Success):
             count = len(ticket.changes)
             emit(events.TICKET_ACCEPTED, ticket=ticket.number, changes=count)
@@ -182,6 +194,16 @@
         )
         return result
 
+    def keep_uncertain(ticket, failure):
+        """Never answer refused after unknown, unless the number is taken."""
+        if failure.outcome is TicketOutcome.UNKNOWN:
+            state.uncertain_digests[ticket.digest] = None
+            if len(state.uncertain_digests) > MAX_UNCERTAIN:
+                state.uncertain_digests.popitem(last=False)
+        elif ticket.digest in state.uncertain_digests and not is_taken(ticket, failure):
+            return unknown(f"{failure.detail}; an earlier try may have been accepted")
+        return Failure(failure)
+
     def find_fault(ticket):
         """Return None when the ticket may be written, else the result."""
         caught_up = catch_up()
@@ -232,20 +254,24 @@
     def announce(ticket):
         configurations.apply(ticket)
         memberships.report_number(ticket.number)
-        own = memberships.own()
-        roster = memberships.roster()
-        addresses = [host.peer_address for host in roster if host != own]
-        needed = len(roster) // 2
-        heard = peers.call_all(
-            addresses,
-            "tickets.announce",
-            AnnounceRequest(ticket.number),
-            ANNOUNCE_TIMEOUT_SECONDS,
-            needed,
-        )
-        if len(heard) < needed:
-            return unknown("too few hosts have heard of it; send it again")
-        return Success(ticket)
+        own, roster = memberships.own(), memberships.roster()
+        addresses = {host.peer_address for host in roster if host != own}
+        missing = len(roster) // 2
+        for _ in range(ANNOUNCE_ROUNDS):
+            if missing <= 0:
+                return Success(ticket)
+            heard = peers.call_all(
+                sorted(addresses),
+                "tickets.announce",
+                AnnounceRequest(ticket.number),
+                ANNOUNCE_TIMEOUT_SECONDS,
+                missing,
+            )
+            missing -= len(heard)
+            addresses -= set(heard)
+        if missing <= 0:
+            return Success(ticket)
+        return unknown("too few hosts have heard of it; send it again")
 
     def hear(sender, request):
         memberships.report_number(request.number)
@@ -266,13 +292,23 @@
         return catch_up().map(lambda head: head + 1)
 
     def watch_once():
-        share = state.ask_share
-        if not memberships.is_watcher():
-            if memberships.store_age() < share * FRESH_SECONDS:
-                return False
+        if not (memberships.is_watcher() or is_behind() or is_stale()):
+            return False
         state.ask_share = ASK_SHARE + ASK_JITTER_SHARE * kernel.rng.random()
         return isinstance(catch_up(), Success)
 
+    def is_stale():
+        return memberships.store_age() > state.ask_share * FRESH_SECONDS
+
+    def is_behind():
+        """Tell whether gossip has not brought a known ticket for a while."""
+        if memberships.known_number() <= configurations.head():
+            state.behind_since = None
+            return False
+        if state.behind_since is None:
+            state.behind_since = kernel.clock.now()
+        return kernel.clock.now() - state.behind_since > BEHIND_SECONDS
+
     def follow_forever():
         kernel.find("snapshots").load_once()
         while True:
