--- a/trefoilpin/notices.py
+++ b/trefoilpin/notices.py
@@ -28,7 +28,8 @@
     sequence : int
         Grows with each notice of the publisher.
     remaining : float
-        Seconds of its lifetime that are left.
+        Seconds of its lifetime that are left; negative once it ended, so that
+        an ended notice is forgotten everywhere and doesn't go round for ever.
     """
 
     topic: str
@@ -116,6 +117,8 @@
         known = state.entry_by_name.get(name)
         if known is not None and known.sequence >= item.sequence:
             return
+        if item.remaining < -FORGET_SECONDS:
+            return
         if known is None and len(state.entry_by_name) >= MAX_NOTICES:
             return
         expires_at = now() + item.remaining
@@ -162,7 +165,7 @@
         instant = now()
         items = []
         for entry in entries:
-            remaining = max(0.0, entry.notice.expires_at - instant)
+            remaining = entry.notice.expires_at - instant
             items.append(NoticeItem(*entry.notice[:4], entry.sequence, remaining))
         return tuple(items[:MAX_ITEMS_PER_REPLY])
 
--- a/trefoilpin/tests/test_notices.py
+++ b/trefoilpin/tests/test_notices.py
@@ -91,6 +91,18 @@
     assert heard == ["1", "2"]
 
 
+def test_ended_notices_do_not_go_round_for_ever():
+    state, services = create()
+    services[0].publish("t", "k", "v", 1.0)
+    for _ in range(3 * int(notices.FORGET_SECONDS)):
+        state.now += 1.0
+        for one in services:
+            one.expire()
+            for other in services:
+                one.learn(other.missing(one.all_ids()), 0.0)
+    assert [service.all_ids() for service in services] == [b"", b"", b""]
+
+
 def test_ended_notices_are_forgotten():
     state, (source, _, _) = create()
     source.publish("t", "k", "v", 1.0)
