--- a/bench/measure.py
+++ b/bench/measure.py
@@ -4,7 +4,14 @@
 import subprocess
 import sys
 
-NOT_MEASURES = {"__init__", "demo", "measure", "processes", "results"}
+NOT_MEASURES = {
+    "__init__",
+    "demo",
+    "measure",
+    "processes",
+    "results",
+    "write_histories",
+}
 LIMIT_SECONDS = 300
 
 
--- /dev/null
+++ b/trefoilpin/claims.py
@@ -0,0 +1,170 @@
+"""Claims of an entry host on issued idempotency keys, and reports of their outcome.
+
+The host that decides is asked again with the same attempt id until it answers. An
+attempt that is given up is reported as not run, so that a claim which arrives late
+holds nothing.
+"""
+
+from typing import NamedTuple
+
+from trefoilpin import outboxes
+from trefoilpin.issuers import CLAIM, REPORT
+from trefoilpin.operation_messages import Claim, ClaimReply, Decision, Report
+from trefoilpin.services import Claims
+from trefoilpin.verdicts import Verdict
+
+__all__ = ["create"]
+
+CALL_SECONDS = 0.5
+CLAIM_SECONDS = 2.0
+FIRST_DELAY_SECONDS = 0.02
+MAX_DELAY_SECONDS = 0.5
+MAX_REMEMBERED_HOLDERS = 10_000
+MAX_WAITING_REPORTS = 20_000
+UNDECIDED = frozenset(decision.value for decision in (Decision.MOVED, Decision.ABSENT))
+
+
+class ClaimState:
+    """Hosts that hold tables of other issuers."""
+
+    def __init__(self):
+        self.holder_by_issuer: dict[str, str] = {}
+
+
+class Asked(NamedTuple):
+    """Outcome of asking the host that holds an issuer's table.
+
+    Attributes
+    ----------
+    reply : ClaimReply or ReportReply or None
+    lost : bool
+        True when a message may have arrived although no reply came.
+    gone : bool
+        True when the issuer and every host that may hold its table left the fleet.
+    """
+
+    reply: ClaimReply | None
+    lost: bool
+    gone: bool
+
+
+def create(kernel):
+    """Create the service ``claims``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+
+    Returns
+    -------
+    Claims
+    """
+    memberships = kernel.find("memberships")
+    peers = kernel.find("peers")
+    issuers = kernel.find("issuers")
+    sightings = kernel.find("sightings")
+    now = kernel.clock.now
+    own = memberships.own().incarnation
+    state = ClaimState()
+    local_by_method = {CLAIM: issuers.claim, REPORT: issuers.report}
+
+    def call(holder, method, message, seconds):
+        host = sightings.find(holder)
+        if host is None:
+            return None, False
+        timeout = max(min(CALL_SECONDS, seconds), 0.01)
+        result = peers.call(host.peer_address, method, message, timeout)
+        reply = result.value_or(None)
+        if reply is None:
+            return None, result.failure().may_have_arrived
+        return reply, False
+
+    def find_holder(issuer):
+        if issuer in issuers.state.table_by_issuer:
+            return own
+        return state.holder_by_issuer.get(issuer, issuer)
+
+    def remember(issuer, holder):
+        if holder == issuer:
+            return
+        if len(state.holder_by_issuer) >= MAX_REMEMBERED_HOLDERS:
+            state.holder_by_issuer.clear()
+        state.holder_by_issuer[issuer] = holder
+
+    def ask(method, message, seconds):
+        issuer = message.issuer
+        holder = find_holder(issuer)
+        asked, lost = set(), False
+        gone = memberships.has_majority() and not sightings.runs(issuer)
+        while holder and holder not in asked:
+            asked.add(holder)
+            if holder == own:
+                reply = local_by_method[method](message)
+            else:
+                reply, reply_lost = call(holder, method, message, seconds)
+                lost = lost or reply_lost
+            if reply is None:
+                gone = gone and not sightings.runs(holder)
+                holder = memberships.successor(holder)
+                continue
+            if reply.decision not in UNDECIDED:
+                remember(issuer, holder)
+                return Asked(reply, lost, False)
+            holder = reply.successor or memberships.successor(holder)
+        state.holder_by_issuer.pop(issuer, None)
+        return Asked(None, lost, gone)
+
+    def claim(issuer, key, fingerprint, attempt_id, deadline):
+        message = Claim(issuer, key, fingerprint, attempt_id)
+        if outbox.size() >= MAX_WAITING_REPORTS:
+            return ClaimReply(Decision.FULL.value)
+        may_be_held = [False]
+        try:
+            reply = wait_for_decision(message, deadline, may_be_held)
+        except BaseException:
+            give_up(message)
+            raise
+        if may_be_held[0] and reply.decision != Decision.GRANTED.value:
+            give_up(message)
+        return reply
+
+    def give_up(message):
+        report(
+            Report(
+                message.issuer, message.key, message.attempt_id, Verdict.NOT_RUN.value
+            )
+        )
+
+    def wait_for_decision(message, deadline, may_be_held):
+        give_up_at = min(now() + CLAIM_SECONDS, deadline)
+        delay = FIRST_DELAY_SECONDS
+        while True:
+            asked = ask(CLAIM, message, deadline - now())
+            may_be_held[0] = may_be_held[0] or asked.lost
+            if asked.gone:
+                return ClaimReply(Decision.UNCERTAIN.value)
+            reply = asked.reply or ClaimReply(Decision.UNREACHABLE.value)
+            running = reply.decision == Decision.RUNNING.value
+            if asked.reply is not None and not running:
+                return reply
+            if now() + delay >= (deadline if running else give_up_at):
+                return reply
+            kernel.clock.sleep(delay)
+            delay = min(delay * 2, MAX_DELAY_SECONDS)
+
+    def report(message):
+        if (
+            find_holder(message.issuer) == own
+            and not issuers.report(message).decision in UNDECIDED
+        ):
+            return
+        outbox.put(message.issuer, message)
+
+    def send_report(issuer, message):
+        asked = ask(REPORT, message, CALL_SECONDS)
+        return asked.reply is not None
+
+    outbox = outboxes.create_outbox(kernel, send_report)
+    service = Claims(claim, report, outbox)
+    kernel.register("claims", service)
+    return service
--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -9,26 +9,35 @@
 
 from trefoilpin import (
     admin,
+    answers,
     balancers,
     checks,
+    claim_codecs,
+    claims,
     clocks,
     codecs,
     configurations,
     events,
     forwarders,
     frontends,
+    issuers,
     keys,
     limits,
     memberships,
     metrics,
     notices,
+    opaque_keys,
     operations,
     peers,
     proxies,
+    quarantines,
     queues,
+    retries,
     routes,
+    sightings,
     snapshots,
     stores,
+    table_transfers,
     tickets,
 )
 from trefoilpin.kernel import create_kernel
@@ -51,6 +60,29 @@
     )
 
 
+def create_operations(kernel, settings):
+    """Create the services that run a write at most once."""
+    bounds = issuers.IssuerBounds(
+        settings["operations.max_keys"],
+        settings["operations.max_adopted_keys"],
+        answers.AnswerBounds(
+            settings["operations.max_answer_bytes"],
+            settings["operations.max_saved_bytes"],
+            settings["operations.saved_seconds"],
+        ),
+    )
+    opaque_bounds = opaque_keys.OpaqueBounds(
+        settings["operations.store_calls_per_second"], settings["operations.claim_days"]
+    )
+    patience = settings["operations.hand_over_seconds"]
+    sightings.create(kernel, settings["operations.gone_seconds"])
+    issuers.create(kernel, bounds)
+    table_transfers.create(kernel, bounds, patience)
+    claims.create(kernel)
+    opaque_keys.create(kernel, opaque_bounds, claim_codecs.encode, claim_codecs.decode)
+    operations.create(kernel, bounds.answers.max_bytes, patience)
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -97,10 +129,14 @@
     routes.create(kernel)
     keys.create(kernel)
     limits.create(kernel)
-    operations.create(kernel)
+    create_operations(kernel, settings)
     queues.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
+    quarantines.create(kernel, settings["quarantine.seconds"])
+    retries.create(
+        kernel, settings["retries.share"], settings["retries.least_per_second"]
+    )
     proxies.create(kernel)
     frontends.create(
         kernel,
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -174,6 +174,56 @@
 )
 
 # 4xx: operations, retries and forwarding.
+OPERATION_DECIDED = Event(
+    400,
+    "operation_decided",
+    logging.INFO,
+    ("key", "attempt", "decision"),
+    "A claim on an idempotency key was decided here.",
+    sampled=True,
+)
+TABLE_ADOPTED = Event(
+    410,
+    "table_adopted",
+    logging.INFO,
+    ("issuer", "keys"),
+    "This host decides from now on for an issuer that left.",
+)
+TABLE_HANDED_OVER = Event(
+    411,
+    "table_handed_over",
+    logging.INFO,
+    ("issuer", "successor", "keys", "arrived"),
+    "This host offered an issuer's keys to its successor.",
+)
+TABLE_DROPPED = Event(
+    412,
+    "table_dropped",
+    logging.WARNING,
+    ("issuer", "keys"),
+    "Keys of an issuer that left were dropped to bound memory; none is run again.",
+)
+CLAIMS_SWEPT = Event(
+    413,
+    "claims_swept",
+    logging.INFO,
+    ("claims",),
+    "Expired claims on opaque keys were deleted from the store.",
+)
+REQUEST_RETRIED = Event(
+    420,
+    "request_retried",
+    logging.INFO,
+    ("request_id", "pool", "upstream", "verdict", "detail"),
+    "A request is sent again to another upstream after this one.",
+)
+REQUEST_QUARANTINED = Event(
+    430,
+    "request_quarantined",
+    logging.WARNING,
+    ("fingerprint", "account", "upstreams", "seconds"),
+    "A request that broke several upstreams is refused for a time.",
+)
 
 # 5xx: limits and queues.
 
--- /dev/null
+++ b/trefoilpin/fakes/writers.py
@@ -0,0 +1,266 @@
+"""Several hosts with the real decisions on writes, before stand-ins for the rest.
+
+The upstream stand-in keeps the truth: which request ran, how often, and its answer.
+"""
+
+from typing import Any, Callable, NamedTuple
+
+from returns.result import Failure, Success
+
+from trefoilpin import (
+    claim_codecs,
+    claims,
+    issuers,
+    opaque_keys,
+    operations,
+    proxies,
+    quarantines,
+    retries,
+    sightings,
+    table_transfers,
+)
+from trefoilpin.answers import AnswerBounds
+from trefoilpin.fakes.fleets import (
+    Board,
+    FleetView,
+    create_memberships,
+    create_notices,
+)
+from trefoilpin.fakes.loops import LoopState, create_store
+from trefoilpin.fakes.tasks import connect, create_tasks, slow_store
+from trefoilpin.kernel import Kernel, create_kernel
+from trefoilpin.messages import Answer, Attempt, CallerRequest, Choice
+from trefoilpin.metrics import Metrics
+from trefoilpin.records import ClientAccount, Host, Pool, Route, Upstream
+from trefoilpin.services import (
+    Balancers,
+    Configurations,
+    Events,
+    Forwarders,
+    Keys,
+    Limits,
+    Queues,
+    Routes,
+)
+from trefoilpin.verdicts import Reason, Refusal, Verdict
+
+__all__ = [
+    "Bounds",
+    "Fleet",
+    "WriterHost",
+    "create_fleet",
+    "create_stand_ins",
+    "request",
+]
+
+UPSTREAMS = tuple(Upstream(f"u{n}", f"10.0.0.{n}:80", "a", 6) for n in range(4))
+POOL = Pool("dispatcher", UPSTREAMS, 0)
+ROUTE = Route("order", "", "/orders", (), POOL.id, deadline=8.0)
+NO_UPSTREAM = Refusal(Reason.NO_UPSTREAM, Verdict.NOT_RUN, "none is left", 1.0)
+ISSUER_BOUNDS = issuers.IssuerBounds(
+    max_keys=10_000,
+    max_adopted_keys=20_000,
+    answers=AnswerBounds(65_536, 1_048_576, 900.0),
+)
+OPAQUE_BOUNDS = opaque_keys.OpaqueBounds(calls_per_second=1000.0, days=7.0)
+GONE_SECONDS = 3.0
+HAND_OVER_SECONDS = 10.0
+
+
+class Bounds(NamedTuple):
+    """Mechanisms that a measure can switch off.
+
+    ``create_claims(kernel)`` registers ``claims``; ``hand_over`` tells whether a
+    stopping host gives its tables away.
+    """
+
+    create_claims: Callable[[Kernel], Any] = claims.create
+    hand_over: bool = True
+
+
+class Truth:
+    """What ran at the upstreams, by operation and by request."""
+
+    def __init__(self):
+        self.bodies_by_operation: dict[str, list[bytes]] = {}
+        self.ran_requests: set[str] = set()
+        self.uncertain_operations: set[str] = set()
+        self.answered_by_operation: dict[str, str] = {}
+        self.faults: tuple[str, ...] = ("none",)
+
+
+class WriterHost(NamedTuple):
+    """One host: its view of the fleet and its services."""
+
+    host: Host
+    view: FleetView
+    kernel: Kernel
+    active: list
+
+
+class Fleet(NamedTuple):
+    """Hosts by incarnation, the loop they share and the truth."""
+
+    state: LoopState
+    tasks: Any
+    host_by_incarnation: dict[str, WriterHost]
+    truth: Truth
+    store_faults: Any
+
+
+def request(request_id, account, key, text, now):
+    """Return a caller's write; ``account`` travels in a header of the stand-in."""
+    headers = [("x-account", account)]
+    if key is not None:
+        headers.append((operations.KEY_HEADER, key))
+    body = text.encode()
+    return CallerRequest(
+        request_id,
+        "POST",
+        "",
+        "/orders",
+        "",
+        tuple(headers),
+        body,
+        "",
+        now,
+        lambda: False,
+    )
+
+
+def name_operation(sent):
+    """Return what identifies the operation a request stands for."""
+    key = sent.header(operations.KEY_HEADER) or sent.request_id
+    return f"{sent.header('x-account')} {key}"
+
+
+def create_exchange(tasks, truth, incarnation):
+    """Return ``exchange`` of a forwarder before the upstream stand-in."""
+    state = tasks.loop.state
+
+    def run(sent):
+        operation = name_operation(sent)
+        bodies = truth.bodies_by_operation.setdefault(operation, [])
+        bodies.append(f"{operation} {len(bodies)}".encode())
+        truth.ran_requests.add(sent.request_id)
+        return bodies[-1]
+
+    def fail(verdict, reason, broke=False):
+        return Attempt(verdict, None, reason, "fault", 0.0, broke_connection=broke)
+
+    def exchange(upstream, sent, deadline, idempotent):
+        truth.uncertain_operations.add(name_operation(sent))
+        attempt = exchange_once(sent)
+        if attempt.verdict is not Verdict.MAY_HAVE_RUN:
+            truth.uncertain_operations.discard(name_operation(sent))
+        return attempt
+
+    def exchange_once(sent):
+        tasks.clock.sleep(state.rng.uniform(0.0, 0.05))
+        fault = state.rng.choice(truth.faults)
+        if fault == "unreachable":
+            return fail(Verdict.NOT_RUN, Reason.UPSTREAM_UNREACHABLE)
+        if fault == "shed":
+            answer = Answer(503, (), b"")
+            return Attempt(Verdict.NOT_RUN, answer, None, "", 0.0, shed=True)
+        if fault == "broken_before":
+            return fail(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_BROKEN, True)
+        body = run(sent)
+        tasks.clock.sleep(state.rng.uniform(0.0, 2.0))
+        if fault == "broken_after":
+            return fail(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_BROKEN, True)
+        truth.answered_by_operation[name_operation(sent)] = incarnation
+        return Attempt(Verdict.RAN, Answer(200, (), body), None, "", 0.0)
+
+    return exchange
+
+
+def create_stand_ins(kernel, tasks, truth, incarnation):
+    """Return by name what the decisions on writes need beside their own services."""
+    account_by_id = {
+        name: ClientAccount(name, 1e9, 1e9) for name in ("hielo", "cupula")
+    }
+
+    def choose(pool, excluded):
+        left = [item for item in pool.upstreams if item.id not in excluded]
+        if not left:
+            return Failure(NO_UPSTREAM)
+        return Success(Choice(kernel.rng.choice(left), pool.id, 0))
+
+    exchange = create_exchange(tasks, truth, incarnation)
+    return {
+        "routes": Routes(lambda host, path, method: Success(ROUTE)),
+        "keys": Keys(
+            lambda route, sent: Success(account_by_id[sent.header("x-account")]),
+            lambda headers: headers,
+        ),
+        "limits": Limits(lambda account, deadline: Success(None)),
+        "queues": Queues(
+            lambda pool, account, deadline, choose: choose(), lambda pool: None
+        ),
+        "balancers": Balancers(choose, lambda *release: None),
+        "forwarders": Forwarders(exchange),
+        "configurations": Configurations(
+            {}, {}, {POOL.id: POOL}, {}, {}, None, None, None, None
+        ),
+    }
+
+
+def create_host(tasks, truth, hosts, own, store, bounds):
+    """Create one host over the shared loop."""
+    state = tasks.loop.state
+
+    def spawn(function, *arguments):
+        return tasks.spawn(own.incarnation, 0.0, function, *arguments)
+
+    kernel = create_kernel(tasks.clock, spawn, state.rng)
+    kernel.register("events", Events(lambda event, **fields: None, lambda: None))
+    metrics = Metrics(lambda *a: None, lambda *a: None, lambda *a: None, lambda: "")
+    kernel.register("metrics", metrics)
+    view = FleetView(own, hosts)
+    kernel.register("memberships", create_memberships(view))
+    kernel.register("peers", connect(tasks, own.incarnation))
+    notices = create_notices(Board(own.incarnation), tasks.clock.now)
+    kernel.register("notices", notices)
+    kernel.register("store", store)
+    stand_ins = create_stand_ins(kernel, tasks, truth, own.incarnation)
+    for name, service in stand_ins.items():
+        kernel.register(name, service)
+    sightings.create(kernel, GONE_SECONDS)
+    issuers.create(kernel, ISSUER_BOUNDS)
+    table_transfers.create(kernel, ISSUER_BOUNDS, HAND_OVER_SECONDS)
+    bounds.create_claims(kernel)
+    opaque_keys.create(kernel, OPAQUE_BOUNDS, claim_codecs.encode, claim_codecs.decode)
+    operations.create(kernel, ISSUER_BOUNDS.answers.max_bytes, HAND_OVER_SECONDS)
+    quarantines.create(kernel, 300.0)
+    retries.create(kernel, 0.2, 10.0)
+    proxies.create(kernel)
+    return WriterHost(own, view, kernel, [])
+
+
+def create_fleet(seed, size, bounds=Bounds()):
+    """Create hosts over one loop, one store and one upstream truth.
+
+    Parameters
+    ----------
+    seed : int
+    size : int
+        Number of hosts.
+    bounds : Bounds
+
+    Returns
+    -------
+    Fleet
+    """
+    state = LoopState(seed)
+    tasks = create_tasks(state)
+    truth = Truth()
+    store, store_faults, _ = create_store(state)
+    names = [f"{state.rng.getrandbits(64):016x}" for _ in range(size)]
+    hosts = [Host(name, name, "a", "default", name, name) for name in names]
+    shared = slow_store(tasks, store, late_share=0.05)
+    made = {
+        host.incarnation: create_host(tasks, truth, hosts, host, shared, bounds)
+        for host in hosts
+    }
+    return Fleet(state, tasks, made, truth, store_faults)
--- /dev/null
+++ b/trefoilpin/issuers.py
@@ -0,0 +1,116 @@
+"""Decisions of this host on the idempotency keys that it issued or took over.
+
+The incarnation named in a key decides alone, so there is never a second decider and
+neither a lease nor a store is needed. A stopping host stops deciding before its
+tables go to its successor.
+"""
+
+from typing import NamedTuple
+
+from trefoilpin import answers, events, key_tables
+from trefoilpin.operation_messages import (
+    ClaimReply,
+    Decision,
+    ReportReply,
+)
+from trefoilpin.services import Issuers
+from trefoilpin.verdicts import Verdict
+
+__all__ = ["CLAIM", "REPORT", "IssuerBounds", "IssuerState", "create"]
+
+CLAIM = "operations.claim"
+REPORT = "operations.report"
+
+
+class IssuerBounds(NamedTuple):
+    """Bounds of one issuer's table and of those taken over.
+
+    Attributes
+    ----------
+    max_keys : int
+        Rows of one table.
+    max_adopted_keys : int
+        Rows of all tables taken over; the oldest table is dropped beyond it.
+    answers : AnswerBounds
+    """
+
+    max_keys: int
+    max_adopted_keys: int
+    answers: answers.AnswerBounds
+
+
+class IssuerState:
+    """Tables by issuer, in the order in which they were taken over."""
+
+    def __init__(self, own):
+        self.table_by_issuer = {own: key_tables.KeyTable()}
+        self.ever_held = {own}
+        self.saved = answers.SavedAnswers()
+        self.deciding = True
+        self.successor = ""
+
+
+def create(kernel, bounds):
+    """Create the service ``issuers``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    bounds : IssuerBounds
+
+    Returns
+    -------
+    Issuers
+    """
+    runs = kernel.find("sightings").runs
+    emit = kernel.find("events").emit
+    now = kernel.clock.now
+    own = kernel.find("memberships").own().incarnation
+    state = IssuerState(own)
+
+    def claim(message):
+        if not state.deciding:
+            return ClaimReply(Decision.MOVED.value, state.successor)
+        table = state.table_by_issuer.get(message.issuer)
+        if table is None:
+            return ClaimReply(Decision.ABSENT.value)
+        decision = key_tables.claim(table, message, bounds.max_keys, runs)
+        emit(
+            events.OPERATION_DECIDED,
+            key=message.key.hex(),
+            attempt=message.attempt_id,
+            decision=decision.value,
+        )
+        if decision is not Decision.RAN:
+            return ClaimReply(decision.value)
+        saved = answers.find(
+            state.saved, message.issuer, message.key, now(), bounds.answers
+        )
+        return ClaimReply(decision.value, answer=saved)
+
+    def report(message):
+        if not state.deciding:
+            return ReportReply(Decision.MOVED.value, state.successor)
+        table = state.table_by_issuer.get(message.issuer)
+        if table is None:
+            return ReportReply(Decision.ABSENT.value)
+        held = key_tables.report(table, message, bounds.max_keys)
+        ran = message.verdict == Verdict.RAN.value
+        if held and ran and message.answer is not None:
+            answers.save(
+                state.saved,
+                message.issuer,
+                message.key,
+                message.answer,
+                now(),
+                now(),
+                bounds.answers,
+            )
+        return ReportReply(Decision.TAKEN.value)
+
+    peers = kernel.find("peers")
+    peers.serve(CLAIM, lambda sender, message: claim(message))
+    peers.serve(REPORT, lambda sender, message: report(message))
+    service = Issuers(claim, report, state)
+    kernel.register("issuers", service)
+    return service
--- /dev/null
+++ b/trefoilpin/key_tables.py
@@ -0,0 +1,175 @@
+"""Table of one issuer's idempotency keys, and the decisions made on it.
+
+A key is granted again only after the attempt that held it reported ``NOT_RUN``, and
+an attempt that reported is never granted again. So a claim may arrive late or twice,
+and an entry host may wake up at any time, without a second run. A key without any
+mark has run.
+"""
+
+import hashlib
+from enum import Enum
+from typing import NamedTuple
+
+from trefoilpin.operation_messages import Decision
+from trefoilpin.verdicts import Verdict
+
+__all__ = [
+    "KeyState",
+    "KeyTable",
+    "Row",
+    "claim",
+    "digest_rows",
+    "entry_host",
+    "from_rows",
+    "report",
+    "rows",
+]
+
+
+class KeyState(Enum):
+    """What is known of a key; the value is the letter used in transfers."""
+
+    RAN = "r"
+    GRANTED = "g"
+    FREE = "f"
+    UNCERTAIN = "u"
+    CANCELLED_ATTEMPT = "c"
+
+
+class Row(NamedTuple):
+    """One key, or one attempt that must not be granted any more."""
+
+    key: bytes
+    fingerprint: bytes
+    state: str
+    attempt_id: str
+
+
+class KeyTable:
+    """Keys of one issuer."""
+
+    def __init__(self):
+        self.fingerprint_by_key: dict[bytes, bytes] = {}
+        self.attempt_by_key: dict[bytes, str] = {}
+        self.free_keys: set[bytes] = set()
+        self.uncertain_keys: set[bytes] = set()
+        self.cancelled_attempts: set[str] = set()
+
+
+def entry_host(attempt_id):
+    """Return the incarnation of the entry host that made an attempt."""
+    return attempt_id.rpartition("/")[0]
+
+
+def is_full(table, max_keys):
+    """Tell whether nothing more is granted, for as long as the table exists."""
+    return len(table.fingerprint_by_key) + len(table.cancelled_attempts) >= max_keys
+
+
+def claim(table, message, max_keys, runs):
+    """Decide on a claim.
+
+    Parameters
+    ----------
+    table : KeyTable
+    message : Claim
+    max_keys : int
+        Rows at which no further key is granted.
+    runs : callable
+        ``runs(incarnation)`` tells whether an entry host is believed to run.
+
+    Returns
+    -------
+    Decision
+    """
+    key, attempt_id = message.key, message.attempt_id
+    if attempt_id in table.cancelled_attempts:
+        return Decision.CANCELLED
+    known = table.fingerprint_by_key.get(key)
+    if known is not None and known != message.fingerprint:
+        return Decision.REUSED
+    if known is None or key in table.free_keys:
+        if is_full(table, max_keys):
+            return Decision.FULL
+        table.fingerprint_by_key[key] = message.fingerprint
+        table.free_keys.discard(key)
+        table.attempt_by_key[key] = attempt_id
+        return Decision.GRANTED
+    if key in table.uncertain_keys:
+        return Decision.UNCERTAIN
+    holder = table.attempt_by_key.get(key)
+    if holder is None:
+        return Decision.RAN
+    if holder == attempt_id:
+        return Decision.GRANTED
+    return Decision.RUNNING if runs(entry_host(holder)) else Decision.UNCERTAIN
+
+
+def report(table, message, max_keys):
+    """Take an attempt's outcome; True when it is the one that held the key.
+
+    Parameters
+    ----------
+    table : KeyTable
+    message : Report
+    max_keys : int
+        A full table grants nothing, so it need not remember who may not be granted.
+    """
+    key, attempt_id = message.key, message.attempt_id
+    verdict = Verdict(message.verdict)
+    held = table.attempt_by_key.get(key) == attempt_id
+    if held:
+        del table.attempt_by_key[key]
+    if verdict is Verdict.NOT_RUN:
+        if held:
+            table.free_keys.add(key)
+        if not is_full(table, max_keys):
+            table.cancelled_attempts.add(attempt_id)
+    if held and verdict is Verdict.MAY_HAVE_RUN:
+        table.uncertain_keys.add(key)
+    return held
+
+
+def state_of(table, key):
+    """Return the state of a known key."""
+    if key in table.free_keys:
+        return KeyState.FREE
+    if key in table.uncertain_keys:
+        return KeyState.UNCERTAIN
+    return KeyState.GRANTED if key in table.attempt_by_key else KeyState.RAN
+
+
+def rows(table):
+    """Yield every ``Row`` of a table."""
+    for key, fingerprint in table.fingerprint_by_key.items():
+        attempt_id = table.attempt_by_key.get(key, "")
+        yield Row(key, fingerprint, state_of(table, key).value, attempt_id)
+    for attempt_id in table.cancelled_attempts:
+        yield Row(b"", b"", KeyState.CANCELLED_ATTEMPT.value, attempt_id)
+
+
+def from_rows(found):
+    """Return the table that rows describe; ``ValueError`` for an unknown state."""
+    table = KeyTable()
+    for row in found:
+        state = KeyState(row.state)
+        if state is KeyState.CANCELLED_ATTEMPT:
+            table.cancelled_attempts.add(row.attempt_id)
+            continue
+        table.fingerprint_by_key[row.key] = row.fingerprint
+        if state is KeyState.GRANTED:
+            table.attempt_by_key[row.key] = row.attempt_id
+        if state is KeyState.FREE:
+            table.free_keys.add(row.key)
+        if state is KeyState.UNCERTAIN:
+            table.uncertain_keys.add(row.key)
+    return table
+
+
+def digest_rows(found):
+    """Return a digest of rows in their order."""
+    digest = hashlib.blake2b(digest_size=16)
+    for row in found:
+        digest.update(row.key + row.fingerprint)
+        digest.update(f"\0{row.state}{row.attempt_id}\0".encode())
+    return digest.digest()
--- /dev/null
+++ b/trefoilpin/operation_messages.py
@@ -0,0 +1,127 @@
+"""Messages about idempotency keys, between an entry host and the host that decides."""
+
+from enum import Enum
+from typing import NamedTuple
+
+__all__ = [
+    "AnswerRow",
+    "Claim",
+    "ClaimReply",
+    "Decision",
+    "Report",
+    "ReportReply",
+    "SavedAnswer",
+    "TableEnd",
+    "TablePart",
+    "TableReply",
+]
+
+
+class Decision(Enum):
+    """What the deciding host says to a claim or a report."""
+
+    GRANTED = "granted"
+    RUNNING = "running"
+    RAN = "ran"
+    UNCERTAIN = "uncertain"
+    REUSED = "reused"
+    FULL = "full"
+    CANCELLED = "cancelled"
+    MOVED = "moved"
+    ABSENT = "absent"
+    TAKEN = "taken"
+    UNREACHABLE = "unreachable"
+
+
+class SavedAnswer(NamedTuple):
+    """A whole answer kept for repeats of its request."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Claim(NamedTuple):
+    """Request for leave to run an operation.
+
+    Attributes
+    ----------
+    issuer : str
+        Incarnation named in the key.
+    key : bytes
+        Digest of account and key.
+    fingerprint : bytes
+        Digest of account, method, path, query and body.
+    attempt_id : str
+        Incarnation of the entry host, a slash and a count.
+    """
+
+    issuer: str
+    key: bytes
+    fingerprint: bytes
+    attempt_id: str
+
+
+class ClaimReply(NamedTuple):
+    """A ``Decision``; ``successor`` is set when the table moved.
+
+    ``answer`` is given with ``RAN`` unless it is gone.
+    """
+
+    decision: str
+    successor: str = ""
+    answer: SavedAnswer | None = None
+
+
+class Report(NamedTuple):
+    """Outcome of an attempt; ``verdict`` is the value of a ``Verdict``."""
+
+    issuer: str
+    key: bytes
+    attempt_id: str
+    verdict: str
+    answer: SavedAnswer | None = None
+
+
+class ReportReply(NamedTuple):
+    """``TAKEN``, ``MOVED`` or ``ABSENT``."""
+
+    decision: str
+    successor: str = ""
+
+
+class AnswerRow(NamedTuple):
+    """A saved answer on its way to the successor; ``age`` is in seconds."""
+
+    key: bytes
+    answer: SavedAnswer
+    age: float
+
+
+class TablePart(NamedTuple):
+    """Some rows of an issuer's table, in columns of equal length.
+
+    ``states`` has one letter of ``KeyState`` for each row.
+    """
+
+    issuer: str
+    number: int
+    keys: tuple[bytes, ...]
+    fingerprints: tuple[bytes, ...]
+    states: str
+    attempts: tuple[str, ...]
+    answers: tuple[AnswerRow, ...]
+
+
+class TableEnd(NamedTuple):
+    """Size and digest of the whole table; the successor decides from here on."""
+
+    issuer: str
+    parts: int
+    digest: bytes
+
+
+class TableReply(NamedTuple):
+    """Whether a part was taken, or a whole table."""
+
+    taken: bool
--- a/trefoilpin/operations.py
+++ b/trefoilpin/operations.py
@@ -1,34 +1,193 @@
-"""Idempotency keys: for now every request runs once and none is remembered."""
+"""Non-idempotent requests run at most once: parsing of keys, permits, outcomes.
 
-from returns.result import Success
+A key ``<incarnation>.<nonce>`` was issued by a host, which decides on it; the form
+alone tells it from an opaque key, on which the store decides, so that all hosts ask
+the same decider whatever they know of the fleet.
+"""
 
-from trefoilpin.messages import Permit
+import hashlib
+import re
+
+from returns.result import Failure, Success
+
+from trefoilpin import answers
+from trefoilpin.messages import OperationKey, Permit
+from trefoilpin.operation_messages import Decision, Report
 from trefoilpin.services import Operations
+from trefoilpin.verdicts import Reason, Refusal, Verdict
+
+__all__ = ["KEY_HEADER", "create", "fingerprint"]
+
+KEY_HEADER = "idempotency-key"
+MAX_KEY_LENGTH = 255
+ISSUED = re.compile(r"([0-9a-f]{16,32})\.[!-~]+")
+DIGEST_BYTES = 16
+RETRY_AFTER_SECONDS = 1.0
+FLUSH_STEP_SECONDS = 0.1
+
+REQUIRED = Refusal(
+    Reason.OPERATION_KEY_REQUIRED,
+    Verdict.NOT_RUN,
+    "the route needs an idempotency key",
+)
+MALFORMED = Refusal(
+    Reason.BAD_REQUEST,
+    Verdict.NOT_RUN,
+    f"an idempotency key has 1 to {MAX_KEY_LENGTH} printable ASCII characters",
+)
+REFUSAL_BY_DECISION = {
+    Decision.RUNNING: Refusal(
+        Reason.OPERATION_RUNNING,
+        Verdict.MAY_HAVE_RUN,
+        "an earlier send of this key is still running",
+        RETRY_AFTER_SECONDS,
+    ),
+    Decision.RAN: Refusal(
+        Reason.OPERATION_ANSWER_GONE,
+        Verdict.RAN,
+        "the operation ran and its answer is not kept any more",
+    ),
+    Decision.UNCERTAIN: Refusal(
+        Reason.OPERATION_UNCERTAIN,
+        Verdict.MAY_HAVE_RUN,
+        "the operation may have run at an earlier send and is not run again",
+    ),
+    Decision.REUSED: Refusal(
+        Reason.OPERATION_KEY_REUSED,
+        Verdict.NOT_RUN,
+        "the key belongs to another request; this one did not run",
+    ),
+    Decision.FULL: Refusal(
+        Reason.OVERLOADED,
+        Verdict.NOT_RUN,
+        "this issuer takes no more keys; this send did not run, ask for a new issuer",
+        RETRY_AFTER_SECONDS,
+    ),
+    Decision.UNREACHABLE: Refusal(
+        Reason.ISSUER_UNREACHABLE,
+        Verdict.NOT_RUN,
+        "this send did not run; of earlier sends of the key nothing is known now",
+        RETRY_AFTER_SECONDS,
+    ),
+}
+STORE_UNREACHABLE = REFUSAL_BY_DECISION[Decision.UNREACHABLE]._replace(
+    reason=Reason.STORE_UNAVAILABLE
+)
 
-__all__ = ["create"]
 
+class OperationState:
+    """Number of attempts made by this host."""
 
-def create(kernel):
+    def __init__(self):
+        self.attempts = 0
+
+
+def fingerprint(account, request):
+    """Return the hexadecimal digest of what makes two requests the same.
+
+    Parameters
+    ----------
+    account : ClientAccount or None
+    request : CallerRequest
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    owner = account.id if account else ""
+    for part in (owner, request.method, request.path, request.query):
+        digest.update(f"{len(part)}:{part}".encode())
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def digest_key(account, text):
+    """Return the digest under which an account's key is kept."""
+    owner = account.id if account else ""
+    named = f"{len(owner)}:{owner}{text}".encode()
+    return hashlib.blake2b(named, digest_size=DIGEST_BYTES).digest()
+
+
+def create(kernel, max_answer_bytes, flush_seconds):
     """Create the service ``operations``.
 
     Parameters
     ----------
     kernel : Kernel
+    max_answer_bytes : int
+        Answers up to this size are saved.
+    flush_seconds : float
+        Time that a stopping host waits for its reports to arrive.
 
     Returns
     -------
     Operations
     """
+    claims = kernel.find("claims")
+    opaque_keys = kernel.find("opaque_keys")
+    transfers = kernel.find("table_transfers")
+    own = kernel.find("memberships").own().incarnation
+    state = OperationState()
 
     def parse(account, request):
-        return Success(None)
+        text = request.header(KEY_HEADER)
+        if text is None:
+            return Success(None)
+        text = text.strip().strip('"')
+        readable = text.isascii() and text.isprintable()
+        if not 0 < len(text) <= MAX_KEY_LENGTH or not readable:
+            return Failure(MALFORMED)
+        issued = ISSUED.fullmatch(text)
+        issuer = issued.group(1) if issued else ""
+        return Success(OperationKey(issuer, text, fingerprint(account, request)))
 
     def begin(key, route, account, deadline):
-        return Success(Permit(key, "", route, account))
+        if key is None and route.key_required:
+            return Failure(REQUIRED)
+        state.attempts += 1
+        attempt_id = f"{own}/{state.attempts:x}"
+        if key is None:
+            return Success(Permit(None, attempt_id, route, account))
+        digest, shape = digest_key(account, key.text), bytes.fromhex(key.fingerprint)
+        if key.issuer:
+            reply = claims.claim(key.issuer, digest, shape, attempt_id, deadline)
+        else:
+            reply = opaque_keys.claim(digest, shape, attempt_id, deadline)
+        decision = Decision(reply.decision)
+        if decision is Decision.GRANTED:
+            return Success(Permit(key, attempt_id, route, account))
+        if decision is Decision.RAN and reply.answer is not None:
+            return Success(answers.restore(reply.answer))
+        return Failure(refusal_for(decision, key))
+
+    def refusal_for(decision, key):
+        if decision is Decision.UNREACHABLE and not key.issuer:
+            return STORE_UNREACHABLE
+        unreachable = REFUSAL_BY_DECISION[Decision.UNREACHABLE]
+        return REFUSAL_BY_DECISION.get(decision, unreachable)
 
     def finish(permit, attempt):
-        return None
+        key = permit.key
+        if key is None:
+            return
+        verdict = attempt.verdict if attempt else Verdict.NOT_RUN
+        saved = None
+        if verdict is Verdict.RAN:
+            saved = answers.to_saved(attempt.answer, max_answer_bytes)
+        digest = digest_key(permit.account, key.text)
+        message = Report(key.issuer, digest, permit.attempt_id, verdict.value, saved)
+        if key.issuer:
+            claims.report(message)
+        else:
+            opaque_keys.report(message)
+
+    def hand_over(successor):
+        give_up_at = kernel.clock.now() + flush_seconds
+        outboxes = (claims.outbox, opaque_keys.outbox)
+        while any(outbox.size() for outbox in outboxes):
+            if kernel.clock.now() >= give_up_at:
+                break
+            kernel.clock.sleep(FLUSH_STEP_SECONDS)
+        reported = not any(outbox.size() for outbox in outboxes)
+        return transfers.hand_over(successor) and reported
 
-    service = Operations(parse, begin, finish)
+    service = Operations(parse, begin, finish, hand_over)
     kernel.register("operations", service)
     return service
--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -14,8 +14,9 @@
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from trefoilpin import rosters, snapshots, tickets
+from trefoilpin import operation_messages, rosters, snapshots, tickets
 from trefoilpin.thrift_gen.memberships import ttypes as membership_types
+from trefoilpin.thrift_gen.operations import ttypes as operation_types
 from trefoilpin.thrift_gen.tickets import ttypes as ticket_types
 
 __all__ = ["METHODS", "Method", "decode", "encode"]
@@ -74,6 +75,30 @@
         ticket_types.AnnounceReplyStruct,
     ),
     # Operations.
+    "operations.claim": Method(
+        operation_messages.Claim,
+        operation_messages.ClaimReply,
+        operation_types.ClaimStruct,
+        operation_types.ClaimReplyStruct,
+    ),
+    "operations.report": Method(
+        operation_messages.Report,
+        operation_messages.ReportReply,
+        operation_types.ReportStruct,
+        operation_types.ReportReplyStruct,
+    ),
+    "operations.table_part": Method(
+        operation_messages.TablePart,
+        operation_messages.TableReply,
+        operation_types.TablePartStruct,
+        operation_types.TableReplyStruct,
+    ),
+    "operations.table_end": Method(
+        operation_messages.TableEnd,
+        operation_messages.TableReply,
+        operation_types.TableEndStruct,
+        operation_types.TableReplyStruct,
+    ),
     # Limits.
     # Health and balancing.
 }
--- a/trefoilpin/proxies.py
+++ b/trefoilpin/proxies.py
@@ -3,15 +3,109 @@
 from returns.result import Failure, Success
 
 from trefoilpin import events
-from trefoilpin.messages import Answer
+from trefoilpin.messages import Answer, Attempt, Permit
+from trefoilpin.operations import fingerprint
+from trefoilpin.retries import attempt_deadline, may_send_again
 from trefoilpin.services import Proxies
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
 __all__ = ["create"]
 
 MAX_ATTEMPTS = 3
+MAX_BREAKS = 2
+RETRY_AFTER_SECONDS = 1.0
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 
+INTERRUPTED = Attempt(
+    Verdict.MAY_HAVE_RUN, None, Reason.INTERNAL, "the attempt was interrupted", 0.0
+)
+TOO_LATE = Refusal(
+    Reason.OVERLOADED,
+    Verdict.NOT_RUN,
+    "the deadline passed before an upstream was asked",
+    RETRY_AFTER_SECONDS,
+)
+
+
+class Work:
+    """A request on its way to upstreams.
+
+    Attributes
+    ----------
+    request : CallerRequest
+        Without the caller's key.
+    tried : frozenset of str
+        Upstreams already asked.
+    last : Attempt or None
+        Outcome of the attempt made last.
+    may_have_run : bool
+        True once any attempt may have run.
+    refusal : Refusal or None
+        Why no upstream was taken for a further attempt.
+    """
+
+    def __init__(self, request, route, account, pool, idempotent, shape):
+        self.request = request
+        self.route = route
+        self.account = account
+        self.pool = pool
+        self.idempotent = idempotent
+        self.fingerprint = shape
+        self.deadline = request.arrived_at + route.deadline
+        self.tried = frozenset()
+        self.breaks = 0
+        self.last = None
+        self.upstream = None
+        self.may_have_run = False
+        self.refusal = None
+
+
+def release_at_end(rest, release):
+    """Return an iterator over the rest of an answer that calls ``release`` once.
+
+    It is started at once, so that closing it unread releases too.
+    """
+
+    def iterate():
+        try:
+            yield b""
+            yield from rest
+        finally:
+            if hasattr(rest, "close"):
+                rest.close()
+            release()
+
+    started = iterate()
+    next(started)
+    return started
+
+
+def retry_after(answer):
+    """Return the seconds that an upstream asks callers to wait."""
+    for name, value in answer.headers:
+        if name == "retry-after" and value.isdigit():
+            return float(value)
+    return RETRY_AFTER_SECONDS
+
+
+def conclude(work):
+    """Return the answer of a work, or the refusal with its verdict."""
+    last = work.last
+    if last is not None and last.answer is not None and not last.shed:
+        return Success(last.answer)
+    if last is None:
+        refusal = work.refusal or TOO_LATE
+    elif last.shed:
+        wait = retry_after(last.answer) if last.answer else RETRY_AFTER_SECONDS
+        detail = "every upstream that was asked refused without running"
+        refusal = Refusal(Reason.OVERLOADED, Verdict.NOT_RUN, detail, wait)
+    else:
+        wait = RETRY_AFTER_SECONDS if last.verdict is Verdict.NOT_RUN else None
+        refusal = Refusal(last.reason, last.verdict, last.detail, wait)
+    if work.may_have_run and refusal.verdict is Verdict.NOT_RUN:
+        refusal = refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+    return Failure(refusal)
+
 
 def create(kernel):
     """Create the service ``proxies``.
@@ -32,6 +126,8 @@
     keys = kernel.find("keys")
     limits = kernel.find("limits")
     operations = kernel.find("operations")
+    quarantines = kernel.find("quarantines")
+    retries = kernel.find("retries")
     queues = kernel.find("queues")
     balancers = kernel.find("balancers")
     forwarders = kernel.find("forwarders")
@@ -64,66 +160,129 @@
         return Failure(refusal)
 
     def admit_and_run(request, route, account):
-        deadline = request.arrived_at + route.deadline
-        parsed = operations.parse(account, request)
-        if isinstance(parsed, Failure):
-            return parsed
+        work = Work(
+            request._replace(headers=keys.strip(request.headers)),
+            route,
+            account,
+            configurations.pools_by_id[route.pool],
+            route.idempotent or request.method in SAFE_METHODS,
+            fingerprint(account, request),
+        )
+        quarantined = quarantines.check(work.fingerprint)
+        if quarantined is not None:
+            return Failure(quarantined)
         if account is not None:
-            admitted = limits.admit(account, deadline)
+            admitted = limits.admit(account, work.deadline)
             if isinstance(admitted, Failure):
                 return admitted
-        begun = operations.begin(parsed.unwrap(), route, account, deadline)
+        begun = begin(work)
         if isinstance(begun, Failure) or isinstance(begun.unwrap(), Answer):
             return begun
-        return run(request, route, account, deadline, begun.unwrap())
-
-    def run(request, route, account, deadline, permit):
-        stripped = request._replace(headers=keys.strip(request.headers))
-        pool = configurations.pools_by_id[route.pool]
-        idempotent = route.idempotent or request.method in SAFE_METHODS
-        tried = frozenset()
-        last = None
-        for _ in range(MAX_ATTEMPTS):
+        return run(work, begun.unwrap())
+
+    def begin(work):
+        if work.idempotent:
+            return Success(Permit(None, "", work.route, work.account))
+        parsed = operations.parse(work.account, work.request)
+        if isinstance(parsed, Failure):
+            return parsed
+        return operations.begin(
+            parsed.unwrap(), work.route, work.account, work.deadline
+        )
+
+    def run(work, permit):
+        retries.deposit(work.pool.id)
+        try:
+            send_until_done(work)
+        finally:
+            operations.finish(permit, work.last)
+        outcome = conclude(work)
+        if isinstance(outcome, Success):
+            note_answer(work, outcome.unwrap())
+        return outcome
+
+    def send_until_done(work):
+        for number in range(MAX_ATTEMPTS):
+            if now() >= work.deadline:
+                return
             taken = queues.enter(
-                pool, account, deadline, lambda: balancers.choose(pool, tried)
+                work.pool,
+                work.account,
+                work.deadline,
+                lambda: balancers.choose(work.pool, work.tried),
             )
             if isinstance(taken, Failure):
-                break
-            choice = taken.unwrap()
-            last = forwarders.exchange(choice.upstream, stripped, deadline, idempotent)
-            balancers.release(choice, last, account and account.id, "")
-            queues.released(pool.id)
-            tried = tried | {choice.upstream.id}
-            if not may_send_again(last, idempotent) or now() >= deadline:
-                break
-        operations.finish(permit, last)
-        if last is None:
-            return taken
-        return conclude(request, route, account, choice, last)
-
-    def conclude(request, route, account, choice, attempt):
-        if attempt.answer is None:
-            return Failure(Refusal(attempt.reason, attempt.verdict, attempt.detail))
-        seconds = now() - request.arrived_at
+                work.refusal = taken.failure()
+                return
+            send_once(work, taken.unwrap(), number)
+            if not is_retried(work, number):
+                return
+
+    def is_retried(work, number):
+        if number + 1 >= MAX_ATTEMPTS or work.breaks >= MAX_BREAKS:
+            return False
+        if not may_send_again(work.last, work.idempotent) or now() >= work.deadline:
+            return False
+        if not retries.withdraw(work.pool.id):
+            metrics.count("retries_over_budget")
+            return False
+        emit(
+            events.REQUEST_RETRIED,
+            request_id=work.request.request_id,
+            pool=work.pool.id,
+            upstream=work.upstream.id,
+            verdict=work.last.verdict.value,
+            detail=work.last.detail,
+        )
+        return True
+
+    def send_once(work, choice, number):
+        work.upstream = choice.upstream
+        work.tried = work.tried | {choice.upstream.id}
+        further = number + 1 < MAX_ATTEMPTS and retries.balance(work.pool.id) >= 1
+        ends_at = attempt_deadline(now(), work.deadline, work.idempotent, further)
+        work.last = INTERRUPTED
+        try:
+            work.last = forwarders.exchange(
+                choice.upstream, work.request, ends_at, work.idempotent
+            )
+        finally:
+            finish_attempt(work, choice)
+
+    def finish_attempt(work, choice):
+        last = work.last
+        if last.verdict is not Verdict.NOT_RUN:
+            work.may_have_run = True
+        account_id = work.account.id if work.account else None
+
+        def release():
+            balancers.release(choice, last, account_id, work.fingerprint)
+            queues.released(work.pool.id)
+
+        if last.answer is not None and last.answer.rest is not None:
+            rest = release_at_end(last.answer.rest, release)
+            work.last = last._replace(answer=last.answer._replace(rest=rest))
+        else:
+            release()
+        if last.broke_connection:
+            work.breaks += 1
+            quarantines.report(work.fingerprint, choice.upstream.id, account_id or "")
+        elif last.verdict is Verdict.RAN:
+            quarantines.succeeded(work.fingerprint)
+
+    def note_answer(work, answer):
+        seconds = now() - work.request.arrived_at
         metrics.time("request_seconds", seconds)
         emit(
             events.REQUEST_ROUTED,
-            request_id=request.request_id,
-            route=route.id,
-            account=account and account.id,
-            upstream=choice.upstream.id,
-            status=attempt.answer.status,
+            request_id=work.request.request_id,
+            route=work.route.id,
+            account=work.account and work.account.id,
+            upstream=work.upstream.id,
+            status=answer.status,
             milliseconds=round(seconds * 1000, 3),
         )
-        return Success(attempt.answer)
 
     service = Proxies(handle)
     kernel.register("proxies", service)
     return service
-
-
-def may_send_again(attempt, idempotent):
-    """Tell whether a request may go to another upstream after an attempt."""
-    if attempt.verdict is Verdict.NOT_RUN:
-        return True
-    return idempotent and attempt.reason is Reason.UPSTREAM_BROKEN
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -32,28 +32,34 @@
 
 __all__ = [
     "Balancers",
+    "Claims",
     "Configurations",
     "Events",
     "Forwarders",
+    "Issuers",
     "Keys",
     "Limits",
     "Memberships",
     "Notice",
     "Notices",
+    "OpaqueKeys",
     "Operations",
     "PeerFailure",
     "Peers",
     "Proxies",
     "Quarantines",
     "Queues",
+    "Retries",
     "Routes",
     "Shutdowns",
+    "Sightings",
     "Snapshots",
     "Store",
     "StoreChange",
     "StoreFailure",
     "StoreOutcome",
     "StoredObject",
+    "TableTransfers",
     "Tickets",
 ]
 
@@ -337,12 +343,26 @@
     """``quarantines``: requests that break each upstream that runs them.
 
     ``check(fingerprint)`` gives None or a ``Refusal``. ``report(fingerprint,
-    upstream)`` tells that a request broke an upstream's connection after it was
-    written.
+    upstream, account)`` tells that a request broke an upstream's connection after it
+    was written; ``account`` is an id, empty on a route open to all.
+    ``succeeded(fingerprint)`` tells that an upstream answered it whole.
     """
 
     check: Callable[[str], Refusal | None]
-    report: Callable[[str, str], None]
+    report: Callable[[str, str, str], None]
+    succeeded: Callable[[str], None]
+
+
+class Retries(NamedTuple):
+    """``retries``: the retry budget of each pool.
+
+    ``deposit(pool)`` counts a request. ``withdraw(pool)`` takes a retry, or tells that
+    none is left. ``balance(pool)`` is the number of retries left.
+    """
+
+    deposit: Callable[[str], None]
+    withdraw: Callable[[str], bool]
+    balance: Callable[[str], float]
 
 
 class Routes(NamedTuple):
@@ -368,6 +388,61 @@
     admit: Callable[[ClientAccount, float], Result]
 
 
+class Sightings(NamedTuple):
+    """``sightings``: hosts that may still run although they left the fleet.
+
+    ``find(incarnation)`` gives a ``Host`` seen at any time, or None.
+    ``runs(incarnation)`` tells whether the host is believed to run.
+    """
+
+    find: Callable[[str], Host | None]
+    runs: Callable[[str], bool]
+
+
+class Issuers(NamedTuple):
+    """``issuers``: decisions on the idempotency keys issued here or taken over.
+
+    ``claim(message)`` and ``report(message)`` give a ``ClaimReply`` and a
+    ``ReportReply``. ``state`` holds the tables, for their transfer.
+    """
+
+    claim: Callable[[Any], Any]
+    report: Callable[[Any], Any]
+    state: Any
+
+
+class TableTransfers(NamedTuple):
+    """``table_transfers``: ``hand_over(successor)`` stops all decisions of this host
+    and gives its tables of keys to a ``Host``; it tells whether all arrived."""
+
+    hand_over: Callable[[Host | None], bool]
+
+
+class Claims(NamedTuple):
+    """``claims``: this host's claims on issued keys.
+
+    ``claim(issuer, key, fingerprint, attempt_id, deadline)`` gives a ``ClaimReply``.
+    ``report(message)`` has a ``Report`` arrive; ``outbox`` holds those that wait.
+    """
+
+    claim: Callable[[str, bytes, bytes, str, float], Any]
+    report: Callable[[Any], None]
+    outbox: Any
+
+
+class OpaqueKeys(NamedTuple):
+    """``opaque_keys``: claims on keys that the store decides on.
+
+    ``claim(key, fingerprint, attempt_id, deadline)`` and ``report(message)`` are as
+    for ``claims``; ``sweep_once()`` deletes some expired claims and counts them.
+    """
+
+    claim: Callable[[bytes, bytes, str, float], Any]
+    report: Callable[[Any], None]
+    sweep_once: Callable[[], int]
+    outbox: Any
+
+
 class Operations(NamedTuple):
     """``operations``: runs a non-idempotent request at most once.
 
@@ -375,11 +450,14 @@
     none, or a ``Refusal``. ``begin(key, route, account, deadline)`` gives a
     ``Permit`` to run, an ``Answer`` saved earlier, or a ``Refusal``.
     ``finish(permit, attempt)`` reports the last attempt, None when there was none.
+    ``hand_over(successor)`` waits until all reports arrived and gives the tables of
+    keys to a ``Host``; it tells whether everything arrived.
     """
 
     parse: Callable[[ClientAccount | None, CallerRequest], Result]
     begin: Callable[[OperationKey | None, Route, ClientAccount | None, float], Result]
     finish: Callable[[Permit, Attempt | None], None]
+    hand_over: Callable[[Host | None], bool]
 
 
 class Queues(NamedTuple):
--- a/trefoilpin/settings.py
+++ b/trefoilpin/settings.py
@@ -232,6 +232,91 @@
     ),
     # Shutdown.
     # Operations and retries.
+    Setting(
+        "operations.max_keys",
+        120_000,
+        "a whole number from 1000 to 10000000",
+        is_count(1000, 10_000_000),
+        "Idempotency keys this host decides on; no key is forgotten, so beyond this "
+        "number new ones are refused until the daemon is replaced.",
+    ),
+    Setting(
+        "operations.max_adopted_keys",
+        240_000,
+        "a whole number from 1000 to 10000000",
+        is_count(1000, 10_000_000),
+        "Keys kept for hosts that left; the oldest host's are dropped beyond it.",
+    ),
+    Setting(
+        "operations.gone_seconds",
+        10.0,
+        "a number from 1 to 600",
+        is_number(1, 600),
+        "Time without a sign of life after which a host counts as gone.",
+    ),
+    Setting(
+        "operations.max_answer_bytes",
+        65_536,
+        "a whole number from 1024 to 1000000",
+        is_count(1024, 1_000_000),
+        "Largest answer that is saved for repeats of a request.",
+    ),
+    Setting(
+        "operations.max_saved_bytes",
+        8_388_608,
+        "a whole number from 65536 to 1073741824",
+        is_count(65_536, 1_073_741_824),
+        "Memory for all saved answers together.",
+    ),
+    Setting(
+        "operations.saved_seconds",
+        900.0,
+        "a number from 1 to 86400",
+        is_number(1, 86_400),
+        "Time for which an answer is saved.",
+    ),
+    Setting(
+        "operations.hand_over_seconds",
+        10.0,
+        "a number from 1 to 300",
+        is_number(1, 300),
+        "Time after which a stopping host gives up handing over its keys.",
+    ),
+    Setting(
+        "operations.store_calls_per_second",
+        200.0,
+        "a number from 1 to 2000",
+        is_number(1, 2000),
+        "Calls to the store that opaque keys may cause, over the whole fleet.",
+    ),
+    Setting(
+        "operations.claim_days",
+        7.0,
+        "a number from 1 to 365",
+        is_number(1, 365),
+        "Days for which an opaque key is remembered, at least.",
+    ),
+    Setting(
+        "retries.share",
+        0.2,
+        "a number from 0 to 1",
+        is_number(0, 1),
+        "Retries allowed for each request, on average.",
+    ),
+    Setting(
+        "retries.least_per_second",
+        1.0,
+        "a number from 0 to 100",
+        is_number(0, 100),
+        "Retries a second allowed to each pool however few requests come.",
+    ),
+    Setting(
+        "quarantine.seconds",
+        300.0,
+        "a number from 1 to 86400",
+        is_number(1, 86_400),
+        "Time for which a request that breaks upstreams is refused.",
+    ),
     # Limits and queues.
     # Health, balancing and slow start.
 )
--- /dev/null
+++ b/trefoilpin/tests/test_key_tables.py
@@ -0,0 +1,106 @@
+"""Decisions on one issuer's keys, against a naive dictionary and by example."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpin import key_tables
+from trefoilpin.operation_messages import Claim, Decision, Report
+from trefoilpin.verdicts import Verdict
+
+KEYS = st.sampled_from((b"k1", b"k2"))
+ATTEMPTS = st.sampled_from([f"h{host}/{count}" for host in (1, 2) for count in (1, 2)])
+MAX_KEYS = 1000
+
+
+def claim(
+    table, key, attempt_id, max_keys=MAX_KEYS, runs=lambda host: True, shape=b"f"
+):
+    message = Claim("issuer", key, shape, attempt_id)
+    return key_tables.claim(table, message, max_keys, runs)
+
+
+def report(table, key, attempt_id, verdict, max_keys=MAX_KEYS):
+    message = Report("issuer", key, attempt_id, verdict.value)
+    return key_tables.report(table, message, max_keys)
+
+
+class History:
+    """What an observer saw: grants, and the outcome each attempt reported."""
+
+    def __init__(self):
+        self.table = key_tables.KeyTable()
+        self.granted = set()
+        self.reported = {}
+
+
+def claim_in(history, key, attempt, gone):
+    decision = claim(history.table, key, attempt, runs=lambda host: not gone)
+    if decision is not Decision.GRANTED:
+        return
+    assert (key, attempt) not in history.reported
+    for other in {a for k, a in history.granted if k == key} - {attempt}:
+        assert history.reported.get((key, other)) is Verdict.NOT_RUN
+    history.granted.add((key, attempt))
+
+
+def report_in(history, key, attempt, verdict):
+    if verdict is not Verdict.NOT_RUN and (key, attempt) not in history.granted:
+        return
+    verdict = history.reported.setdefault((key, attempt), verdict)
+    report(history.table, key, attempt, verdict)
+
+
+def transfer_in(history):
+    found = list(key_tables.rows(history.table))
+    history.table = key_tables.from_rows(found)
+    assert sorted(key_tables.rows(history.table)) == sorted(found)
+
+
+STEPS = st.one_of(
+    st.tuples(st.just(claim_in), KEYS, ATTEMPTS, st.booleans()),
+    st.tuples(st.just(report_in), KEYS, ATTEMPTS, st.sampled_from(Verdict)),
+    st.tuples(st.just(transfer_in)),
+)
+
+
+@settings(derandomize=True, max_examples=600, deadline=None)
+@given(st.lists(STEPS, min_size=5, max_size=40))
+def test_a_key_is_granted_again_only_after_its_attempt_reported_not_run(steps):
+    history = History()
+    for function, *arguments in steps:
+        function(history, *arguments)
+    known = history.table.fingerprint_by_key
+    assert {key for key, _ in history.granted} <= known.keys()
+
+
+def test_a_lost_reply_is_asked_again_with_the_same_attempt():
+    table = key_tables.KeyTable()
+    assert claim(table, b"k", "h1/1") is Decision.GRANTED
+    assert claim(table, b"k", "h1/1") is Decision.GRANTED
+    assert claim(table, b"k", "h2/1") is Decision.RUNNING
+    assert claim(table, b"k", "h2/1", runs=lambda host: False) is Decision.UNCERTAIN
+
+
+def test_a_claim_that_arrives_after_its_attempt_was_given_up_holds_nothing():
+    table = key_tables.KeyTable()
+    report(table, b"k", "h1/1", Verdict.NOT_RUN)
+    assert claim(table, b"k", "h1/1") is Decision.CANCELLED
+    assert claim(table, b"k", "h2/1") is Decision.GRANTED
+
+
+def test_another_request_with_the_same_key_is_refused():
+    table = key_tables.KeyTable()
+    claim(table, b"k", "h1/1")
+    assert claim(table, b"k", "h1/2", shape=b"g") is Decision.REUSED
+
+
+def test_a_full_table_refuses_new_keys_and_forgets_none():
+    table = key_tables.KeyTable()
+    for number in range(5):
+        claim(table, b"%d" % number, f"h1/{number}", max_keys=5)
+        report(table, b"%d" % number, f"h1/{number}", Verdict.RAN, max_keys=5)
+    assert claim(table, b"new", "h1/9", max_keys=5) is Decision.FULL
+    assert claim(table, b"0", "h1/10", max_keys=5) is Decision.RAN
+    for number in range(100):
+        report(table, b"new", f"h2/{number}", Verdict.NOT_RUN, max_keys=5)
+    assert not table.cancelled_attempts
--- /dev/null
+++ b/trefoilpin/tests/test_table_transfers.py
@@ -0,0 +1,124 @@
+"""Hand-over: whole or not at all, once, and bounded."""
+
+import pytest
+
+from trefoilpin import issuers, key_tables, table_transfers
+from trefoilpin.answers import AnswerBounds
+from trefoilpin.fakes import fleets, loops
+from trefoilpin.operation_messages import Claim, Report, SavedAnswer
+from trefoilpin.records import Host
+from trefoilpin.services import Sightings
+from trefoilpin.verdicts import Verdict
+
+BOUNDS = issuers.IssuerBounds(10_000, 5_000, AnswerBounds(9000, 1_000_000, 900.0))
+HOSTS = [Host(name, name, "a", "default", name, name) for name in ("h1", "h2", "h3")]
+ANSWER = SavedAnswer(200, (), b"x" * 5000)
+
+
+class Scene:
+    """Three hosts on one lossy network."""
+
+    def __init__(self):
+        self.state = loops.LoopState(1)
+        network = loops.create_network(self.state)
+        self.kernels = []
+        for host in HOSTS:
+            kernel = loops.create_host_kernel(self.state)
+            memberships = fleets.create_memberships(fleets.FleetView(host, HOSTS))
+            kernel.register("memberships", memberships)
+            peers = network.connect(host.peer_address, host.incarnation)
+            kernel.register("peers", peers)
+            sightings = Sightings(memberships.find, lambda incarnation: True)
+            kernel.register("sightings", sightings)
+            issuers.create(kernel, BOUNDS)
+            table_transfers.create(kernel, BOUNDS, patience=2.0)
+            self.kernels.append(kernel)
+
+    def claim(self, number, key, attempt_id, issuer="h1"):
+        service = self.kernels[number].find("issuers")
+        return service.claim(Claim(issuer, key, b"f", attempt_id))
+
+    def fill(self, count):
+        service = self.kernels[0].find("issuers")
+        for number in range(count):
+            key, attempt_id = b"%d" % number, f"h9/{number}"
+            service.claim(Claim("h1", key, b"f", attempt_id))
+            verdict = list(Verdict)[number % 3].value
+            saved = ANSWER if number < 120 else None
+            if number % 4:
+                service.report(Report("h1", key, attempt_id, verdict, saved))
+
+    def hand_over(self, number, to):
+        service = self.kernels[number].find("table_transfers")
+        return service.hand_over(HOSTS[to])
+
+    def table(self, number):
+        return self.kernels[number].find("issuers").state.table_by_issuer.get("h1")
+
+
+@pytest.fixture
+def scene():
+    return Scene()
+
+
+def test_every_row_and_answer_arrives_through_losses(scene):
+    scene.fill(3500)
+    before = set(key_tables.rows(scene.table(0)))
+    scene.state.loss_share = 0.2
+    assert scene.hand_over(0, 1)
+    assert set(key_tables.rows(scene.table(1))) == before
+    assert scene.claim(1, b"2", "h3/1").answer == ANSWER
+    assert scene.claim(0, b"new", "h3/1") == ("moved", "h2", None)
+
+
+def test_chains_go_on_and_nothing_comes_back(scene):
+    scene.fill(10)
+    assert scene.hand_over(0, 1) and scene.hand_over(1, 2)
+    assert scene.claim(1, b"new", "h9/77").decision == "moved"
+    assert scene.claim(2, b"new", "h9/77").decision == "granted"
+    assert scene.hand_over(0, 1)
+    assert scene.claim(1, b"new", "h9/78").decision == "moved"
+    assert scene.claim(2, b"new", "h9/78").decision == "running"
+
+
+def test_nobody_decides_when_a_part_is_missing(scene):
+    scene.fill(2500)
+    peers = scene.kernels[1].find("peers")
+    parts = []
+    peers.serve(table_transfers.PART, lambda sender, part: take(part))
+
+    def take(part):
+        parts.append(part)
+        return table_transfers.TableReply(True)
+
+    assert not scene.hand_over(0, 1)
+    assert len(parts) > 1 and scene.table(1) is None
+    assert scene.claim(0, b"new", "h9/1").decision == "moved"
+    assert scene.claim(1, b"new", "h9/1").decision == "absent"
+
+
+def test_a_table_that_may_have_arrived_goes_nowhere_else(scene):
+    scene.fill(10)
+    scene.state.cut_pairs.add(("h2", "h1"))
+    assert not scene.hand_over(0, 1)
+    assert scene.hand_over(0, 2)
+    scene = Scene()
+    scene.fill(10)
+    service = scene.kernels[0].find("table_transfers")
+    assert service.hand_over(HOSTS[1]) and not service.hand_over(HOSTS[2])
+    assert scene.table(2) is None
+
+
+def test_the_oldest_table_is_dropped_and_not_taken_again(scene):
+    scene.fill(5100)
+    assert scene.hand_over(0, 1)
+    assert scene.table(1) is None
+    assert scene.hand_over(0, 1) and scene.table(1) is None
+    assert scene.claim(1, b"new", "h3/1").decision == "absent"
+
+
+def test_without_a_successor_decisions_end_too(scene):
+    scene.fill(1)
+    service = scene.kernels[0].find("table_transfers")
+    assert not service.hand_over(None)
+    assert scene.claim(0, b"new", "h3/1").decision == "moved"
