Let a table go to another successor when the first refuses it for good

Cause: a table once offered could not go elsewhere, even when the successor was stopping itself, so its keys became uncertain. Change: a stopping host says that it never takes the table; only then is another asked. Waiting reports keep at most 200 answers, so a frozen issuer bounds the memory of the others. Gauges for keys, answers and reports.

--- a/trefoilpin/claims.py
+++ b/trefoilpin/claims.py
@@ -21,6 +21,7 @@
 MAX_DELAY_SECONDS = 0.5
 MAX_REMEMBERED_HOLDERS = 10_000
 MAX_WAITING_REPORTS = 20_000
+MAX_WAITING_ANSWERS = 200
 UNDECIDED = frozenset(decision.value for decision in (Decision.MOVED, Decision.ABSENT))
 
 
@@ -158,6 +159,8 @@
             and not issuers.report(message).decision in UNDECIDED
         ):
             return
+        if outbox.size() >= MAX_WAITING_ANSWERS:
+            message = message._replace(answer=None)
         outbox.put(message.issuer, message)
 
     def send_report(issuer, message):
--- a/trefoilpin/fakes/writers.py
+++ b/trefoilpin/fakes/writers.py
@@ -63,6 +63,7 @@
     answers=AnswerBounds(65_536, 1_048_576, 900.0),
 )
 OPAQUE_BOUNDS = opaque_keys.OpaqueBounds(calls_per_second=1000.0, days=7.0)
+SILENT_METRICS = Metrics(*[lambda *arguments: None] * 4)
 GONE_SECONDS = 3.0
 HAND_OVER_SECONDS = 10.0
 
@@ -215,8 +216,7 @@
 
     kernel = create_kernel(tasks.clock, spawn, state.rng)
     kernel.register("events", Events(lambda event, **fields: None, lambda: None))
-    metrics = Metrics(lambda *a: None, lambda *a: None, lambda *a: None, lambda: "")
-    kernel.register("metrics", metrics)
+    kernel.register("metrics", SILENT_METRICS)
     view = FleetView(own, hosts)
     kernel.register("memberships", create_memberships(view))
     kernel.register("peers", connect(tasks, own.incarnation))
--- a/trefoilpin/idl/operations.thrift
+++ b/trefoilpin/idl/operations.thrift
@@ -56,4 +56,5 @@
 
 struct TableReplyStruct {
   1: bool taken
+  2: bool refused
 }
--- a/trefoilpin/issuers.py
+++ b/trefoilpin/issuers.py
@@ -20,6 +20,7 @@
 
 CLAIM = "operations.claim"
 REPORT = "operations.report"
+LOGGED_KEY_CHARACTERS = 16
 
 
 class IssuerBounds(NamedTuple):
@@ -77,7 +78,7 @@
         decision = key_tables.claim(table, message, bounds.max_keys, runs)
         emit(
             events.OPERATION_DECIDED,
-            key=message.key.hex(),
+            key=message.key.hex()[:LOGGED_KEY_CHARACTERS],
             attempt=message.attempt_id,
             decision=decision.value,
         )
@@ -108,9 +109,19 @@
             )
         return ReportReply(Decision.TAKEN.value)
 
+    def takes_keys():
+        table = state.table_by_issuer[own]
+        return state.deciding and not key_tables.is_full(table, bounds.max_keys)
+
+    def count_keys():
+        return sum(map(key_tables.count_rows, state.table_by_issuer.values()))
+
+    metrics = kernel.find("metrics")
+    metrics.gauge("operation_keys", count_keys)
+    metrics.gauge("saved_answer_bytes", lambda: state.saved.total_bytes)
     peers = kernel.find("peers")
     peers.serve(CLAIM, lambda sender, message: claim(message))
     peers.serve(REPORT, lambda sender, message: report(message))
-    service = Issuers(claim, report, state)
+    service = Issuers(claim, report, takes_keys, state)
     kernel.register("issuers", service)
     return service
--- a/trefoilpin/key_tables.py
+++ b/trefoilpin/key_tables.py
@@ -18,9 +18,11 @@
     "KeyTable",
     "Row",
     "claim",
+    "count_rows",
     "digest_rows",
     "entry_host",
     "from_rows",
+    "is_full",
     "report",
     "rows",
 ]
@@ -61,9 +63,14 @@
     return attempt_id.rpartition("/")[0]
 
 
+def count_rows(table):
+    """Return the number of rows that a table holds."""
+    return len(table.fingerprint_by_key) + len(table.cancelled_attempts)
+
+
 def is_full(table, max_keys):
     """Tell whether nothing more is granted, for as long as the table exists."""
-    return len(table.fingerprint_by_key) + len(table.cancelled_attempts) >= max_keys
+    return count_rows(table) >= max_keys
 
 
 def claim(table, message, max_keys, runs):
--- a/trefoilpin/opaque_keys.py
+++ b/trefoilpin/opaque_keys.py
@@ -25,6 +25,7 @@
 FIRST_DELAY_SECONDS = 0.05
 MAX_DELAY_SECONDS = 1.0
 MAX_WAITING_REPORTS = 5_000
+MAX_WAITING_ANSWERS = 200
 DAY_SECONDS = 86_400.0
 CLOCK_MARGIN_SECONDS = DAY_SECONDS
 SWEEP_SECONDS = 60.0
@@ -165,6 +166,8 @@
         return ClaimReply(Decision.UNCERTAIN.value)
 
     def report(message):
+        if outbox.size() >= MAX_WAITING_ANSWERS:
+            message = message._replace(answer=None)
         outbox.put(PREFIX + message.key.hex(), message)
 
     def send_report(path, message):
--- a/trefoilpin/operation_messages.py
+++ b/trefoilpin/operation_messages.py
@@ -122,6 +122,15 @@
 
 
 class TableReply(NamedTuple):
-    """Whether a part was taken, or a whole table."""
+    """Answer to a part or to the end of a table.
+
+    Attributes
+    ----------
+    taken : bool
+        True when it was taken, or had been before.
+    refused : bool
+        True when this host never had the table and never takes it.
+    """
 
     taken: bool
+    refused: bool = False
--- a/trefoilpin/operations.py
+++ b/trefoilpin/operations.py
@@ -126,6 +126,9 @@
     own = kernel.find("memberships").own().incarnation
     state = OperationState()
 
+    def count_reports():
+        return claims.outbox.size() + opaque_keys.outbox.size()
+
     def parse(account, request):
         text = request.header(KEY_HEADER)
         if text is None:
@@ -180,14 +183,12 @@
 
     def hand_over(successor):
         give_up_at = kernel.clock.now() + flush_seconds
-        outboxes = (claims.outbox, opaque_keys.outbox)
-        while any(outbox.size() for outbox in outboxes):
-            if kernel.clock.now() >= give_up_at:
-                break
+        while count_reports() and kernel.clock.now() < give_up_at:
             kernel.clock.sleep(FLUSH_STEP_SECONDS)
-        reported = not any(outbox.size() for outbox in outboxes)
+        reported = count_reports() == 0
         return transfers.hand_over(successor) and reported
 
+    kernel.find("metrics").gauge("operation_reports_waiting", count_reports)
     service = Operations(parse, begin, finish, hand_over)
     kernel.register("operations", service)
     return service
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -403,11 +403,13 @@
     """``issuers``: decisions on the idempotency keys issued here or taken over.
 
     ``claim(message)`` and ``report(message)`` give a ``ClaimReply`` and a
-    ``ReportReply``. ``state`` holds the tables, for their transfer.
+    ``ReportReply``. ``takes_keys()`` tells whether callers should be given this host
+    as issuer. ``state`` holds the tables, for their transfer.
     """
 
     claim: Callable[[Any], Any]
     report: Callable[[Any], Any]
+    takes_keys: Callable[[], bool]
     state: Any
 
 
--- a/trefoilpin/table_transfers.py
+++ b/trefoilpin/table_transfers.py
@@ -103,7 +103,7 @@
         if part.issuer in issuer_state.ever_held:
             return TableReply(True)
         if not issuer_state.deciding:
-            return TableReply(False)
+            return TableReply(False, refused=True)
         parts = state.part_by_number_by_issuer.setdefault(part.issuer, {})
         parts[part.number] = part
         drop_oldest_incoming()
@@ -119,7 +119,7 @@
         if end.issuer in issuer_state.ever_held:
             return TableReply(True)
         if not issuer_state.deciding:
-            return TableReply(False)
+            return TableReply(False, refused=True)
         part_by_number = state.part_by_number_by_issuer.get(end.issuer, {})
         if sorted(part_by_number) != list(range(end.parts)):
             return TableReply(False)
@@ -151,7 +151,7 @@
 
     def drop_oldest():
         adopted = {
-            issuer: len(table.fingerprint_by_key) + len(table.cancelled_attempts)
+            issuer: key_tables.count_rows(table)
             for issuer, table in issuer_state.table_by_issuer.items()
             if issuer != own
         }
@@ -165,10 +165,12 @@
 
     def send(successor, method, message, give_up_at):
         while True:
-            reply = peers.call(successor.peer_address, method, message, CALL_SECONDS)
-            taken = reply.map(lambda found: found.taken).value_or(None)
-            if taken is not None:
-                return taken
+            result = peers.call(successor.peer_address, method, message, CALL_SECONDS)
+            reply = result.value_or(None)
+            if reply is not None:
+                if reply.refused:
+                    state.offered_to_by_issuer.pop(message.issuer, None)
+                return reply.taken
             if now() + RETRY_SECONDS >= give_up_at:
                 return False
             kernel.clock.sleep(RETRY_SECONDS)
--- a/trefoilpin/tests/test_claims.py
+++ b/trefoilpin/tests/test_claims.py
@@ -4,7 +4,7 @@
 
 from trefoilpin import claims, issuers, sightings, table_transfers
 from trefoilpin.answers import AnswerBounds
-from trefoilpin.fakes import fleets, loops
+from trefoilpin.fakes import fleets, loops, writers
 from trefoilpin.records import Host
 
 BOUNDS = issuers.IssuerBounds(100, 100, AnswerBounds(9000, 1_000_000, 900.0))
@@ -25,6 +25,7 @@
             peers = network.connect(host.peer_address, host.incarnation)
             kernel.register("peers", peers)
             sightings.create(kernel, 10.0)
+            kernel.register("metrics", writers.SILENT_METRICS)
             issuers.create(kernel, BOUNDS)
             table_transfers.create(kernel, BOUNDS, 2.0)
             claims.create(kernel)
--- a/trefoilpin/tests/test_proxies.py
+++ b/trefoilpin/tests/test_proxies.py
@@ -9,7 +9,6 @@
 from trefoilpin.fakes.tasks import create_tasks
 from trefoilpin.kernel import create_kernel
 from trefoilpin.messages import Answer, Attempt, Permit
-from trefoilpin.metrics import Metrics
 from trefoilpin.services import Balancers, Events, Forwarders, Operations, Queues
 from trefoilpin.verdicts import Reason, Verdict
 
@@ -35,7 +34,7 @@
         self.sent, self.released, self.freed, self.finished = [], [], [], []
         kernel = create_kernel(tasks.clock, lambda *task: None, self.state.rng)
         kernel.register("events", Events(lambda event, **fields: None, None))
-        kernel.register("metrics", Metrics(*[lambda *arguments: None] * 4))
+        kernel.register("metrics", writers.SILENT_METRICS)
         board = fleets.Board("h1")
         kernel.register("notices", fleets.create_notices(board, tasks.clock.now))
         truth = writers.Truth()
--- a/trefoilpin/tests/test_table_transfers.py
+++ b/trefoilpin/tests/test_table_transfers.py
@@ -4,7 +4,7 @@
 
 from trefoilpin import issuers, key_tables, table_transfers
 from trefoilpin.answers import AnswerBounds
-from trefoilpin.fakes import fleets, loops
+from trefoilpin.fakes import fleets, loops, writers
 from trefoilpin.operation_messages import Claim, Report, SavedAnswer
 from trefoilpin.records import Host
 from trefoilpin.services import Sightings
@@ -30,6 +30,7 @@
             kernel.register("peers", peers)
             sightings = Sightings(memberships.find, lambda incarnation: True)
             kernel.register("sightings", sightings)
+            kernel.register("metrics", writers.SILENT_METRICS)
             issuers.create(kernel, BOUNDS)
             table_transfers.create(kernel, BOUNDS, patience=2.0)
             self.kernels.append(kernel)
@@ -109,6 +110,14 @@
     assert scene.table(2) is None
 
 
+def test_a_successor_that_stops_itself_is_replaced(scene):
+    scene.fill(10)
+    assert scene.kernels[1].find("table_transfers").hand_over(None)
+    assert not scene.hand_over(0, 1)
+    assert scene.hand_over(0, 2)
+    assert scene.claim(2, b"new", "h9/1").decision == "granted"
+
+
 def test_the_oldest_table_is_dropped_and_not_taken_again(scene):
     scene.fill(5100)
     assert scene.hand_over(0, 1)
--- a/trefoilpin/thrift_gen/operations/ttypes.py
+++ b/trefoilpin/thrift_gen/operations/ttypes.py
@@ -770,12 +770,14 @@
     """
     Attributes:
      - taken
+     - refused
 
     """
 
 
-    def __init__(self, taken=None,):
+    def __init__(self, taken=None, refused=None,):
         self.taken = taken
+        self.refused = refused
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -791,6 +793,11 @@
                     self.taken = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.refused = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -805,6 +812,10 @@
             oprot.writeFieldBegin('taken', TType.BOOL, 1)
             oprot.writeBool(self.taken)
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.BOOL, 2)
+            oprot.writeBool(self.refused)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -887,6 +898,7 @@
 TableReplyStruct.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'taken', None, None, ),  # 1
+    (2, TType.BOOL, 'refused', None, None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
