--- /dev/null
+++ b/trefoilpin/tests/test_frontends.py
@@ -0,0 +1,240 @@
+"""Callers' bytes, good and bad: a clear answer, a log event, and the host goes on."""
+
+import json
+import random
+import socket
+
+import eventlet
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from trefoilpin import clocks, events, frontends
+from trefoilpin.kernel import create_kernel
+from trefoilpin.messages import Answer
+from trefoilpin.services import AddressAnswer, Addresses, Events, Proxies, Shutdowns
+from trefoilpin.verdicts import Reason, Refusal, Verdict
+
+MAX_BODY = 2048
+GOOD = b"POST /echo?q=1 HTTP/1.1\r\nHost: a:1\r\nContent-Length: 2\r\n\r\nhi"
+FUZZ = settings(derandomize=True, max_examples=60, deadline=None)
+
+
+class Host:
+    """A front end over a proxy that echoes, and what it logged."""
+
+    def __init__(self):
+        self.events = []
+        self.requests = []
+        self.answer = None
+        self.due = False
+        self.address = None
+
+
+def handle(host, request):
+    host.requests.append(request)
+    if host.answer is not None:
+        return host.answer
+    return Success(Answer(200, (("x-a", "1"),), request.body))
+
+
+@pytest.fixture(scope="module")
+def running():
+    host = Host()
+    tasks = []
+    kernel = create_kernel(
+        clocks.system_clock(eventlet.sleep),
+        lambda *task: tasks.append(eventlet.spawn(*task)),
+        random.Random(1),
+    )
+
+    def emit(event, **fields):
+        host.events.append(event)
+
+    hosts = AddressAnswer((("10.0.0.1:1", "a"),), 10.0, "i1")
+    kernel.register("events", Events(emit, None))
+    kernel.register("proxies", Proxies(lambda request: handle(host, request)))
+    kernel.register("addresses", Addresses(lambda request: Success(hosts)))
+    kernel.register("shutdowns", Shutdowns(None, None, None, lambda share: host.due))
+    probe = eventlet.listen(("127.0.0.1", 0))
+    host.address = probe.getsockname()
+    probe.close()
+    address = f"127.0.0.1:{host.address[1]}"
+    service = frontends.create(kernel, address, 100, 2.0, MAX_BODY)
+    kernel.start()
+    eventlet.sleep(0)
+    yield host
+    service.close()
+    for task in tasks:
+        task.kill()
+
+
+@pytest.fixture
+def host(running):
+    running.events.clear()
+    running.requests.clear()
+    running.answer, running.due = None, False
+    return running
+
+
+def send(host, data):
+    """Send bytes, close the writing side, and return everything that comes back."""
+    with socket.create_connection(host.address, timeout=5) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        received = b""
+        while part := sock.recv(65536):
+            received += part
+    return received
+
+
+def status(received):
+    return int(received.split(b" ", 2)[1])
+
+
+def body(received):
+    return received.partition(b"\r\n\r\n")[2]
+
+
+CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+BIG = b"x" * 9000
+BAD = {
+    "both": b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "lengths": b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    "negative": b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+    "word": b"POST / HTTP/1.1\r\nContent-Length: one\r\n\r\n",
+    "sign": b"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\na",
+    "encoding": b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n",
+    "folded": b"GET / HTTP/1.1\r\nX: 1\r\n  2\r\n\r\n",
+    "no colon": b"GET / HTTP/1.1\r\nX 1\r\nContent-Length: 0\r\n\r\n",
+    "space": b"GET / HTTP/1.1\r\nX : 1\r\n\r\n",
+    "long line": b"GET / HTTP/1.1\r\nX: " + BIG + b"\r\n\r\n",
+    "many": b"GET / HTTP/1.1\r\n" + b"X: 1\r\n" * 200 + b"\r\n",
+    "large": b"GET / HTTP/1.1\r\n" + (b"X: " + BIG[:8000] + b"\r\n") * 9 + b"\r\n",
+    "long path": b"GET /" + BIG + b" HTTP/1.1\r\n\r\n",
+    "large body": b"POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" + BIG,
+    "large chunks": b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2328\r\n"
+    + BIG,
+    "bad chunk": CHUNKED + b"zz\r\n",
+    "short body": b"POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\nab",
+    "short chunk": CHUNKED + b"999\r\nab",
+    "path": b"GET open HTTP/1.1\r\n\r\n",
+    "dots": b"GET /open/%2e./x HTTP/1.1\r\n\r\n",
+    "words": b"GET / a HTTP/1.1\r\n\r\n",
+    "version": b"GET / HTTP/9\r\n\r\n",
+    "garbage": b"\x16\x03\x01\x02\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_requests_get_a_clear_answer_and_a_log_event(host, name):
+    received = send(host, BAD[name] + GOOD)
+    assert 400 <= status(received) < 500 or status(received) == 505
+    assert b"connection: close" in received.lower()
+    assert host.events == [events.REQUEST_MALFORMED]
+    assert host.requests == []
+    assert status(send(host, GOOD)) == 200
+
+
+@FUZZ
+@given(
+    st.sampled_from((b"Content-Length", b"Transfer-Encoding", b"X", b"Host", b"")),
+    st.binary(max_size=40),
+    st.binary(max_size=20),
+)
+def test_drawn_headers_never_bring_down_the_host(running, name, value, rest):
+    """Whatever follows, the first request is served once or refused."""
+    running.requests.clear()
+    data = b"POST /a HTTP/1.1\r\n" + name + b": " + value + b"\r\n\r\n" + rest
+    received = send(running, data)
+    assert received == b"" or 200 <= status(received) < 506
+    for request in running.requests:
+        for field in request.headers:
+            assert not any(mark in "".join(field) for mark in "\r\n\0")
+    assert status(send(running, GOOD)) == 200
+
+
+def test_requests_reach_the_proxy_without_hop_by_hop_headers(host):
+    fields = (
+        b"Connection: X-Hop, close\r\nX-Hop: 1\r\nTE: a\r\nX-Keep: 2\r\nX-Keep: 3\r\n"
+    )
+    received = send(host, b"GET /a%20b?q HTTP/1.1\r\nHost: B:8\r\n" + fields + b"\r\n")
+    request = host.requests[0]
+    assert status(received) == 200
+    assert (request.host, request.path, request.query) == ("b", "/a%20b", "q")
+    assert [field for field in request.headers if field[0] != "host"] == [
+        ("x-keep", "2"),
+        ("x-keep", "3"),
+    ]
+
+
+def test_chunked_bodies_are_read_whole(host):
+    received = send(host, CHUNKED + b"2\r\nhi\r\n1\r\n!\r\n0\r\n\r\n" + GOOD)
+    assert [request.body for request in host.requests] == [b"hi!", b"hi"]
+    assert received.count(b"200 OK") == 2
+
+
+def test_head_and_bodyless_answers_keep_their_form(host):
+    host.answer = Success(Answer(200, (("content-length", "7"),), b""))
+    received = send(host, b"HEAD /a HTTP/1.1\r\n\r\n")
+    assert b"content-length: 7" in received.lower() and body(received) == b""
+    host.answer = Success(Answer(204, (), b""))
+    received = send(host, b"GET /a HTTP/1.1\r\n\r\n")
+    assert b"content-length" not in received.lower() and body(received) == b""
+
+
+def break_off():
+    yield b"more"
+    raise OSError("broke off")
+
+
+def test_a_streamed_answer_that_breaks_off_is_visibly_short(host):
+    host.answer = Success(Answer(200, (), b"begin", break_off()))
+    received = send(host, b"GET /a HTTP/1.1\r\n\r\n" + GOOD)
+    assert b"begin" in received and not received.endswith(b"0\r\n\r\n")
+    host.answer = Success(Answer(200, (("content-length", "99"),), b"b", break_off()))
+    received = send(host, b"GET /a HTTP/1.1\r\n\r\n" + GOOD)
+    assert len(body(received)) == 5
+
+
+def test_refusals_are_json_with_the_time_to_wait(host):
+    host.answer = Failure(Refusal(Reason.RATE_EXCEEDED, Verdict.NOT_RUN, "over", 1.2))
+    received = send(host, b"GET /a HTTP/1.1\r\n\r\n")
+    assert status(received) == 429 and b"Retry-After: 2\r\n" in received
+    assert json.loads(body(received))["verdict"] == "not_run"
+
+
+def test_a_fault_of_the_proxy_may_have_run(host):
+    host.answer = "not a result"
+    received = send(host, b"GET /a HTTP/1.1\r\n\r\n")
+    assert status(received) == 500
+    host.answer = None
+    assert status(send(host, GOOD)) == 200
+
+
+def test_hosts_page_is_answered_by_its_service(host):
+    received = send(host, b"GET /v1/hosts HTTP/1.1\r\n\r\n")
+    row = json.loads(body(received))
+    assert row["hosts"] == [{"address": "10.0.0.1:1", "zone": "a"}]
+    assert (row["issuer"], row["lifetime_seconds"]) == ("i1", 10.0)
+    assert status(send(host, b"POST /v1/hosts HTTP/1.1\r\n\r\n")) == 405
+
+
+def test_a_connection_ends_with_its_answer_once_it_is_due(host):
+    host.due = True
+    received = send(host, GOOD + GOOD)
+    assert received.count(b"200 OK") == 1
+    assert b"connection: close" in received.lower()
+
+
+def test_a_caller_that_left_is_noticed(host):
+    with socket.create_connection(host.address, timeout=5) as sock:
+        sock.sendall(b"GET /slow HTTP/1.1\r\n\r\n")
+        while not host.requests:
+            eventlet.sleep(0.001)
+        assert host.requests[0].caller_gone() is False
+        sock.recv(65536)
+    with eventlet.Timeout(5):
+        while not host.requests[0].caller_gone():
+            eventlet.sleep(0.001)
