--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -1,5 +1,6 @@
 """One host's daemon: its services put together in order, and its life."""
 
+import gc
 import logging
 import secrets
 import signal
@@ -8,6 +9,7 @@
 import eventlet.event
 
 from trefoilpin import (
+    addresses,
     admin,
     balancers,
     checks,
@@ -27,6 +29,7 @@
     proxies,
     queues,
     routes,
+    shutdowns,
     snapshots,
     stores,
     tickets,
@@ -37,6 +40,7 @@
 __all__ = ["assemble", "run"]
 
 INCARNATION_BYTES = 8
+COLLECTOR_THRESHOLDS = (5_000, 20, 100)
 
 
 def create_own_host(settings):
@@ -96,6 +100,13 @@
     tickets.create(kernel, checks.check)
     routes.create(kernel)
     keys.create(kernel)
+    lifetime = settings["shutdown.address_lifetime_seconds"]
+    shutdowns.create(
+        kernel,
+        max(settings["shutdown.drain_seconds"], lifetime),
+        settings["shutdown.spread_reconnects"],
+    )
+    addresses.create(kernel, lifetime)
     limits.create(kernel)
     operations.create(kernel)
     queues.create(kernel)
@@ -113,6 +124,17 @@
     return kernel
 
 
+def collect_rarely():
+    """Keep the garbage collector from pausing requests.
+
+    What exists after the start is never scanned again, and young objects are scanned
+    once in several hundred requests.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def run(settings):
     """Run the daemon until it is told to stop.
 
@@ -133,6 +155,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, request_stop)
     kernel.start()
+    collect_rarely()
     name, zone = settings["host.name"], settings["host.zone"]
     emit(events.DAEMON_STARTED, host=name, zone=zone)
     stopping.wait()
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+import re
 import sys
 from collections import deque
 from typing import NamedTuple
@@ -21,6 +22,8 @@
 
 MAX_WAITING_LINES = 100_000
 FLUSH_SECONDS = 0.05
+LINES_AT_ONCE = 4
+NEEDS_QUOTES = re.compile(r'[\s"=]')
 
 
 class Event(NamedTuple):
@@ -90,6 +93,13 @@
     ("request_id", "detail"),
     "A fault of the daemon itself ended a request.",
 )
+ANSWER_DROPPED = Event(
+    115,
+    "answer_dropped",
+    logging.WARNING,
+    ("request_id", "upstream", "detail"),
+    "An upstream's answer was not whole, or not to this request.",
+)
 
 # 2xx: store, tickets and configuration.
 STORE_UNAVAILABLE = Event(
@@ -173,6 +183,43 @@
     ("current", "store_age", "majority", "ticket"),
     "The host became sure of having the configuration in force, or lost that.",
 )
+# 35x: addresses and shutdown.
+HOSTS_GIVEN = Event(
+    350,
+    "hosts_given",
+    logging.INFO,
+    ("account", "hosts", "issuer"),
+    "A caller was told which hosts to use.",
+    sampled=True,
+)
+STOP_BEGAN = Event(
+    351,
+    "stop_began",
+    logging.INFO,
+    ("connections", "drain_seconds"),
+    "A planned stop began; the host goes on serving for the drain.",
+)
+LAST_REQUEST_ENDED = Event(
+    352,
+    "last_request_ended",
+    logging.INFO,
+    ("seconds",),
+    "The listener is closed and no request is under way.",
+)
+HANDED_OVER = Event(
+    353,
+    "handed_over",
+    logging.INFO,
+    ("successor",),
+    "The host left the fleet; the successor has its operations and units.",
+)
+HAND_OVER_FAILED = Event(
+    354,
+    "hand_over_failed",
+    logging.WARNING,
+    ("services",),
+    "No other host took what these services had to hand over.",
+)
 
 # 4xx: operations, retries and forwarding.
 
@@ -216,7 +263,7 @@
 def quote(value):
     """Return a value as text, in quotation marks when it holds white space."""
     text = "-" if value is None else str(value)
-    if text and not any(character in text for character in ' "=\n\r\t'):
+    if text and NEEDS_QUOTES.search(text) is None:
         return text
     return json.dumps(text)
 
@@ -257,9 +304,10 @@
         if not state.has_lines.ready():
             state.has_lines.send()
 
-    def flush():
+    def write_some(count):
+        """Write up to a number of lines, so that requests wait for few at a time."""
         lines = []
-        while state.waiting:
+        while state.waiting and len(lines) < count:
             when, event, fields = state.waiting.popleft()
             lines.append(line(when, event, fields))
         if state.dropped:
@@ -268,12 +316,18 @@
         if lines:
             write("\n".join(lines) + "\n")
 
+    def flush():
+        while state.waiting or state.dropped:
+            write_some(MAX_WAITING_LINES)
+
     def write_forever():
         while True:
             state.has_lines.wait()
             eventlet.sleep(FLUSH_SECONDS)
             state.has_lines = eventlet.event.Event()
             flush()
+            write_some(LINES_AT_ONCE)
+            eventlet.sleep(0 if state.waiting else FLUSH_SECONDS)
 
     service = Events(emit, flush)
     kernel.register("events", service, lambda: kernel.spawn(write_forever), flush)
