--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -136,6 +136,67 @@
     sampled=True,
 )
 
+UPSTREAM_EJECTED = Event(
+    601,
+    "upstream_ejected",
+    logging.WARNING,
+    (
+        "pool",
+        "upstream",
+        "kind",
+        "requests",
+        "bad",
+        "expected",
+        "hosts",
+        "zones",
+        "times",
+    ),
+    "The coordinator took an upstream out for doing worse than its pool.",
+)
+UPSTREAM_READMITTED = Event(
+    602,
+    "upstream_readmitted",
+    logging.INFO,
+    ("pool", "upstream", "seconds", "times"),
+    "An ejection ended; the upstream is in slow start.",
+)
+UPSTREAM_AVOIDED = Event(
+    603,
+    "upstream_avoided",
+    logging.WARNING,
+    ("pool", "upstream", "seconds", "failures"),
+    "This host alone stays away from an upstream that it could not reach.",
+)
+COMMON_CAUSE = Event(
+    604,
+    "common_cause",
+    logging.WARNING,
+    ("pool", "upstreams", "recent"),
+    "Too many upstreams got worse together; none was ejected.",
+)
+GRANT_GIVEN = Event(
+    610,
+    "grant_given",
+    logging.INFO,
+    ("pool", "upstream", "host", "units", "level"),
+    "The coordinator granted a host concurrency on an upstream in slow start.",
+    sampled=True,
+)
+SLOW_START_STEP = Event(
+    611,
+    "slow_start_step",
+    logging.INFO,
+    ("pool", "upstream", "step", "level"),
+    "An upstream's slow start went up, down, or ended.",
+)
+UPSTREAM_DRAINING = Event(
+    620,
+    "upstream_draining",
+    logging.INFO,
+    ("pool", "upstream", "source"),
+    "An upstream is leaving and gets no new work.",
+)
+
 CATALOGUE = tuple(value for value in globals().values() if isinstance(value, Event))
 
 
--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -13,6 +13,9 @@
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.transport.TTransport import TMemoryBuffer
 
+from trefoilpin import health, reports
+from trefoilpin.thrift_gen.health import ttypes as health_types
+
 __all__ = ["METHODS", "Method", "decode", "encode"]
 
 MAX_STRING_BYTES = 4_194_304
@@ -41,6 +44,12 @@
     # Operations.
     # Limits.
     # Health and balancing.
+    health.METHOD: Method(
+        reports.HealthReport,
+        reports.HealthReply,
+        health_types.HealthReportStruct,
+        health_types.HealthReplyStruct,
+    ),
 }
 
 
