--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -1,6 +1,7 @@
 """One host's daemon: its services put together in order, and its life."""
 
 import logging
+import secrets
 import signal
 
 import eventlet
@@ -8,27 +9,53 @@
 
 from trefoilpin import (
     admin,
+    attempts,
     balancers,
     checks,
     clocks,
+    codecs,
     configurations,
+    coordinators,
+    drains,
     events,
     forwarders,
     frontends,
+    health,
     keys,
     limits,
+    memberships,
     metrics,
+    notices,
     operations,
+    peers,
     proxies,
     queues,
     routes,
+    slow_starts,
+    snapshots,
+    standings,
     stores,
     tickets,
 )
 from trefoilpin.kernel import create_kernel
+from trefoilpin.records import Host
 
 __all__ = ["assemble", "run"]
 
+INCARNATION_BYTES = 8
+
+
+def create_own_host(settings):
+    """Return this start of the daemon as a host of the fleet."""
+    return Host(
+        secrets.token_hex(INCARNATION_BYTES),
+        settings["host.name"],
+        settings["host.zone"],
+        settings["host.region"],
+        settings["host.caller_address"],
+        settings["host.peer_address"],
+    )
+
 
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
@@ -52,15 +79,38 @@
     events.create(kernel, settings["log.format"], settings["log.sample"], write_log)
     metrics.create(kernel)
     stores.create(
-        kernel, settings["store.addresses"], settings["store.timeout_seconds"]
+        kernel,
+        settings["store.addresses"],
+        settings["store.timeout_seconds"],
+        settings["store.calls_per_second"],
+        settings["store.call_burst"],
     )
     configurations.create(kernel)
+    own = create_own_host(settings)
+    peers.create(kernel, own.peer_address, settings["peers.secret"], own.incarnation)
+    notices.create(kernel, own.incarnation)
+    memberships.create(kernel, own, settings["peers.seeds"])
+    snapshots.create(
+        kernel,
+        snapshots.SnapshotCodec(
+            codecs.encode_ticket_text,
+            codecs.decode_ticket_text,
+            codecs.encode_versions,
+            codecs.decode_versions,
+        ),
+    )
     tickets.create(kernel, checks.check)
     routes.create(kernel)
     keys.create(kernel)
     limits.create(kernel)
     operations.create(kernel)
     queues.create(kernel)
+    drains.create(kernel)
+    standings.create(kernel)
+    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    attempts.create(kernel)
+    coordinators.create(kernel)
+    health.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
     proxies.create(kernel)
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -120,7 +120,58 @@
     "An operator's change ticket was not accepted, or its outcome is unknown.",
 )
 
+TICKET_MALFORMED = Event(
+    213,
+    "ticket_malformed",
+    logging.ERROR,
+    ("path", "counts", "detail"),
+    "A ticket in the store can't be read. A void one counts as empty; one that a later"
+    " version wrote keeps this host from being current.",
+)
+CONFIGURATION_RESTORED = Event(
+    214,
+    "configuration_restored",
+    logging.INFO,
+    ("ticket", "changes"),
+    "The configuration was taken over from another host or from a snapshot.",
+)
+SNAPSHOT_FAILED = Event(
+    215,
+    "snapshot_failed",
+    logging.WARNING,
+    ("source", "detail"),
+    "A configuration could not be taken over or written whole.",
+)
+
 # 3xx: peers, membership, addresses and shutdown.
+PEER_REFUSED = Event(
+    300,
+    "peer_refused",
+    logging.WARNING,
+    ("peer", "detail"),
+    "A connection was closed because the other side broke the protocol.",
+)
+HOST_JOINED = Event(
+    310,
+    "host_joined",
+    logging.INFO,
+    ("host", "incarnation", "zone", "address"),
+    "A host was added to the roster.",
+)
+HOST_LEFT = Event(
+    311,
+    "host_left",
+    logging.INFO,
+    ("incarnation", "successor"),
+    "A host left by plan, was replaced or was gone for long.",
+)
+CURRENT_CHANGED = Event(
+    320,
+    "current_changed",
+    logging.WARNING,
+    ("current", "store_age", "majority", "ticket"),
+    "The host became sure of having the configuration in force, or lost that.",
+)
 
 # 4xx: operations, retries and forwarding.
 
