--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -35,6 +35,7 @@
     snapshots,
     standings,
     stores,
+    take_overs,
     tickets,
 )
 from trefoilpin.kernel import create_kernel
@@ -111,6 +112,7 @@
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
+    take_overs.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
     proxies.create(kernel)
--- a/trefoilpin/fakes/pools.py
+++ b/trefoilpin/fakes/pools.py
@@ -20,6 +20,7 @@
     health,
     slow_starts,
     standings,
+    take_overs,
 )
 from trefoilpin.fakes import fleets, loops
 from trefoilpin.kernel import Kernel
@@ -164,6 +165,7 @@
         offset = number / host_count
         repeat(world, parts, REPORT_SECONDS, offset, parts.find("health").report)
         repeat(world, parts, STEP_SECONDS, offset, parts.find("coordinators").step)
+        repeat(world, parts, STEP_SECONDS, offset, parts.find("take_overs").step)
         repeat(world, parts, REPORT_SECONDS, offset, parts.find("drains").read_list)
         repeat(world, parts, PULL_SECONDS, offset, pull_notices, world, parts)
     zones = [AvailabilityZone(zone, region) for zone in ZONES]
@@ -197,6 +199,7 @@
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
+    take_overs.create(kernel)
     balancers.create(kernel)
     return HostParts(host, kernel, view, board, kernel.find)
 
@@ -212,7 +215,10 @@
             host_by_name[key] = plain.first(name)
         return host_by_name[key]
 
-    return plain._replace(first=first)
+    def roster():
+        return tuple(view.host_by_incarnation.values())
+
+    return plain._replace(first=first, roster=roster)
 
 
 KIND_BY_TYPE = {AvailabilityZone: "zone", Pool: "pool", Route: "route"}
--- a/trefoilpin/health.py
+++ b/trefoilpin/health.py
@@ -2,7 +2,8 @@
 
 Once a second everything counted goes to the coordinators, one message for each. A
 host that wants work on a cold upstream asks at once. Before it asks, a host gives
-up every grant of the pool, so the coordinator may lend the units anew.
+up every grant of the pool, so the coordinator may lend the units anew; grants count
+only from the coordinator that was told last.
 """
 
 from returns.result import Success
@@ -36,6 +37,7 @@
     def __init__(self):
         self.sequence = 0
         self.reporting: set[str] = set()
+        self.coordinator_by_pool: dict[str, str] = {}
         self.demand_by_pool: dict[str, Demand] = {}
 
 
@@ -72,12 +74,19 @@
         demand.unmet = 0
         return min(least, MOST_WANTED)
 
-    def describe(pool_id):
-        """Give up the pool's grants and return its part of a report."""
-        pool = configurations.pools_by_id[pool_id]
-        cold = standings.view(pool).cold
+    def surrender(pool_id, coordinator):
+        """Give up the pool's grants; return what still runs on cold upstreams.
+
+        From now on only grants of this coordinator are taken.
+        """
+        state.coordinator_by_pool[pool_id] = coordinator
         slow_starts.give_up(pool_id)
-        held = attempts.held(pool_id, cold)
+        pool = configurations.pools_by_id.get(pool_id)
+        return attempts.held(pool_id, standings.view(pool).cold) if pool else ()
+
+    def describe(pool_id, coordinator):
+        """Give up the pool's grants and return its part of a report."""
+        held = surrender(pool_id, coordinator)
         return PoolReport(
             pool_id,
             standings.known(pool_id),
@@ -92,7 +101,7 @@
         state.reporting.update(pools)
         try:
             asked_at = now()
-            described = tuple(describe(pool) for pool in pools)
+            described = tuple(describe(pool, coordinator.incarnation) for pool in pools)
             state.sequence += 1
             own = memberships.own()
             report = HealthReport(state.sequence, own.zone, described)
@@ -103,16 +112,18 @@
         finally:
             state.reporting.difference_update(pools)
         for reply in replies:
-            take(reply, asked_at)
+            take(reply, coordinator.incarnation, asked_at)
 
     def call(coordinator, report):
         called = peers.call(coordinator.peer_address, METHOD, report, CALL_SECONDS)
         return called.unwrap().pools if isinstance(called, Success) else ()
 
-    def take(reply, asked_at):
+    def take(reply, coordinator, asked_at):
         standings.learn(reply.pool, reply.entries)
         for upstream in reply.draining:
             drains.report(reply.pool, upstream, "host")
+        if state.coordinator_by_pool[reply.pool] != coordinator:
+            return
         slow_starts.take(reply.pool, reply.grants, asked_at)
         if reply.grants:
             queues.released(reply.pool)
@@ -167,6 +178,6 @@
             report()
 
     peers.serve(METHOD, answer)
-    service = Health(report, ask, note_demand)
+    service = Health(report, ask, note_demand, surrender)
     kernel.register("health", service, lambda: kernel.spawn(run_forever))
     return service
--- a/trefoilpin/idl/health.thrift
+++ b/trefoilpin/idl/health.thrift
@@ -54,3 +54,11 @@
 struct HealthReplyStruct {
   1: list<PoolReplyStruct> pools
 }
+
+struct TakeOverRequestStruct {
+  1: string pool
+}
+
+struct TakeOverReplyStruct {
+  1: list<HeldStruct> held
+}
--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -14,7 +14,7 @@
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from trefoilpin import health, reports, rosters, snapshots, tickets
+from trefoilpin import health, reports, rosters, snapshots, take_overs, tickets
 from trefoilpin.thrift_gen.health import ttypes as health_types
 from trefoilpin.thrift_gen.memberships import ttypes as membership_types
 from trefoilpin.thrift_gen.tickets import ttypes as ticket_types
@@ -83,6 +83,12 @@
         health_types.HealthReportStruct,
         health_types.HealthReplyStruct,
     ),
+    take_overs.METHOD: Method(
+        reports.TakeOverRequest,
+        reports.TakeOverReply,
+        health_types.TakeOverRequestStruct,
+        health_types.TakeOverReplyStruct,
+    ),
 }
 
 
--- a/trefoilpin/reports.py
+++ b/trefoilpin/reports.py
@@ -19,6 +19,8 @@
     "PoolReply",
     "PoolReport",
     "Sample",
+    "TakeOverReply",
+    "TakeOverRequest",
     "bucket_of",
     "bucket_seconds",
     "count_attempt",
@@ -147,6 +149,18 @@
     pools: tuple[PoolReply, ...]
 
 
+class TakeOverRequest(NamedTuple):
+    """A new coordinator's request to give up the grants of a pool."""
+
+    pool: str
+
+
+class TakeOverReply(NamedTuple):
+    """What still runs on the pool's cold upstreams."""
+
+    held: tuple[Held, ...]
+
+
 class Counts:
     """Attempts of one client account at one upstream since the last report."""
 
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -60,6 +60,7 @@
     "StoreFailure",
     "StoreOutcome",
     "StoredObject",
+    "TakeOvers",
     "Tickets",
 ]
 
@@ -448,6 +449,10 @@
     became the pool's coordinator, None when it is not. As host:
     ``give_up(pool)`` drops the grants held, ``take(pool, grants, asked_at)`` holds new
     ones, ``units(pool, upstream)`` is the concurrency granted now.
+
+    For a change of coordinator: ``missing(pool)`` are the hosts that have not given up
+    their grants to this one, ``surrendered(host, pool, held)`` tells that one did, and
+    ``yield_to_other(pool)`` stops this one's granting.
     """
 
     grant: Callable[[str, Any], tuple]
@@ -457,6 +462,9 @@
     ramp_of: Callable[[str, str], Any]
     restart: Callable[[str, str], None]
     first_since: Callable[[str], float | None]
+    missing: Callable[[str], tuple[Host, ...]]
+    surrendered: Callable[[str, str, tuple], None]
+    yield_to_other: Callable[[str], None]
 
 
 class Attempts(NamedTuple):
@@ -494,12 +502,21 @@
 
     ``report()`` sends everything counted. ``ask(pool)`` asks for work on a pool's
     cold upstreams and tells whether the answer may be here already;
-    ``note_demand(pool)`` has the next report ask.
+    ``note_demand(pool)`` has the next report ask. ``surrender(pool, coordinator)``
+    gives up the pool's grants to a new coordinator and gives what still runs.
     """
 
     report: Callable[[], None]
     ask: Callable[[str], bool]
     note_demand: Callable[[str], None]
+    surrender: Callable[[str, str], tuple]
+
+
+class TakeOvers(NamedTuple):
+    """``take_overs``: ``step()`` has the hosts give up their grants to this one,
+    for every pool that it coordinates and that has cold upstreams."""
+
+    step: Callable[[], None]
 
 
 class Balancers(NamedTuple):
--- a/trefoilpin/slow_starts.py
+++ b/trefoilpin/slow_starts.py
@@ -4,16 +4,16 @@
 together: 1, 2, 4 and so on after successes, back by half on overload, failures or
 rising latency. It lends units of the level to hosts that ask, and takes a unit as
 used until the host reports otherwise, or until the grant's end plus the longest
-deadline of a route. A host counts a grant from before it asked. A coordinator grants
-only while a majority is in reach and after it has been first for so long that an
-earlier one can't grant any more and everything granted has ended; for upstreams that
-a new ticket brought it may instead claim the right in the store, once for a ticket.
+deadline of a route. A host counts a grant from before it asked.
+
+A coordinator grants only while a majority is in reach, and only once nothing that an
+earlier one granted can be in use: either every host of the roster gave up its grants
+to it and told what still runs, or it has been first for so long that an earlier one
+can't grant any more and everything granted has ended.
 """
 
 from typing import NamedTuple
 
-from returns.result import Success
-
 from trefoilpin import events, ramps
 from trefoilpin.reports import Grant
 from trefoilpin.services import SlowStarts
@@ -22,7 +22,6 @@
 
 GRANT_SECONDS = 2.0
 DEFAULT_DEADLINE_SECONDS = 10.0
-CLAIM_PREFIX = "slow_starts/"
 
 
 class Loan(NamedTuple):
@@ -48,9 +47,7 @@
         self.grant_by_upstream: dict[tuple[str, str], HeldGrant] = {}
         self.first_since_by_pool: dict[str, float] = {}
         self.live_since = 0.0
-        self.ticket_by_new_upstream: dict[tuple[str, str], int] = {}
-        self.claimed_by_ticket: dict[tuple[str, int], bool] = {}
-        self.known_upstreams: set[tuple[str, str]] = set()
+        self.surrendered_by_pool: dict[str, set[str]] = {}
 
 
 def create(kernel, freshness):
@@ -72,7 +69,6 @@
     configurations = kernel.find("configurations")
     memberships = kernel.find("memberships")
     standings = kernel.find("standings")
-    store = kernel.find("store")
     state.live_since = now()
 
     def work_seconds(pool):
@@ -90,45 +86,44 @@
     def follow_members():
         state.live_since = now()
         for pool in list(state.first_since_by_pool):
-            if not is_first(pool):
-                del state.first_since_by_pool[pool]
+            first_since(pool)
 
     def first_since(pool):
         """Return since when this host is the pool's coordinator, None if not."""
         if not is_first(pool):
             state.first_since_by_pool.pop(pool, None)
+            state.surrendered_by_pool.pop(pool, None)
             return None
         return state.first_since_by_pool.setdefault(pool, state.live_since)
 
-    def follow_changes(changes):
-        for change in changes:
-            if change.kind != "pool" or change.state is None:
-                continue
-            ticket = configurations.touched("pool", change.id)
-            for upstream in change.state.upstreams:
-                name = (change.id, upstream.id)
-                if name not in state.known_upstreams and memberships.is_current():
-                    state.ticket_by_new_upstream[name] = ticket
-                state.known_upstreams.add(name)
-
-    def claim(pool, ticket):
-        """Tell whether this host alone may grant on a ticket's new upstreams."""
-        key = (pool, ticket)
-        if key not in state.claimed_by_ticket:
-            state.claimed_by_ticket[key] = False
-            path = f"{CLAIM_PREFIX}{pool}/{ticket}"
-            value = {"host": memberships.own().incarnation}
-            created = store.create(path, value)
-            state.claimed_by_ticket[key] = isinstance(created, Success)
-        return state.claimed_by_ticket[key]
-
-    def may_grant(pool, upstream, since):
+    def missing(pool):
+        """Return the hosts that have not yet given up their grants to this one."""
+        own = memberships.own().incarnation
+        surrendered = state.surrendered_by_pool.get(pool, ())
+        return tuple(
+            host
+            for host in memberships.roster()
+            if host.incarnation != own and host.incarnation not in surrendered
+        )
+
+    def surrendered(host, pool, held):
+        """Note that a host gave up its grants of a pool to this coordinator."""
+        settle(host, pool, held)
+        state.surrendered_by_pool.setdefault(pool, set()).add(host)
+
+    def yield_to_other(pool):
+        """Stop granting, since another host takes over as coordinator."""
+        state.surrendered_by_pool.pop(pool, None)
+        if pool in state.first_since_by_pool:
+            state.first_since_by_pool[pool] = now()
+
+    def may_grant(pool):
+        since = first_since(pool)
         if since is None or not memberships.has_majority():
             return False
         if now() - since >= 2 * freshness + GRANT_SECONDS + work_seconds(pool):
             return True
-        ticket = state.ticket_by_new_upstream.get((pool, upstream))
-        return ticket is not None and claim(pool, ticket)
+        return not missing(pool)
 
     def settle(sender, pool, held):
         """Replace what a host may be using by what it reports."""
@@ -170,15 +165,13 @@
         """
         pool = configurations.pools_by_id[report.pool]
         settle(sender, pool.id, report.held)
-        if not report.wanted:
+        if not report.wanted or not may_grant(pool.id):
             return ()
-        since = first_since(pool.id)
         free_by_upstream = {}
         for upstream in standings.view(pool).cold:
-            if may_grant(pool.id, upstream.id, since):
-                level = ramp_of(pool.id, upstream.id).level
-                free = min(level, upstream.slots) - lent(pool.id, upstream.id)
-                free_by_upstream[upstream.id] = free
+            level = ramp_of(pool.id, upstream.id).level
+            free = min(level, upstream.slots) - lent(pool.id, upstream.id)
+            free_by_upstream[upstream.id] = free
         held = {item.upstream: item.in_flight for item in report.held}
         wanted = max(0, report.wanted - sum(held.values()))
         extra = share_out(free_by_upstream, wanted)
@@ -221,11 +214,20 @@
     def restart(pool, upstream):
         """Begin an upstream's slow start anew."""
         state.ramp_by_upstream[(pool, upstream)] = ramps.Ramp(now())
-        state.ticket_by_new_upstream.pop((pool, upstream), None)
 
-    configurations.subscribe(follow_changes)
     memberships.subscribe(follow_members)
-    service = SlowStarts(grant, give_up, take, units, ramp_of, restart, first_since)
+    service = SlowStarts(
+        grant,
+        give_up,
+        take,
+        units,
+        ramp_of,
+        restart,
+        first_since,
+        missing,
+        surrendered,
+        yield_to_other,
+    )
     kernel.register("slow_starts", service)
     return service
 
