--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -11,14 +11,18 @@
 from trefoilpin import (
     addresses,
     admin,
+    attempts,
     balancers,
     checks,
     clocks,
     codecs,
     configurations,
+    coordinators,
+    drains,
     events,
     forwarders,
     frontends,
+    health,
     keys,
     limits,
     memberships,
@@ -30,8 +34,11 @@
     queues,
     routes,
     shutdowns,
+    slow_starts,
     snapshots,
+    standings,
     stores,
+    take_overs,
     tickets,
 )
 from trefoilpin.kernel import create_kernel
@@ -110,6 +117,13 @@
     limits.create(kernel)
     operations.create(kernel)
     queues.create(kernel)
+    drains.create(kernel)
+    standings.create(kernel)
+    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    attempts.create(kernel)
+    coordinators.create(kernel)
+    health.create(kernel)
+    take_overs.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
     proxies.create(kernel)
