--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -1,5 +1,6 @@
 """One host's daemon: its services put together in order, and its life."""
 
+import gc
 import logging
 import secrets
 import signal
@@ -8,8 +9,10 @@
 import eventlet.event
 
 from trefoilpin import (
+    addresses,
     admin,
     answers,
+    attempts,
     balancers,
     checks,
     claim_codecs,
@@ -17,9 +20,12 @@
     clocks,
     codecs,
     configurations,
+    coordinators,
+    drains,
     events,
     forwarders,
     frontends,
+    health,
     issuers,
     keys,
     limits,
@@ -34,10 +40,14 @@
     queues,
     retries,
     routes,
+    shutdowns,
     sightings,
+    slow_starts,
     snapshots,
+    standings,
     stores,
     table_transfers,
+    take_overs,
     tickets,
 )
 from trefoilpin.kernel import create_kernel
@@ -46,6 +56,7 @@
 __all__ = ["assemble", "run"]
 
 INCARNATION_BYTES = 8
+COLLECTOR_THRESHOLDS = (5_000, 20, 100)
 
 
 def create_own_host(settings):
@@ -80,7 +91,8 @@
     table_transfers.create(kernel, bounds, patience)
     claims.create(kernel)
     opaque_keys.create(kernel, opaque_bounds, claim_codecs.encode, claim_codecs.decode)
-    operations.create(kernel, bounds.answers.max_bytes, patience)
+    service = operations.create(kernel, bounds.answers.max_bytes, patience)
+    kernel.find("shutdowns").on_hand_over("operations", service.hand_over)
 
 
 def assemble(settings, kernel=None, write_log=None):
@@ -128,9 +140,23 @@
     tickets.create(kernel, checks.check)
     routes.create(kernel)
     keys.create(kernel)
+    lifetime = settings["shutdown.address_lifetime_seconds"]
+    shutdowns.create(
+        kernel,
+        max(settings["shutdown.drain_seconds"], lifetime),
+        settings["shutdown.spread_reconnects"],
+    )
+    addresses.create(kernel, lifetime)
     limits.create(kernel)
     create_operations(kernel, settings)
     queues.create(kernel)
+    drains.create(kernel)
+    standings.create(kernel)
+    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    attempts.create(kernel)
+    coordinators.create(kernel)
+    health.create(kernel)
+    take_overs.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
     quarantines.create(kernel, settings["quarantine.seconds"])
@@ -149,6 +175,17 @@
     return kernel
 
 
+def collect_rarely():
+    """Keep the garbage collector from pausing requests.
+
+    What exists after the start is never scanned again, and young objects are scanned
+    once in several hundred requests.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def run(settings):
     """Run the daemon until it is told to stop.
 
@@ -169,6 +206,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, request_stop)
     kernel.start()
+    collect_rarely()
     name, zone = settings["host.name"], settings["host.zone"]
     emit(events.DAEMON_STARTED, host=name, zone=zone)
     stopping.wait()
--- a/trefoilpin/settings.py
+++ b/trefoilpin/settings.py
@@ -231,6 +231,27 @@
         "Peer addresses of some hosts, asked at the start when the store is down.",
     ),
     # Shutdown.
+    Setting(
+        "shutdown.address_lifetime_seconds",
+        10.0,
+        "a number from 0.5 to 600",
+        is_number(0.5, 600),
+        "Time for which callers may keep an address answer.",
+    ),
+    Setting(
+        "shutdown.drain_seconds",
+        15.0,
+        "a number from 1 to 3600",
+        is_number(1, 3600),
+        "Time a stopping host goes on serving; at least the address lifetime is kept.",
+    ),
+    Setting(
+        "shutdown.spread_reconnects",
+        True,
+        "true or false",
+        lambda value: isinstance(value, bool),
+        "Whether a stopping host ends its connections one by one over the drain.",
+    ),
     # Operations and retries.
     Setting(
         "operations.max_keys",
