--- a/trefoilpin/idl/operations.thrift
+++ b/trefoilpin/idl/operations.thrift
@@ -41,11 +41,12 @@
 struct TablePartStruct {
   1: string issuer
   2: i32 number
-  3: list<binary> keys
-  4: list<binary> fingerprints
+  3: binary keys
+  4: binary fingerprints
   5: string states
   6: list<string> attempts
-  7: list<AnswerRowStruct> answers
+  7: list<string> cancelled
+  8: list<AnswerRowStruct> answers
 }
 
 struct TableEndStruct {
--- a/trefoilpin/key_tables.py
+++ b/trefoilpin/key_tables.py
@@ -6,7 +6,6 @@
 mark has run.
 """
 
-import hashlib
 from enum import Enum
 from typing import NamedTuple
 
@@ -17,11 +16,10 @@
     "KeyState",
     "KeyTable",
     "Row",
+    "add_row",
     "claim",
     "count_rows",
-    "digest_rows",
     "entry_host",
-    "from_rows",
     "is_full",
     "report",
     "rows",
@@ -35,11 +33,10 @@
     GRANTED = "g"
     FREE = "f"
     UNCERTAIN = "u"
-    CANCELLED_ATTEMPT = "c"
 
 
 class Row(NamedTuple):
-    """One key, or one attempt that must not be granted any more."""
+    """One key; ``attempt_id`` is empty unless the key is granted."""
 
     key: bytes
     fingerprint: bytes
@@ -147,36 +144,19 @@
 
 
 def rows(table):
-    """Yield every ``Row`` of a table."""
+    """Yield a ``Row`` for every key of a table."""
     for key, fingerprint in table.fingerprint_by_key.items():
         attempt_id = table.attempt_by_key.get(key, "")
         yield Row(key, fingerprint, state_of(table, key).value, attempt_id)
-    for attempt_id in table.cancelled_attempts:
-        yield Row(b"", b"", KeyState.CANCELLED_ATTEMPT.value, attempt_id)
-
-
-def from_rows(found):
-    """Return the table that rows describe; ``ValueError`` for an unknown state."""
-    table = KeyTable()
-    for row in found:
-        state = KeyState(row.state)
-        if state is KeyState.CANCELLED_ATTEMPT:
-            table.cancelled_attempts.add(row.attempt_id)
-            continue
-        table.fingerprint_by_key[row.key] = row.fingerprint
-        if state is KeyState.GRANTED:
-            table.attempt_by_key[row.key] = row.attempt_id
-        if state is KeyState.FREE:
-            table.free_keys.add(row.key)
-        if state is KeyState.UNCERTAIN:
-            table.uncertain_keys.add(row.key)
-    return table
-
-
-def digest_rows(found):
-    """Return a digest of rows in their order."""
-    digest = hashlib.blake2b(digest_size=16)
-    for row in found:
-        digest.update(row.key + row.fingerprint)
-        digest.update(f"\0{row.state}{row.attempt_id}\0".encode())
-    return digest.digest()
+
+
+def add_row(table, row):
+    """Add a row to a table; ``ValueError`` for an unknown state."""
+    state = KeyState(row.state)
+    table.fingerprint_by_key[row.key] = row.fingerprint
+    if state is KeyState.GRANTED:
+        table.attempt_by_key[row.key] = row.attempt_id
+    if state is KeyState.FREE:
+        table.free_keys.add(row.key)
+    if state is KeyState.UNCERTAIN:
+        table.uncertain_keys.add(row.key)
--- a/trefoilpin/operation_messages.py
+++ b/trefoilpin/operation_messages.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "DIGEST_BYTES",
     "AnswerRow",
     "Claim",
     "ClaimReply",
@@ -16,6 +17,8 @@
     "TableReply",
 ]
 
+DIGEST_BYTES = 16
+
 
 class Decision(Enum):
     """What the deciding host says to a claim or a report."""
@@ -99,17 +102,31 @@
 
 
 class TablePart(NamedTuple):
-    """Some rows of an issuer's table, in columns of equal length.
+    """Some rows of an issuer's table, in columns.
 
-    ``states`` has one letter of ``KeyState`` for each row.
+    Attributes
+    ----------
+    issuer : str
+    number : int
+        Place of the part, from 0.
+    keys, fingerprints : bytes
+        Digests of ``DIGEST_BYTES`` each, one after the other.
+    states : str
+        One letter of ``KeyState`` for each key.
+    attempts : tuple of str
+        Attempt ids of the keys that are granted, in their order.
+    cancelled : tuple of str
+        Attempt ids that are never granted.
+    answers : tuple of AnswerRow
     """
 
     issuer: str
     number: int
-    keys: tuple[bytes, ...]
-    fingerprints: tuple[bytes, ...]
+    keys: bytes
+    fingerprints: bytes
     states: str
     attempts: tuple[str, ...]
+    cancelled: tuple[str, ...]
     answers: tuple[AnswerRow, ...]
 
 
--- a/trefoilpin/operations.py
+++ b/trefoilpin/operations.py
@@ -12,7 +12,7 @@
 
 from trefoilpin import answers
 from trefoilpin.messages import OperationKey, Permit
-from trefoilpin.operation_messages import Decision, Report
+from trefoilpin.operation_messages import DIGEST_BYTES, Decision, Report
 from trefoilpin.services import Operations
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
@@ -21,7 +21,6 @@
 KEY_HEADER = "idempotency-key"
 MAX_KEY_LENGTH = 255
 ISSUED = re.compile(r"([0-9a-f]{16,32})\.[!-~]+")
-DIGEST_BYTES = 16
 RETRY_AFTER_SECONDS = 1.0
 FLUSH_STEP_SECONDS = 0.1
 
--- a/trefoilpin/table_transfers.py
+++ b/trefoilpin/table_transfers.py
@@ -4,11 +4,13 @@
 before every part is there. Nobody decides when the transfer does not complete.
 """
 
+import hashlib
 import itertools
 
 from trefoilpin import answers, events, key_tables
-from trefoilpin.key_tables import Row
+from trefoilpin.key_tables import KeyState, Row
 from trefoilpin.operation_messages import (
+    DIGEST_BYTES,
     AnswerRow,
     TableEnd,
     TablePart,
@@ -16,31 +18,66 @@
 )
 from trefoilpin.services import TableTransfers
 
-__all__ = ["END", "PART", "create"]
+__all__ = ["END", "PART", "Incoming", "create", "split_table", "take", "update_digest"]
 
 PART = "operations.table_part"
 END = "operations.table_end"
-PART_ROWS = 2000
-PART_ANSWER_BYTES = 262_144
+PART_ROWS = 200
+PART_ANSWER_BYTES = 65_536
+WIDTH = DIGEST_BYTES
 MAX_INCOMING_TABLES = 16
 CALL_SECONDS = 1.0
 RETRY_SECONDS = 0.1
 
 
+class Incoming:
+    """A table of which some parts arrived, in their order."""
+
+    def __init__(self):
+        self.table = key_tables.KeyTable()
+        self.answers: list[AnswerRow] = []
+        self.parts = 0
+        self.digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+
+
 class TransferState:
-    """Parts that arrived, by number by issuer, and hosts that may hold own tables."""
+    """Tables that arrive, by sender and issuer, and hosts that may hold own ones."""
 
     def __init__(self):
-        self.part_by_number_by_issuer: dict[str, dict[int, TablePart]] = {}
+        self.incoming_by_source: dict[tuple[str, str], Incoming] = {}
         self.offered_to_by_issuer: dict[str, str] = {}
 
 
-def to_rows(parts):
-    """Yield the rows of parts in their order."""
-    for part in parts:
-        columns = (part.keys, part.fingerprints, part.states, part.attempts)
-        for columns_row in zip(*columns, strict=True):
-            yield Row(*columns_row)
+def update_digest(digest, part):
+    """Add a part's rows to the digest of its table."""
+    attempts = " ".join(part.attempts + part.cancelled)
+    digest.update(f"{part.number} {part.states} {attempts} ".encode())
+    digest.update(part.keys + part.fingerprints)
+
+
+def to_rows(part):
+    """Yield the rows of a part; ``ValueError`` when its columns do not fit."""
+    count = len(part.states)
+    if len(part.keys) != len(part.fingerprints) or len(part.keys) != count * WIDTH:
+        raise ValueError("the columns of a part differ in length")
+    attempts = iter(part.attempts)
+    for position, state in enumerate(part.states):
+        place = slice(position * WIDTH, (position + 1) * WIDTH)
+        attempt_id = next(attempts) if state == KeyState.GRANTED.value else ""
+        yield Row(part.keys[place], part.fingerprints[place], state, attempt_id)
+
+
+def take(incoming, part):
+    """Add a part to its table; False when an earlier one is missing."""
+    if part.number != incoming.parts:
+        return part.number < incoming.parts
+    for row in to_rows(part):
+        key_tables.add_row(incoming.table, row)
+    incoming.table.cancelled_attempts.update(part.cancelled)
+    incoming.answers.extend(part.answers)
+    incoming.parts += 1
+    update_digest(incoming.digest, part)
+    return True
 
 
 def split_answers(found):
@@ -65,16 +102,20 @@
     table : KeyTable
     saved : iterable of AnswerRow
     """
-    found = key_tables.rows(table)
     number = 0
+    found = key_tables.rows(table)
     while batch := tuple(itertools.islice(found, PART_ROWS)):
         keys, fingerprints, states, attempts = zip(*batch)
-        yield TablePart(
-            issuer, number, keys, fingerprints, "".join(states), attempts, ()
-        )
+        granted = tuple(attempt_id for attempt_id in attempts if attempt_id)
+        columns = (b"".join(keys), b"".join(fingerprints), "".join(states))
+        yield TablePart(issuer, number, *columns, granted, (), ())
+        number += 1
+    cancelled = iter(table.cancelled_attempts)
+    while batch := tuple(itertools.islice(cancelled, PART_ROWS)):
+        yield TablePart(issuer, number, b"", b"", "", (), batch, ())
         number += 1
-    for rows in split_answers(saved):
-        yield TablePart(issuer, number, (), (), "", (), rows)
+    for batch in split_answers(saved):
+        yield TablePart(issuer, number, b"", b"", "", (), (), batch)
         number += 1
 
 
@@ -104,49 +145,35 @@
             return TableReply(True)
         if not issuer_state.deciding:
             return TableReply(False, refused=True)
-        parts = state.part_by_number_by_issuer.setdefault(part.issuer, {})
-        parts[part.number] = part
-        drop_oldest_incoming()
-        return TableReply(True)
-
-    def drop_oldest_incoming():
-        while len(state.part_by_number_by_issuer) > MAX_INCOMING_TABLES:
-            del state.part_by_number_by_issuer[
-                next(iter(state.part_by_number_by_issuer))
-            ]
+        source = (sender, part.issuer)
+        incoming = state.incoming_by_source.setdefault(source, Incoming())
+        while len(state.incoming_by_source) > MAX_INCOMING_TABLES:
+            del state.incoming_by_source[next(iter(state.incoming_by_source))]
+        return TableReply(take(incoming, part))
 
     def take_end(sender, end):
         if end.issuer in issuer_state.ever_held:
             return TableReply(True)
         if not issuer_state.deciding:
             return TableReply(False, refused=True)
-        part_by_number = state.part_by_number_by_issuer.get(end.issuer, {})
-        if sorted(part_by_number) != list(range(end.parts)):
+        incoming = state.incoming_by_source.pop((sender, end.issuer), Incoming())
+        whole = incoming.parts == end.parts
+        if not whole or incoming.digest.digest() != end.digest:
             return TableReply(False)
-        parts = [part_by_number[number] for number in range(end.parts)]
-        if key_tables.digest_rows(to_rows(parts)) != end.digest:
-            return TableReply(False)
-        state.part_by_number_by_issuer.pop(end.issuer, None)
-        adopt(end.issuer, parts)
+        adopt(end.issuer, incoming)
         return TableReply(True)
 
-    def adopt(issuer, parts):
-        table = key_tables.from_rows(to_rows(parts))
+    def adopt(issuer, incoming):
         issuer_state.ever_held.add(issuer)
-        issuer_state.table_by_issuer[issuer] = table
-        for part in parts:
-            for row in part.answers:
-                saved_at = now() - row.age
-                answers.save(
-                    issuer_state.saved,
-                    issuer,
-                    row.key,
-                    row.answer,
-                    saved_at,
-                    now(),
-                    bounds.answers,
-                )
-        emit(events.TABLE_ADOPTED, issuer=issuer, keys=len(table.fingerprint_by_key))
+        issuer_state.table_by_issuer[issuer] = incoming.table
+        saved, instant = issuer_state.saved, now()
+        for row in incoming.answers:
+            saved_at = instant - row.age
+            answers.save(
+                saved, issuer, row.key, row.answer, saved_at, instant, bounds.answers
+            )
+        keys = key_tables.count_rows(incoming.table)
+        emit(events.TABLE_ADOPTED, issuer=issuer, keys=keys)
         drop_oldest()
 
     def drop_oldest():
@@ -184,18 +211,19 @@
             ) in issuer_state.saved.entry_by_key.items()
             if named == issuer
         ]
-        count = 0
+        count, digest = 0, hashlib.blake2b(digest_size=DIGEST_BYTES)
         for part in split_table(issuer, table, saved):
             if not send(successor, PART, part, give_up_at):
                 return False
             count += 1
+            update_digest(digest, part)
         offered_to = state.offered_to_by_issuer.setdefault(
             issuer, successor.incarnation
         )
         if offered_to != successor.incarnation:
             return False
-        digest = key_tables.digest_rows(key_tables.rows(table))
-        return send(successor, END, TableEnd(issuer, count, digest), give_up_at)
+        end = TableEnd(issuer, count, digest.digest())
+        return send(successor, END, end, give_up_at)
 
     def hand_over(successor):
         issuer_state.deciding = False
--- a/trefoilpin/tests/test_claims.py
+++ b/trefoilpin/tests/test_claims.py
@@ -5,6 +5,7 @@
 from trefoilpin import claims, issuers, sightings, table_transfers
 from trefoilpin.answers import AnswerBounds
 from trefoilpin.fakes import fleets, loops, writers
+from trefoilpin.operation_messages import DIGEST_BYTES
 from trefoilpin.records import Host
 
 BOUNDS = issuers.IssuerBounds(100, 100, AnswerBounds(9000, 1_000_000, 900.0))
@@ -36,7 +37,8 @@
         service = self.kernels[number].find("claims")
         deadline = self.state.now + seconds
         attempt_id = f"h{number + 1}/{count}"
-        return service.claim(issuer, key, b"f", attempt_id, deadline).decision
+        digests = key.ljust(DIGEST_BYTES), b"f" * DIGEST_BYTES
+        return service.claim(issuer, *digests, attempt_id, deadline).decision
 
     def waiting(self, number):
         return self.kernels[number].find("claims").outbox
--- a/trefoilpin/tests/test_key_tables.py
+++ b/trefoilpin/tests/test_key_tables.py
@@ -52,7 +52,11 @@
 
 def transfer_in(history):
     found = list(key_tables.rows(history.table))
-    history.table = key_tables.from_rows(found)
+    cancelled = history.table.cancelled_attempts
+    history.table = key_tables.KeyTable()
+    history.table.cancelled_attempts = set(cancelled)
+    for row in found:
+        key_tables.add_row(history.table, row)
     assert sorted(key_tables.rows(history.table)) == sorted(found)
 
 
--- a/trefoilpin/tests/test_table_transfers.py
+++ b/trefoilpin/tests/test_table_transfers.py
@@ -5,16 +5,25 @@
 from trefoilpin import issuers, key_tables, table_transfers
 from trefoilpin.answers import AnswerBounds
 from trefoilpin.fakes import fleets, loops, writers
-from trefoilpin.operation_messages import Claim, Report, SavedAnswer
+from trefoilpin.operation_messages import DIGEST_BYTES, Claim, Report, SavedAnswer
 from trefoilpin.records import Host
 from trefoilpin.services import Sightings
 from trefoilpin.verdicts import Verdict
 
 BOUNDS = issuers.IssuerBounds(10_000, 5_000, AnswerBounds(9000, 1_000_000, 900.0))
 HOSTS = [Host(name, name, "a", "default", name, name) for name in ("h1", "h2", "h3")]
+SHAPE = b"f" * DIGEST_BYTES
 ANSWER = SavedAnswer(200, (), b"x" * 5000)
 
 
+def widen(key):
+    return key.ljust(DIGEST_BYTES)
+
+
+def contents(table):
+    return sorted(key_tables.rows(table)), table.cancelled_attempts
+
+
 class Scene:
     """Three hosts on one lossy network."""
 
@@ -37,13 +46,13 @@
 
     def claim(self, number, key, attempt_id, issuer="h1"):
         service = self.kernels[number].find("issuers")
-        return service.claim(Claim(issuer, key, b"f", attempt_id))
+        return service.claim(Claim(issuer, widen(key), SHAPE, attempt_id))
 
     def fill(self, count):
         service = self.kernels[0].find("issuers")
         for number in range(count):
-            key, attempt_id = b"%d" % number, f"h9/{number}"
-            service.claim(Claim("h1", key, b"f", attempt_id))
+            key, attempt_id = widen(b"%d" % number), f"h9/{number}"
+            service.claim(Claim("h1", key, SHAPE, attempt_id))
             verdict = list(Verdict)[number % 3].value
             saved = ANSWER if number < 120 else None
             if number % 4:
@@ -64,14 +73,33 @@
 
 def test_every_row_and_answer_arrives_through_losses(scene):
     scene.fill(3500)
-    before = set(key_tables.rows(scene.table(0)))
+    before = contents(scene.table(0))
     scene.state.loss_share = 0.2
     assert scene.hand_over(0, 1)
-    assert set(key_tables.rows(scene.table(1))) == before
+    assert contents(scene.table(1)) == before
     assert scene.claim(1, b"2", "h3/1").answer == ANSWER
     assert scene.claim(0, b"new", "h3/1") == ("moved", "h2", None)
 
 
+def test_an_attempt_broken_off_does_not_mix_with_the_next(scene):
+    scene.fill(600)
+    peers = scene.kernels[1].find("peers")
+    serve_part = scene.state.handler_by_method_by_address["h2"][table_transfers.PART]
+
+    def take_first(sender, part):
+        if part.number:
+            return table_transfers.TableReply(False)
+        return serve_part(sender, part)
+
+    peers.serve(table_transfers.PART, take_first)
+    assert not scene.hand_over(0, 1)
+    assert scene.hand_over(0, 2)
+    peers.serve(table_transfers.PART, serve_part)
+    before = contents(scene.table(2))
+    assert scene.hand_over(2, 1)
+    assert contents(scene.table(1)) == before
+
+
 def test_chains_go_on_and_nothing_comes_back(scene):
     scene.fill(10)
     assert scene.hand_over(0, 1) and scene.hand_over(1, 2)
--- a/trefoilpin/thrift_gen/operations/ttypes.py
+++ b/trefoilpin/thrift_gen/operations/ttypes.py
@@ -540,18 +540,20 @@
      - fingerprints
      - states
      - attempts
+     - cancelled
      - answers
 
     """
 
 
-    def __init__(self, issuer=None, number=None, keys=None, fingerprints=None, states=None, attempts=None, answers=None,):
+    def __init__(self, issuer=None, number=None, keys=None, fingerprints=None, states=None, attempts=None, cancelled=None, answers=None,):
         self.issuer = issuer
         self.number = number
         self.keys = keys
         self.fingerprints = fingerprints
         self.states = states
         self.attempts = attempts
+        self.cancelled = cancelled
         self.answers = answers
 
     def read(self, iprot):
@@ -574,23 +576,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.keys = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readBinary()
-                        self.keys.append(_elem19)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.keys = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.fingerprints = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readBinary()
-                        self.fingerprints.append(_elem25)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.fingerprints = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -601,21 +593,31 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.attempts = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.attempts.append(_elem31)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.attempts.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
+                if ftype == TType.LIST:
+                    self.cancelled = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cancelled.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.LIST:
                     self.answers = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = AnswerRowStruct()
-                        _elem37.read(iprot)
-                        self.answers.append(_elem37)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = AnswerRowStruct()
+                        _elem31.read(iprot)
+                        self.answers.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -638,18 +640,12 @@
             oprot.writeI32(self.number)
             oprot.writeFieldEnd()
         if self.keys is not None:
-            oprot.writeFieldBegin('keys', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter38 in self.keys:
-                oprot.writeBinary(iter38)
-            oprot.writeListEnd()
+            oprot.writeFieldBegin('keys', TType.STRING, 3)
+            oprot.writeBinary(self.keys)
             oprot.writeFieldEnd()
         if self.fingerprints is not None:
-            oprot.writeFieldBegin('fingerprints', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRING, len(self.fingerprints))
-            for iter39 in self.fingerprints:
-                oprot.writeBinary(iter39)
-            oprot.writeListEnd()
+            oprot.writeFieldBegin('fingerprints', TType.STRING, 4)
+            oprot.writeBinary(self.fingerprints)
             oprot.writeFieldEnd()
         if self.states is not None:
             oprot.writeFieldBegin('states', TType.STRING, 5)
@@ -658,15 +654,22 @@
         if self.attempts is not None:
             oprot.writeFieldBegin('attempts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.attempts))
-            for iter40 in self.attempts:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter32 in self.attempts:
+                oprot.writeString(iter32.encode('utf-8') if sys.version_info[0] == 2 else iter32)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cancelled is not None:
+            oprot.writeFieldBegin('cancelled', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.cancelled))
+            for iter33 in self.cancelled:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
-            oprot.writeFieldBegin('answers', TType.LIST, 7)
+            oprot.writeFieldBegin('answers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter41 in self.answers:
-                iter41.write(oprot)
+            for iter34 in self.answers:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -881,11 +884,12 @@
     None,  # 0
     (1, TType.STRING, 'issuer', 'UTF8', None, ),  # 1
     (2, TType.I32, 'number', None, None, ),  # 2
-    (3, TType.LIST, 'keys', (TType.STRING, 'BINARY', False), None, ),  # 3
-    (4, TType.LIST, 'fingerprints', (TType.STRING, 'BINARY', False), None, ),  # 4
+    (3, TType.STRING, 'keys', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'fingerprints', 'BINARY', None, ),  # 4
     (5, TType.STRING, 'states', 'UTF8', None, ),  # 5
     (6, TType.LIST, 'attempts', (TType.STRING, 'UTF8', False), None, ),  # 6
-    (7, TType.LIST, 'answers', (TType.STRUCT, [AnswerRowStruct, None], False), None, ),  # 7
+    (7, TType.LIST, 'cancelled', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.LIST, 'answers', (TType.STRUCT, [AnswerRowStruct, None], False), None, ),  # 8
 )
 all_structs.append(TableEndStruct)
 TableEndStruct.thrift_spec = (
