Lent entitlement: units, loans, quota owners, reservations; fair queue

Cause: each host had a token bucket of its own, so 44 hosts granted 44 times an account's rate, and a saturated pool served first come, first served.

Change: units of one ledger object stand for the same share of every account's rate and burst. Holders lend them, account by account, to the quota owner, which keeps one bucket and reserves tokens for the hosts that ask. A simplification of the design: one ledger for all accounts, of the size of the holders (16), in place of one for each account. A unit is a small bucket of its own, in one place at a time, whose sums keep to the whole bucket; so what was proved for one account holds for each. Queues serve by weighted deficit round robin and shed the account furthest over its share.

--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -14,15 +14,18 @@
     clocks,
     codecs,
     configurations,
+    entitlements,
     events,
     forwarders,
     frontends,
     keys,
+    lenders,
     limits,
     memberships,
     metrics,
     notices,
     operations,
+    owners,
     peers,
     proxies,
     queues,
@@ -32,6 +35,7 @@
     tickets,
 )
 from trefoilpin.kernel import create_kernel
+from trefoilpin.limit_messages import Terms
 from trefoilpin.records import Host
 
 __all__ = ["assemble", "run"]
@@ -51,6 +55,20 @@
     )
 
 
+def create_limits(kernel, settings):
+    """Create the services that keep the accounts' rates."""
+    terms = Terms(
+        loan=settings["limits.loan_seconds"],
+        reservation=settings["limits.reservation_seconds"],
+    )
+    entitlements.create(
+        kernel, terms, settings["limits.units"], settings["limits.holders"]
+    )
+    lenders.create(kernel, terms)
+    owners.create(kernel, terms)
+    limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -96,9 +114,9 @@
     tickets.create(kernel, checks.check)
     routes.create(kernel)
     keys.create(kernel)
-    limits.create(kernel)
+    create_limits(kernel, settings)
     operations.create(kernel)
-    queues.create(kernel)
+    queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
     proxies.create(kernel)
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -176,6 +176,51 @@
 # 4xx: operations, retries and forwarding.
 
 # 5xx: limits and queues.
+UNITS_MOVED = Event(
+    500,
+    "units_moved",
+    logging.INFO,
+    ("holder", "units"),
+    "This host changed in the ledger how many units of all rates a host holds.",
+)
+QUOTA_OPENED = Event(
+    501,
+    "quota_opened",
+    logging.INFO,
+    ("account", "lenders"),
+    "This host began to borrow units for an account whose requests it is asked about.",
+    sampled=True,
+)
+QUOTA_CLOSED = Event(
+    502,
+    "quota_closed",
+    logging.INFO,
+    ("account", "reason"),
+    "This host gave an account's units back to their lenders.",
+    sampled=True,
+)
+OWNER_SKIPPED = Event(
+    503,
+    "owner_skipped",
+    logging.WARNING,
+    ("account", "owner", "detail"),
+    "An account's quota owner did not answer, so the next host in order is asked.",
+)
+REQUEST_QUEUED = Event(
+    510,
+    "request_queued",
+    logging.INFO,
+    ("pool", "account", "waiting"),
+    "The pool is saturated, so a request waits for its account's turn.",
+    sampled=True,
+)
+REQUEST_SHED = Event(
+    511,
+    "request_shed",
+    logging.WARNING,
+    ("pool", "account", "waiting"),
+    "A pool's queue is full, so the account furthest over its share lost a request.",
+)
 
 # 6xx: health, balancing, slow start, drain and zones.
 UPSTREAM_CHOSEN = Event(
--- /dev/null
+++ b/trefoilpin/fakes/limit_fleets.py
@@ -0,0 +1,266 @@
+"""Many hosts' limits in one process, over the stand-ins of network, store and fleet.
+
+The services and their tasks are the real ones. The log of grants is the truth that
+a check reads.
+"""
+
+import random
+from functools import partial
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Success
+
+from trefoilpin import configurations, entitlements, lenders, limits, owners
+from trefoilpin.fakes.fleets import (
+    Board,
+    FleetView,
+    create_memberships,
+    create_notices,
+    spread,
+)
+from trefoilpin.fakes.loops import LoopState, create_network, create_store
+from trefoilpin.fakes.stores import create_objects
+from trefoilpin.fakes.tasks import create_tasks
+from trefoilpin.kernel import Clock, create_kernel
+from trefoilpin.limit_messages import Terms
+from trefoilpin.records import ChangeTicket, Host, ObjectChange
+from trefoilpin.services import Events, PeerFailure
+
+__all__ = [
+    "LimitHost",
+    "add_host",
+    "apply_ticket",
+    "create_limit_fleet",
+    "crash",
+    "hand_over",
+    "set_absent",
+    "start_request",
+    "thaw",
+]
+
+GOSSIP_SECONDS = 0.5
+LATENCY_SECONDS = 0.001
+REQUEST_DEADLINE_SECONDS = 10.0
+LATE_SECONDS = 3.0
+HAND_OVER_ATTEMPTS = 3
+
+
+class LimitHost(NamedTuple):
+    """One host with what a measure sets on it."""
+
+    host: Host
+    kernel: Any
+    view: FleetView
+    board: Board
+    faults: Any
+
+
+class LimitFleet:
+    """Hosts, their shared stand-ins and the log of grants.
+
+    Attributes
+    ----------
+    granted, refused : list of (instant, account, incarnation)
+    late_share : float
+        Share of requests between hosts that arrive long after their timeout.
+    """
+
+    def __init__(self, seed, terms, units, holders, max_wait):
+        self.loop = LoopState(seed)
+        self.rng = random.Random(seed)
+        self.tasks = create_tasks(self.loop)
+        self.network = create_network(self.loop)
+        self.objects = create_objects(self.rng)
+        self.terms = terms
+        self.units = units
+        self.holders = holders
+        self.max_wait = max_wait
+        self.host_by_incarnation: dict[str, LimitHost] = {}
+        self.tickets: list[ChangeTicket] = []
+        self.granted: list = []
+        self.refused: list = []
+        self.late_share = 0.0
+        self.is_partitioned = lambda sender, receiver: False
+
+
+def create_limit_fleet(
+    seed, hosts, accounts, terms=Terms(), units=64, holders=16, max_wait=0.0
+):
+    """Create and start a fleet.
+
+    Parameters
+    ----------
+    seed, hosts : int
+    accounts : sequence of ClientAccount
+    terms : Terms
+    units, holders : int
+    max_wait : float
+        Seconds a request may wait for a token.
+
+    Returns
+    -------
+    LimitFleet
+    """
+    fleet = LimitFleet(seed, terms, units, holders, max_wait)
+    changes = tuple(ObjectChange("account", item.id, item) for item in accounts)
+    fleet.tickets.append(ChangeTicket(1, "", changes))
+    names = [f"h{number:02d}" for number in range(hosts)]
+    known = [Host(name, name, "a", "r", name, name) for name in names]
+    for host in known:
+        add_host(fleet, host, known)
+    fleet.tasks.spawn(None, spread_forever, fleet)
+    return fleet
+
+
+def spread_forever(fleet):
+    """Carry notices between hosts."""
+
+    def passes(sender, receiver):
+        absent = fleet.loop.dead | fleet.loop.frozen
+        if sender in absent or receiver in absent:
+            return False
+        return not fleet.is_partitioned(sender, receiver)
+
+    while True:
+        boards = [host.board for host in fleet.host_by_incarnation.values()]
+        spread(boards, fleet.rng, passes)
+        fleet.tasks.sleep(GOSSIP_SECONDS)
+
+
+def connect(fleet, host):
+    """Return the host's peers: calls take time, get lost, or arrive late."""
+    peers = fleet.network.connect(host.peer_address, host.incarnation)
+    tasks, rng = fleet.tasks, fleet.rng
+
+    def deliver_late(address, method, message):
+        tasks.sleep(rng.random() * LATE_SECONDS)
+        peers.call(address, method, message, 0)
+
+    def call(address, method, message, timeout):
+        asked = fleet.loop.now
+        tasks.sleep(LATENCY_SECONDS * rng.random())
+        if rng.random() < fleet.late_share:
+            tasks.spawn(None, deliver_late, address, method, message)
+            tasks.sleep(timeout)
+            return Failure(PeerFailure(True, "timeout"))
+        if fleet.is_partitioned(host.incarnation, address):
+            tasks.sleep(timeout)
+            return Failure(PeerFailure(True, "timeout"))
+        called = peers.call(address, method, message, timeout)
+        lost = fleet.is_partitioned(address, host.incarnation)
+        if lost or (isinstance(called, Failure) and called.failure().may_have_arrived):
+            tasks.sleep(timeout)
+            return Failure(PeerFailure(True, "timeout"))
+        tasks.sleep(LATENCY_SECONDS * rng.random())
+        if fleet.loop.now - asked > timeout:
+            return Failure(PeerFailure(True, "timeout"))
+        return called
+
+    return peers._replace(call=call)
+
+
+def add_host(fleet, host, known):
+    """Start one host that knows of others."""
+    loop, tasks = fleet.loop, fleet.tasks
+    clock = Clock(lambda: loop.now, lambda: loop.now, tasks.sleep)
+    spawn = partial(tasks.spawn, host.incarnation)
+    kernel = create_kernel(clock, spawn, random.Random(fleet.rng.random()))
+    kernel.register("events", Events(lambda event, **fields: None, lambda: None))
+    store, faults, _ = create_store(loop, fleet.objects)
+    view, board = FleetView(host, known), Board(host.incarnation)
+    kernel.register("store", store)
+    kernel.register("memberships", create_memberships(view))
+    kernel.register("notices", create_notices(board, lambda: loop.now))
+    kernel.register("peers", connect(fleet, host))
+    configurations.create(kernel)
+    entitlements.create(kernel, fleet.terms, fleet.units, fleet.holders)
+    lenders.create(kernel, fleet.terms)
+    owners.create(kernel, fleet.terms)
+    limits.create(kernel, fleet.terms, tasks.create_event, fleet.max_wait)
+    limit_host = LimitHost(host, kernel, view, board, faults)
+    fleet.host_by_incarnation[host.incarnation] = limit_host
+    for ticket in fleet.tickets:
+        kernel.find("configurations").apply(ticket)
+    kernel.start()
+    return limit_host
+
+
+def apply_ticket(fleet, account, delay):
+    """Put an account's new state in force, on each host after a drawn delay."""
+    change = ObjectChange("account", account.id, account)
+    ticket = ChangeTicket(len(fleet.tickets) + 1, "", (change,))
+    fleet.tickets.append(ticket)
+
+    def apply_later(limit_host):
+        fleet.tasks.sleep(fleet.rng.random() * delay)
+        limit_host.kernel.find("configurations").apply(ticket)
+
+    for incarnation, limit_host in fleet.host_by_incarnation.items():
+        fleet.tasks.spawn(incarnation, apply_later, limit_host)
+
+
+def set_absent(fleet, incarnation, absent, seen_by=None):
+    """Have hosts believe that another one is gone, or back."""
+    for limit_host in list(fleet.host_by_incarnation.values()):
+        own = limit_host.host.incarnation
+        if own == incarnation or (seen_by is not None and own not in seen_by):
+            continue
+        if absent:
+            limit_host.view.absent.add(incarnation)
+        else:
+            limit_host.view.absent.discard(incarnation)
+        for function in limit_host.view.subscribers:
+            function()
+
+
+def crash(fleet, incarnation, detection):
+    """Kill a host; the others learn of it after some seconds."""
+    fleet.loop.dead.add(incarnation)
+
+    def detect():
+        fleet.tasks.sleep(detection)
+        set_absent(fleet, incarnation, True)
+
+    fleet.tasks.spawn(None, detect)
+
+
+def start_request(fleet, incarnation, account_id):
+    """Send a request to a host and log what becomes of it."""
+    limit_host = fleet.host_by_incarnation[incarnation]
+    accounts = limit_host.kernel.find("configurations").accounts_by_id
+
+    def request():
+        arrived = fleet.loop.now
+        deadline = arrived + REQUEST_DEADLINE_SECONDS
+        outcome = limit_host.kernel.find("limits").admit(accounts[account_id], deadline)
+        granted = isinstance(outcome, Success)
+        log = fleet.granted if granted else fleet.refused
+        log.append((fleet.loop.now, account_id, incarnation, arrived))
+
+    fleet.tasks.spawn(incarnation, request)
+
+
+def thaw(fleet, incarnation):
+    """Let a frozen host run on; it has every ticket before it is current."""
+    limit_host = fleet.host_by_incarnation[incarnation]
+    for ticket in fleet.tickets:
+        limit_host.kernel.find("configurations").apply(ticket)
+    fleet.loop.frozen.discard(incarnation)
+
+
+def hand_over(fleet, leaver, successor):
+    """Stop a host as planned: it leaves every view, gives its units, and ends."""
+    if leaver == successor:
+        return
+    leaving = fleet.host_by_incarnation[leaver]
+    target = fleet.host_by_incarnation[successor].host
+
+    def stop():
+        set_absent(fleet, leaver, True)
+        given = leaving.kernel.find("entitlements").hand_over
+        for _ in range(HAND_OVER_ATTEMPTS):
+            if given(target):
+                break
+        fleet.loop.dead.add(leaver)
+
+    fleet.tasks.spawn(leaver, stop)
--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -14,7 +14,8 @@
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from trefoilpin import rosters, snapshots, tickets
+from trefoilpin import limit_messages, rosters, snapshots, tickets
+from trefoilpin.thrift_gen.limits import ttypes as limit_types
 from trefoilpin.thrift_gen.memberships import ttypes as membership_types
 from trefoilpin.thrift_gen.tickets import ttypes as ticket_types
 
@@ -75,6 +76,30 @@
     ),
     # Operations.
     # Limits.
+    "borrow_units": Method(
+        limit_messages.LoanRequest,
+        limit_messages.LoanReply,
+        limit_types.LoanRequestStruct,
+        limit_types.LoanReplyStruct,
+    ),
+    "reserve_tokens": Method(
+        limit_messages.ReservationRequest,
+        limit_messages.ReservationReply,
+        limit_types.ReservationRequestStruct,
+        limit_types.ReservationReplyStruct,
+    ),
+    "offer_units": Method(
+        limit_messages.UnitsOffer,
+        limit_messages.UnitsOfferReply,
+        limit_types.UnitsOfferStruct,
+        limit_types.UnitsOfferReplyStruct,
+    ),
+    "give_units": Method(
+        limit_messages.UnitsRequest,
+        limit_messages.UnitsReply,
+        limit_types.UnitsRequestStruct,
+        limit_types.UnitsReplyStruct,
+    ),
     # Health and balancing.
 }
 
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -33,14 +33,17 @@
 __all__ = [
     "Balancers",
     "Configurations",
+    "Entitlements",
     "Events",
     "Forwarders",
     "Keys",
+    "Lenders",
     "Limits",
     "Memberships",
     "Notice",
     "Notices",
     "Operations",
+    "Owners",
     "PeerFailure",
     "Peers",
     "Proxies",
@@ -360,6 +363,41 @@
     strip: Callable[[tuple[tuple[str, str], ...]], tuple[tuple[str, str], ...]]
 
 
+class Entitlements(NamedTuple):
+    """``entitlements``: units of the ledger that this host holds.
+
+    ``units()`` may be used now, of ``total()``; ``since()`` is the instant of their
+    last increase. ``step()`` keeps them, ``hand_over(successor)`` gives them away.
+    """
+
+    units: Callable[[], int]
+    total: Callable[[], int]
+    since: Callable[[], float]
+    step: Callable[[], None]
+    hand_over: Callable[[Host | None], bool]
+
+
+class Lenders(NamedTuple):
+    """``lenders``: ``handle(sender, request)`` answers a ``LoanRequest``; ``step()``
+    forgets what is over."""
+
+    handle: Callable[[str, Any], Any]
+    step: Callable[[], None]
+
+
+class Owners(NamedTuple):
+    """``owners``: quotas of the accounts that this host is asked about.
+
+    ``take(account)`` takes a token here and gives a ``ReservationReply``.
+    ``renew(lender)`` renews the loans from one lender; ``step()`` closes idle quotas
+    and gives the lenders.
+    """
+
+    take: Callable[[str], Any]
+    renew: Callable[[str], bool]
+    step: Callable[[], tuple[str, ...]]
+
+
 class Limits(NamedTuple):
     """``limits``: ``admit(account, deadline)`` takes one token of an account's
     fleet-wide rate, or gives a ``Refusal``; it may wait, at most until ``deadline``.
--- a/trefoilpin/settings.py
+++ b/trefoilpin/settings.py
@@ -233,6 +233,48 @@
     # Shutdown.
     # Operations and retries.
     # Limits and queues.
+    Setting(
+        "limits.units",
+        64,
+        "a whole number from 1 to 4096",
+        is_count(1, 4096),
+        "Units that stand for all rates and bursts, when the ledger is made.",
+    ),
+    Setting(
+        "limits.holders",
+        16,
+        "a whole number from 1 to 1024",
+        is_count(1, 1024),
+        "Hosts that hold units; a crash takes one's share until it is certain.",
+    ),
+    Setting(
+        "limits.loan_seconds",
+        0.8,
+        "a number from 0.5 to 60",
+        is_number(0.5, 60),
+        "Time units are lent for; the same on every host. Longer saves messages.",
+    ),
+    Setting(
+        "limits.reservation_seconds",
+        0.4,
+        "a number from 0.1 to 10",
+        is_number(0.1, 10),
+        "Time a host may use reserved tokens; the same on every host.",
+    ),
+    Setting(
+        "limits.wait_seconds",
+        0.25,
+        "a number from 0 to 10",
+        is_number(0, 10),
+        "Longest time a request waits for a token before it is refused.",
+    ),
+    Setting(
+        "queues.max_waiting",
+        256,
+        "a whole number from 1 to 100000",
+        is_count(1, 100_000),
+        "Requests of all accounts that may wait for one pool on this host.",
+    ),
     # Health, balancing and slow start.
 )
 
