--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -19,16 +19,19 @@
     configurations,
     coordinators,
     drains,
+    entitlements,
     events,
     forwarders,
     frontends,
     health,
     keys,
+    lenders,
     limits,
     memberships,
     metrics,
     notices,
     operations,
+    owners,
     peers,
     proxies,
     queues,
@@ -42,6 +45,7 @@
     tickets,
 )
 from trefoilpin.kernel import create_kernel
+from trefoilpin.limit_messages import Terms
 from trefoilpin.records import Host
 
 __all__ = ["assemble", "run"]
@@ -62,6 +66,20 @@
     )
 
 
+def create_limits(kernel, settings):
+    """Create the services that keep the accounts' rates."""
+    terms = Terms(
+        loan=settings["limits.loan_seconds"],
+        reservation=settings["limits.reservation_seconds"],
+    )
+    entitlements.create(
+        kernel, terms, settings["limits.units"], settings["limits.holders"]
+    )
+    lenders.create(kernel, terms)
+    owners.create(kernel, terms)
+    limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -114,9 +132,9 @@
         settings["shutdown.spread_reconnects"],
     )
     addresses.create(kernel, lifetime)
-    limits.create(kernel)
+    create_limits(kernel, settings)
     operations.create(kernel)
-    queues.create(kernel)
+    queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     drains.create(kernel)
     standings.create(kernel)
     slow_starts.create(kernel, memberships.LIVE_SECONDS)
