--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -11,9 +11,12 @@
 from trefoilpin import (
     addresses,
     admin,
+    answers,
     attempts,
     balancers,
     checks,
+    claim_codecs,
+    claims,
     clocks,
     codecs,
     configurations,
@@ -24,23 +27,29 @@
     forwarders,
     frontends,
     health,
+    issuers,
     keys,
     lenders,
     limits,
     memberships,
     metrics,
     notices,
+    opaque_keys,
     operations,
     owners,
     peers,
     proxies,
+    quarantines,
     queues,
+    retries,
     routes,
     shutdowns,
+    sightings,
     slow_starts,
     snapshots,
     standings,
     stores,
+    table_transfers,
     take_overs,
     tickets,
 )
@@ -80,6 +89,30 @@
     limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
 
 
+def create_operations(kernel, settings):
+    """Create the services that run a write at most once."""
+    bounds = issuers.IssuerBounds(
+        settings["operations.max_keys"],
+        settings["operations.max_adopted_keys"],
+        answers.AnswerBounds(
+            settings["operations.max_answer_bytes"],
+            settings["operations.max_saved_bytes"],
+            settings["operations.saved_seconds"],
+        ),
+    )
+    opaque_bounds = opaque_keys.OpaqueBounds(
+        settings["operations.store_calls_per_second"], settings["operations.claim_days"]
+    )
+    patience = settings["operations.hand_over_seconds"]
+    sightings.create(kernel, settings["operations.gone_seconds"])
+    issuers.create(kernel, bounds)
+    table_transfers.create(kernel, bounds, patience)
+    claims.create(kernel)
+    opaque_keys.create(kernel, opaque_bounds, claim_codecs.encode, claim_codecs.decode)
+    service = operations.create(kernel, bounds.answers.max_bytes, patience)
+    kernel.find("shutdowns").on_hand_over("operations", service.hand_over)
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -133,7 +166,7 @@
     )
     addresses.create(kernel, lifetime)
     create_limits(kernel, settings)
-    operations.create(kernel)
+    create_operations(kernel, settings)
     queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     drains.create(kernel)
     standings.create(kernel)
@@ -144,6 +177,10 @@
     take_overs.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
+    quarantines.create(kernel, settings["quarantine.seconds"])
+    retries.create(
+        kernel, settings["retries.share"], settings["retries.least_per_second"]
+    )
     proxies.create(kernel)
     frontends.create(
         kernel,
