--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -22,18 +22,21 @@
     configurations,
     coordinators,
     drains,
+    entitlements,
     events,
     forwarders,
     frontends,
     health,
     issuers,
     keys,
+    lenders,
     limits,
     memberships,
     metrics,
     notices,
     opaque_keys,
     operations,
+    owners,
     peers,
     proxies,
     quarantines,
@@ -51,6 +54,7 @@
     tickets,
 )
 from trefoilpin.kernel import create_kernel
+from trefoilpin.limit_messages import Terms
 from trefoilpin.records import Host
 
 __all__ = ["assemble", "run"]
@@ -71,6 +75,20 @@
     )
 
 
+def create_limits(kernel, settings):
+    """Create the services that keep the accounts' rates."""
+    terms = Terms(
+        loan=settings["limits.loan_seconds"],
+        reservation=settings["limits.reservation_seconds"],
+    )
+    entitlements.create(
+        kernel, terms, settings["limits.units"], settings["limits.holders"]
+    )
+    lenders.create(kernel, terms)
+    owners.create(kernel, terms)
+    limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
+
+
 def create_operations(kernel, settings):
     """Create the services that run a write at most once."""
     bounds = issuers.IssuerBounds(
@@ -147,9 +165,9 @@
         settings["shutdown.spread_reconnects"],
     )
     addresses.create(kernel, lifetime)
-    limits.create(kernel)
+    create_limits(kernel, settings)
     create_operations(kernel, settings)
-    queues.create(kernel)
+    queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     drains.create(kernel)
     standings.create(kernel)
     slow_starts.create(kernel, memberships.LIVE_SECONDS)
--- a/trefoilpin/fakes/writers.py
+++ b/trefoilpin/fakes/writers.py
@@ -20,6 +20,7 @@
     table_transfers,
 )
 from trefoilpin.answers import AnswerBounds
+from trefoilpin.fakes.calls import connect, create_tasks, slow_store
 from trefoilpin.fakes.fleets import (
     Board,
     FleetView,
@@ -27,7 +28,6 @@
     create_notices,
 )
 from trefoilpin.fakes.loops import LoopState, create_store
-from trefoilpin.fakes.tasks import connect, create_tasks, slow_store
 from trefoilpin.kernel import Kernel, create_kernel
 from trefoilpin.messages import Answer, Attempt, CallerRequest, Choice
 from trefoilpin.metrics import Metrics
