--- a/bench/demo.py
+++ b/bench/demo.py
@@ -126,13 +126,7 @@
         changes = processes.standard_changes(fleet)
         status, row = processes.submit(fleet, 1, changes)
         print(f"ticket 1: {row['outcome']}")
-        for host in fleet.hosts:
-            processes.wait_for(
-                lambda: processes.call("GET", host.admin_address, "/status")[1][
-                    "ticket"
-                ]
-                == 1
-            )
+        processes.wait_for_ticket(fleet, 1)
         drive(fleet, tally)
     finally:
         processes.stop_fleet(fleet)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -29,16 +29,20 @@
     "call",
     "create_fleet",
     "free_address",
+    "restart_host",
     "standard_changes",
     "stop_fleet",
+    "stop_host",
     "submit",
     "wait_for",
+    "wait_for_ticket",
 ]
 
 READY_SECONDS = 20.0
-STOP_SECONDS = 20.0
+STOP_SECONDS = 60.0
 POLL_SECONDS = 0.02
 SALT = "00ff"
+SHORT_SHUTDOWN = {"address_lifetime_seconds": 1.0, "drain_seconds": 2.0}
 SECRET = "a secret of the fleet's own"
 
 
@@ -153,7 +157,7 @@
                 file.write(f"{name} = {json.dumps(value)}\n")
 
 
-def start_host(fleet, name, zone, extra=None):
+def start_host(fleet, name, zone, extra=None, peer=None, seeds=()):
     """Start a daemon.
 
     Parameters
@@ -162,8 +166,13 @@
     name, zone : str
     extra : dict, optional
         Settings by section, beside the addresses.
+    peer : str, optional
+        Address for the other hosts; one of the system's choice by default.
+    seeds : sequence of str
+        Addresses of other hosts, asked while the store is down.
     """
-    caller, peer, admin = free_address(), free_address(), free_address()
+    caller, admin = free_address(), free_address()
+    peer = peer or free_address()
     tables: dict[str, Any] = {
         "host": {
             "name": name,
@@ -173,7 +182,8 @@
             "admin_address": admin,
         },
         "store": {"addresses": [fleet.store_address]},
-        "peers": {"secret": SECRET},
+        "peers": {"secret": SECRET, "seeds": list(seeds)},
+        "shutdown": dict(SHORT_SHUTDOWN),
     }
     for section, table in (extra or {}).items():
         tables.setdefault(section, {}).update(table)
@@ -196,8 +206,9 @@
         zone = zones[number % len(zones)]
         name = f"u{number + 1}"
         start_upstream(fleet, name, zone, slots, service_seconds, seed)
+    peers = [free_address() for _ in zones]
     for number, zone in enumerate(zones):
-        start_host(fleet, f"h{number + 1}", zone, extra)
+        start_host(fleet, f"h{number + 1}", zone, extra, peers[number], peers)
     for upstream in fleet.upstreams:
         wait_for(lambda: call("GET", upstream.address, "/_load")[0] == 200)
     for host in fleet.hosts:
@@ -205,18 +216,28 @@
     return fleet
 
 
+def stop_host(host):
+    """End a host by plan; return its exit code."""
+    host.process.terminate()
+    return host.process.wait(STOP_SECONDS)
+
+
+def restart_host(fleet, host):
+    """Start a host that ended again, with the same addresses, and wait for it."""
+    process = start(fleet, host.name, "daemon", "--settings", host.settings_path)
+    restarted = host._replace(process=process)
+    fleet.hosts[fleet.hosts.index(host)] = restarted
+    wait_for(lambda: call("GET", host.admin_address, "/status")[0] == 200)
+    return restarted
+
+
 def stop_fleet(fleet):
-    """End every process that was started here, by its id."""
+    """End every process that was started here at once, by its id."""
     for process in fleet.processes:
         if process.poll() is None:
-            process.terminate()
-    deadline = time.monotonic() + STOP_SECONDS
-    for process in fleet.processes:
-        try:
-            process.wait(max(deadline - time.monotonic(), 0.1))
-        except subprocess.TimeoutExpired:
             process.kill()
-            process.wait()
+    for process in fleet.processes:
+        process.wait()
 
 
 def standard_changes(fleet, accounts=("hielo", "cupula"), rate=1000.0):
@@ -243,6 +264,24 @@
 
 
 def submit(fleet, number, changes):
-    """Submit a ticket through the first host; return status and body."""
+    """Submit a ticket through the first host; return status and body.
+
+    The same ticket is sent again while too few hosts have found each other.
+    """
     value = {"number": number, "changes": codecs.encode_changes(changes)}
-    return call("POST", fleet.hosts[0].admin_address, "/tickets", value)
+    deadline = time.monotonic() + READY_SECONDS
+    while True:
+        status, row = call("POST", fleet.hosts[0].admin_address, "/tickets", value)
+        if status == 200 or "next_number" in row or time.monotonic() > deadline:
+            return status, row
+        time.sleep(POLL_SECONDS)
+
+
+def wait_for_ticket(fleet, number):
+    """Wait until a ticket is in force on every host."""
+
+    def in_force(host):
+        return call("GET", host.admin_address, "/status")[1]["ticket"] >= number
+
+    for host in fleet.hosts:
+        wait_for(lambda: in_force(host))
