--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -11,36 +11,47 @@
 from trefoilpin import (
     addresses,
     admin,
+    attempts,
     balancers,
     checks,
     clocks,
     codecs,
     configurations,
+    coordinators,
+    drains,
+    entitlements,
     events,
     forwarders,
     frontends,
+    health,
     keys,
+    lenders,
     limits,
     memberships,
     metrics,
     notices,
     operations,
+    owners,
     peers,
     proxies,
     queues,
     routes,
     shutdowns,
+    slow_starts,
     snapshots,
+    standings,
     stores,
+    take_overs,
     tickets,
 )
 from trefoilpin.kernel import create_kernel
+from trefoilpin.limit_messages import Terms
 from trefoilpin.records import Host
 
 __all__ = ["assemble", "run"]
 
-COLLECTOR_THRESHOLDS = (5_000, 20, 100)
 INCARNATION_BYTES = 8
+COLLECTOR_THRESHOLDS = (5_000, 20, 100)
 
 
 def create_own_host(settings):
@@ -55,6 +66,20 @@
     )
 
 
+def create_limits(kernel, settings):
+    """Create the services that keep the accounts' rates."""
+    terms = Terms(
+        loan=settings["limits.loan_seconds"],
+        reservation=settings["limits.reservation_seconds"],
+    )
+    entitlements.create(
+        kernel, terms, settings["limits.units"], settings["limits.holders"]
+    )
+    lenders.create(kernel, terms)
+    owners.create(kernel, terms)
+    limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -107,9 +132,16 @@
         settings["shutdown.spread_reconnects"],
     )
     addresses.create(kernel, lifetime)
-    limits.create(kernel)
+    create_limits(kernel, settings)
     operations.create(kernel)
-    queues.create(kernel)
+    queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
+    drains.create(kernel)
+    standings.create(kernel)
+    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    attempts.create(kernel)
+    coordinators.create(kernel)
+    health.create(kernel)
+    take_overs.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
     proxies.create(kernel)
@@ -147,11 +179,9 @@
     kernel = assemble(settings)
     emit = kernel.find("events").emit
     stopping = eventlet.event.Event()
-    requests = []
 
     def request_stop(number, frame):
-        if not requests:
-            requests.append(number)
+        if not stopping.ready():
             eventlet.spawn_after(0, stopping.send)
 
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -161,6 +191,5 @@
     name, zone = settings["host.name"], settings["host.zone"]
     emit(events.DAEMON_STARTED, host=name, zone=zone)
     stopping.wait()
-    kernel.find("shutdowns").stop()
     emit(events.DAEMON_STOPPED, host=name)
     kernel.stop()
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 import eventlet
+import eventlet.event
 
 from trefoilpin.services import Events
 
@@ -182,7 +183,6 @@
     ("current", "store_age", "majority", "ticket"),
     "The host became sure of having the configuration in force, or lost that.",
 )
-
 # 35x: addresses and shutdown.
 HOSTS_GIVEN = Event(
     350,
@@ -224,6 +224,51 @@
 # 4xx: operations, retries and forwarding.
 
 # 5xx: limits and queues.
+UNITS_MOVED = Event(
+    500,
+    "units_moved",
+    logging.INFO,
+    ("holder", "units"),
+    "This host changed in the ledger how many units of all rates a host holds.",
+)
+QUOTA_OPENED = Event(
+    501,
+    "quota_opened",
+    logging.INFO,
+    ("account", "lenders"),
+    "This host began to borrow units for an account whose requests it is asked about.",
+    sampled=True,
+)
+QUOTA_CLOSED = Event(
+    502,
+    "quota_closed",
+    logging.INFO,
+    ("account", "reason"),
+    "This host gave an account's units back to their lenders.",
+    sampled=True,
+)
+OWNER_SKIPPED = Event(
+    503,
+    "owner_skipped",
+    logging.WARNING,
+    ("account", "owner", "detail"),
+    "An account's quota owner did not answer, so the next host in order is asked.",
+)
+REQUEST_QUEUED = Event(
+    510,
+    "request_queued",
+    logging.INFO,
+    ("pool", "account", "waiting"),
+    "The pool is saturated, so a request waits for its account's turn.",
+    sampled=True,
+)
+REQUEST_SHED = Event(
+    511,
+    "request_shed",
+    logging.WARNING,
+    ("pool", "account", "waiting"),
+    "A pool's queue is full, so the account furthest over its share lost a request.",
+)
 
 # 6xx: health, balancing, slow start, drain and zones.
 UPSTREAM_CHOSEN = Event(
@@ -235,6 +280,67 @@
     sampled=True,
 )
 
+UPSTREAM_EJECTED = Event(
+    601,
+    "upstream_ejected",
+    logging.WARNING,
+    (
+        "pool",
+        "upstream",
+        "kind",
+        "requests",
+        "bad",
+        "expected",
+        "hosts",
+        "zones",
+        "times",
+    ),
+    "The coordinator took an upstream out for doing worse than its pool.",
+)
+UPSTREAM_READMITTED = Event(
+    602,
+    "upstream_readmitted",
+    logging.INFO,
+    ("pool", "upstream", "seconds", "times"),
+    "An ejection ended; the upstream is in slow start.",
+)
+UPSTREAM_AVOIDED = Event(
+    603,
+    "upstream_avoided",
+    logging.WARNING,
+    ("pool", "upstream", "seconds", "failures"),
+    "This host alone stays away from an upstream that it could not reach.",
+)
+COMMON_CAUSE = Event(
+    604,
+    "common_cause",
+    logging.WARNING,
+    ("pool", "upstreams", "recent"),
+    "Too many upstreams got worse together; none was ejected.",
+)
+GRANT_GIVEN = Event(
+    610,
+    "grant_given",
+    logging.INFO,
+    ("pool", "upstream", "host", "units", "level"),
+    "The coordinator granted a host concurrency on an upstream in slow start.",
+    sampled=True,
+)
+SLOW_START_STEP = Event(
+    611,
+    "slow_start_step",
+    logging.INFO,
+    ("pool", "upstream", "step", "level"),
+    "An upstream's slow start went up, down, or ended.",
+)
+UPSTREAM_DRAINING = Event(
+    620,
+    "upstream_draining",
+    logging.INFO,
+    ("pool", "upstream", "source"),
+    "An upstream is leaving and gets no new work.",
+)
+
 CATALOGUE = tuple(value for value in globals().values() if isinstance(value, Event))
 
 
@@ -245,6 +351,7 @@
         self.waiting = deque()
         self.dropped = 0
         self.seen_by_number: dict[int, int] = {}
+        self.has_lines = eventlet.event.Event()
 
 
 def format_text(when, event, fields):
@@ -300,6 +407,8 @@
             state.dropped += 1
             return
         state.waiting.append((wall(), event, fields))
+        if not state.has_lines.ready():
+            state.has_lines.send()
 
     def write_some(count):
         """Write up to a number of lines, so that requests wait for few at a time."""
@@ -319,6 +428,10 @@
 
     def write_forever():
         while True:
+            state.has_lines.wait()
+            eventlet.sleep(FLUSH_SECONDS)
+            state.has_lines = eventlet.event.Event()
+            flush()
             write_some(LINES_AT_ONCE)
             eventlet.sleep(0 if state.waiting else FLUSH_SECONDS)
 
--- a/trefoilpin/tests/test_frontends.py
+++ b/trefoilpin/tests/test_frontends.py
@@ -100,7 +100,8 @@
 CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 BIG = b"x" * 9000
 BAD = {
-    "both": CHUNKED[:-2] + b"Content-Length: 1\r\n\r\n",
+    "both": b"POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n",
     "lengths": b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
     "negative": b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
     "word": b"POST / HTTP/1.1\r\nContent-Length: one\r\n\r\n",
