--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -17,6 +17,7 @@
 from trefoilpin import (
     health,
     limit_messages,
+    operation_messages,
     reports,
     rosters,
     snapshots,
@@ -26,6 +27,7 @@
 from trefoilpin.thrift_gen.health import ttypes as health_types
 from trefoilpin.thrift_gen.limits import ttypes as limit_types
 from trefoilpin.thrift_gen.memberships import ttypes as membership_types
+from trefoilpin.thrift_gen.operations import ttypes as operation_types
 from trefoilpin.thrift_gen.tickets import ttypes as ticket_types
 
 __all__ = ["METHODS", "Method", "decode", "encode"]
@@ -84,6 +86,30 @@
         ticket_types.AnnounceReplyStruct,
     ),
     # Operations.
+    "operations.claim": Method(
+        operation_messages.Claim,
+        operation_messages.ClaimReply,
+        operation_types.ClaimStruct,
+        operation_types.ClaimReplyStruct,
+    ),
+    "operations.report": Method(
+        operation_messages.Report,
+        operation_messages.ReportReply,
+        operation_types.ReportStruct,
+        operation_types.ReportReplyStruct,
+    ),
+    "operations.table_part": Method(
+        operation_messages.TablePart,
+        operation_messages.TableReply,
+        operation_types.TablePartStruct,
+        operation_types.TableReplyStruct,
+    ),
+    "operations.table_end": Method(
+        operation_messages.TableEnd,
+        operation_messages.TableReply,
+        operation_types.TableEndStruct,
+        operation_types.TableReplyStruct,
+    ),
     # Limits.
     "borrow_units": Method(
         limit_messages.LoanRequest,
