--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -1,5 +1,6 @@
 """One host's daemon: its services put together in order, and its life."""
 
+import gc
 import logging
 import secrets
 import signal
@@ -8,35 +9,58 @@
 import eventlet.event
 
 from trefoilpin import (
+    addresses,
     admin,
+    answers,
+    attempts,
     balancers,
     checks,
+    claim_codecs,
+    claims,
     clocks,
     codecs,
     configurations,
+    coordinators,
+    drains,
+    entitlements,
     events,
     forwarders,
     frontends,
+    health,
+    issuers,
     keys,
+    lenders,
     limits,
     memberships,
     metrics,
     notices,
+    opaque_keys,
     operations,
+    owners,
     peers,
     proxies,
+    quarantines,
     queues,
+    retries,
     routes,
+    shutdowns,
+    sightings,
+    slow_starts,
     snapshots,
+    standings,
     stores,
+    table_transfers,
+    take_overs,
     tickets,
 )
 from trefoilpin.kernel import create_kernel
+from trefoilpin.limit_messages import Terms
 from trefoilpin.records import Host
 
 __all__ = ["assemble", "run"]
 
 INCARNATION_BYTES = 8
+COLLECTOR_THRESHOLDS = (5_000, 20, 100)
 
 
 def create_own_host(settings):
@@ -51,6 +75,44 @@
     )
 
 
+def create_limits(kernel, settings):
+    """Create the services that keep the accounts' rates."""
+    terms = Terms(
+        loan=settings["limits.loan_seconds"],
+        reservation=settings["limits.reservation_seconds"],
+    )
+    entitlements.create(
+        kernel, terms, settings["limits.units"], settings["limits.holders"]
+    )
+    lenders.create(kernel, terms)
+    owners.create(kernel, terms)
+    limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
+
+
+def create_operations(kernel, settings):
+    """Create the services that run a write at most once."""
+    bounds = issuers.IssuerBounds(
+        settings["operations.max_keys"],
+        settings["operations.max_adopted_keys"],
+        answers.AnswerBounds(
+            settings["operations.max_answer_bytes"],
+            settings["operations.max_saved_bytes"],
+            settings["operations.saved_seconds"],
+        ),
+    )
+    opaque_bounds = opaque_keys.OpaqueBounds(
+        settings["operations.store_calls_per_second"], settings["operations.claim_days"]
+    )
+    patience = settings["operations.hand_over_seconds"]
+    sightings.create(kernel, settings["operations.gone_seconds"])
+    issuers.create(kernel, bounds)
+    table_transfers.create(kernel, bounds, patience)
+    claims.create(kernel)
+    opaque_keys.create(kernel, opaque_bounds, claim_codecs.encode, claim_codecs.decode)
+    service = operations.create(kernel, bounds.answers.max_bytes, patience)
+    kernel.find("shutdowns").on_hand_over("operations", service.hand_over)
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -96,11 +158,29 @@
     tickets.create(kernel, checks.check)
     routes.create(kernel)
     keys.create(kernel)
-    limits.create(kernel)
-    operations.create(kernel)
-    queues.create(kernel)
+    lifetime = settings["shutdown.address_lifetime_seconds"]
+    shutdowns.create(
+        kernel,
+        max(settings["shutdown.drain_seconds"], lifetime),
+        settings["shutdown.spread_reconnects"],
+    )
+    addresses.create(kernel, lifetime)
+    create_limits(kernel, settings)
+    create_operations(kernel, settings)
+    queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
+    drains.create(kernel)
+    standings.create(kernel)
+    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    attempts.create(kernel)
+    coordinators.create(kernel)
+    health.create(kernel)
+    take_overs.create(kernel)
     balancers.create(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
+    quarantines.create(kernel, settings["quarantine.seconds"])
+    retries.create(
+        kernel, settings["retries.share"], settings["retries.least_per_second"]
+    )
     proxies.create(kernel)
     frontends.create(
         kernel,
@@ -113,6 +193,17 @@
     return kernel
 
 
+def collect_rarely():
+    """Keep the garbage collector from pausing requests.
+
+    What exists after the start is never scanned again, and young objects are scanned
+    once in several hundred requests.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def run(settings):
     """Run the daemon until it is told to stop.
 
@@ -133,6 +224,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, request_stop)
     kernel.start()
+    collect_rarely()
     name, zone = settings["host.name"], settings["host.zone"]
     emit(events.DAEMON_STARTED, host=name, zone=zone)
     stopping.wait()
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+import re
 import sys
 from collections import deque
 from typing import NamedTuple
@@ -21,6 +22,8 @@
 
 MAX_WAITING_LINES = 100_000
 FLUSH_SECONDS = 0.05
+LINES_AT_ONCE = 4
+NEEDS_QUOTES = re.compile(r'[\s"=]')
 
 
 class Event(NamedTuple):
@@ -90,6 +93,13 @@
     ("request_id", "detail"),
     "A fault of the daemon itself ended a request.",
 )
+ANSWER_DROPPED = Event(
+    115,
+    "answer_dropped",
+    logging.WARNING,
+    ("request_id", "upstream", "detail"),
+    "An upstream's answer was not whole, or not to this request.",
+)
 
 # 2xx: store, tickets and configuration.
 STORE_UNAVAILABLE = Event(
@@ -173,10 +183,142 @@
     ("current", "store_age", "majority", "ticket"),
     "The host became sure of having the configuration in force, or lost that.",
 )
+# 35x: addresses and shutdown.
+HOSTS_GIVEN = Event(
+    350,
+    "hosts_given",
+    logging.INFO,
+    ("account", "hosts", "issuer"),
+    "A caller was told which hosts to use.",
+    sampled=True,
+)
+STOP_BEGAN = Event(
+    351,
+    "stop_began",
+    logging.INFO,
+    ("connections", "drain_seconds"),
+    "A planned stop began; the host goes on serving for the drain.",
+)
+LAST_REQUEST_ENDED = Event(
+    352,
+    "last_request_ended",
+    logging.INFO,
+    ("seconds",),
+    "The listener is closed and no request is under way.",
+)
+HANDED_OVER = Event(
+    353,
+    "handed_over",
+    logging.INFO,
+    ("successor",),
+    "The host left the fleet; the successor has its operations and units.",
+)
+HAND_OVER_FAILED = Event(
+    354,
+    "hand_over_failed",
+    logging.WARNING,
+    ("services",),
+    "No other host took what these services had to hand over.",
+)
 
 # 4xx: operations, retries and forwarding.
+OPERATION_DECIDED = Event(
+    400,
+    "operation_decided",
+    logging.INFO,
+    ("key", "attempt", "decision"),
+    "A claim on an idempotency key was decided here.",
+    sampled=True,
+)
+TABLE_ADOPTED = Event(
+    410,
+    "table_adopted",
+    logging.INFO,
+    ("issuer", "keys"),
+    "This host decides from now on for an issuer that left.",
+)
+TABLE_HANDED_OVER = Event(
+    411,
+    "table_handed_over",
+    logging.INFO,
+    ("issuer", "successor", "keys", "arrived"),
+    "This host offered an issuer's keys to its successor.",
+)
+TABLE_DROPPED = Event(
+    412,
+    "table_dropped",
+    logging.WARNING,
+    ("issuer", "keys"),
+    "Keys of an issuer that left were dropped to bound memory; none is run again.",
+)
+CLAIMS_SWEPT = Event(
+    413,
+    "claims_swept",
+    logging.INFO,
+    ("claims",),
+    "Expired claims on opaque keys were deleted from the store.",
+)
+REQUEST_RETRIED = Event(
+    420,
+    "request_retried",
+    logging.INFO,
+    ("request_id", "pool", "upstream", "verdict", "detail"),
+    "A request is sent again to another upstream after this one.",
+)
+REQUEST_QUARANTINED = Event(
+    430,
+    "request_quarantined",
+    logging.WARNING,
+    ("fingerprint", "account", "upstreams", "seconds"),
+    "A request that broke several upstreams is refused for a time.",
+)
 
 # 5xx: limits and queues.
+UNITS_MOVED = Event(
+    500,
+    "units_moved",
+    logging.INFO,
+    ("holder", "units"),
+    "This host changed in the ledger how many units of all rates a host holds.",
+)
+QUOTA_OPENED = Event(
+    501,
+    "quota_opened",
+    logging.INFO,
+    ("account", "lenders"),
+    "This host began to borrow units for an account whose requests it is asked about.",
+    sampled=True,
+)
+QUOTA_CLOSED = Event(
+    502,
+    "quota_closed",
+    logging.INFO,
+    ("account", "reason"),
+    "This host gave an account's units back to their lenders.",
+    sampled=True,
+)
+OWNER_SKIPPED = Event(
+    503,
+    "owner_skipped",
+    logging.WARNING,
+    ("account", "owner", "detail"),
+    "An account's quota owner did not answer, so the next host in order is asked.",
+)
+REQUEST_QUEUED = Event(
+    510,
+    "request_queued",
+    logging.INFO,
+    ("pool", "account", "waiting"),
+    "The pool is saturated, so a request waits for its account's turn.",
+    sampled=True,
+)
+REQUEST_SHED = Event(
+    511,
+    "request_shed",
+    logging.WARNING,
+    ("pool", "account", "waiting"),
+    "A pool's queue is full, so the account furthest over its share lost a request.",
+)
 
 # 6xx: health, balancing, slow start, drain and zones.
 UPSTREAM_CHOSEN = Event(
@@ -188,6 +330,67 @@
     sampled=True,
 )
 
+UPSTREAM_EJECTED = Event(
+    601,
+    "upstream_ejected",
+    logging.WARNING,
+    (
+        "pool",
+        "upstream",
+        "kind",
+        "requests",
+        "bad",
+        "expected",
+        "hosts",
+        "zones",
+        "times",
+    ),
+    "The coordinator took an upstream out for doing worse than its pool.",
+)
+UPSTREAM_READMITTED = Event(
+    602,
+    "upstream_readmitted",
+    logging.INFO,
+    ("pool", "upstream", "seconds", "times"),
+    "An ejection ended; the upstream is in slow start.",
+)
+UPSTREAM_AVOIDED = Event(
+    603,
+    "upstream_avoided",
+    logging.WARNING,
+    ("pool", "upstream", "seconds", "failures"),
+    "This host alone stays away from an upstream that it could not reach.",
+)
+COMMON_CAUSE = Event(
+    604,
+    "common_cause",
+    logging.WARNING,
+    ("pool", "upstreams", "recent"),
+    "Too many upstreams got worse together; none was ejected.",
+)
+GRANT_GIVEN = Event(
+    610,
+    "grant_given",
+    logging.INFO,
+    ("pool", "upstream", "host", "units", "level"),
+    "The coordinator granted a host concurrency on an upstream in slow start.",
+    sampled=True,
+)
+SLOW_START_STEP = Event(
+    611,
+    "slow_start_step",
+    logging.INFO,
+    ("pool", "upstream", "step", "level"),
+    "An upstream's slow start went up, down, or ended.",
+)
+UPSTREAM_DRAINING = Event(
+    620,
+    "upstream_draining",
+    logging.INFO,
+    ("pool", "upstream", "source"),
+    "An upstream is leaving and gets no new work.",
+)
+
 CATALOGUE = tuple(value for value in globals().values() if isinstance(value, Event))
 
 
@@ -216,7 +419,7 @@
 def quote(value):
     """Return a value as text, in quotation marks when it holds white space."""
     text = "-" if value is None else str(value)
-    if text and not any(character in text for character in ' "=\n\r\t'):
+    if text and NEEDS_QUOTES.search(text) is None:
         return text
     return json.dumps(text)
 
@@ -257,9 +460,10 @@
         if not state.has_lines.ready():
             state.has_lines.send()
 
-    def flush():
+    def write_some(count):
+        """Write up to a number of lines, so that requests wait for few at a time."""
         lines = []
-        while state.waiting:
+        while state.waiting and len(lines) < count:
             when, event, fields = state.waiting.popleft()
             lines.append(line(when, event, fields))
         if state.dropped:
@@ -268,12 +472,18 @@
         if lines:
             write("\n".join(lines) + "\n")
 
+    def flush():
+        while state.waiting or state.dropped:
+            write_some(MAX_WAITING_LINES)
+
     def write_forever():
         while True:
             state.has_lines.wait()
             eventlet.sleep(FLUSH_SECONDS)
             state.has_lines = eventlet.event.Event()
             flush()
+            write_some(LINES_AT_ONCE)
+            eventlet.sleep(0 if state.waiting else FLUSH_SECONDS)
 
     service = Events(emit, flush)
     kernel.register("events", service, lambda: kernel.spawn(write_forever), flush)
--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -14,8 +14,20 @@
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from trefoilpin import rosters, snapshots, tickets
+from trefoilpin import (
+    health,
+    limit_messages,
+    operation_messages,
+    reports,
+    rosters,
+    snapshots,
+    take_overs,
+    tickets,
+)
+from trefoilpin.thrift_gen.health import ttypes as health_types
+from trefoilpin.thrift_gen.limits import ttypes as limit_types
 from trefoilpin.thrift_gen.memberships import ttypes as membership_types
+from trefoilpin.thrift_gen.operations import ttypes as operation_types
 from trefoilpin.thrift_gen.tickets import ttypes as ticket_types
 
 __all__ = ["METHODS", "Method", "decode", "encode"]
@@ -74,8 +86,68 @@
         ticket_types.AnnounceReplyStruct,
     ),
     # Operations.
+    "operations.claim": Method(
+        operation_messages.Claim,
+        operation_messages.ClaimReply,
+        operation_types.ClaimStruct,
+        operation_types.ClaimReplyStruct,
+    ),
+    "operations.report": Method(
+        operation_messages.Report,
+        operation_messages.ReportReply,
+        operation_types.ReportStruct,
+        operation_types.ReportReplyStruct,
+    ),
+    "operations.table_part": Method(
+        operation_messages.TablePart,
+        operation_messages.TableReply,
+        operation_types.TablePartStruct,
+        operation_types.TableReplyStruct,
+    ),
+    "operations.table_end": Method(
+        operation_messages.TableEnd,
+        operation_messages.TableReply,
+        operation_types.TableEndStruct,
+        operation_types.TableReplyStruct,
+    ),
     # Limits.
+    "borrow_units": Method(
+        limit_messages.LoanRequest,
+        limit_messages.LoanReply,
+        limit_types.LoanRequestStruct,
+        limit_types.LoanReplyStruct,
+    ),
+    "reserve_tokens": Method(
+        limit_messages.ReservationRequest,
+        limit_messages.ReservationReply,
+        limit_types.ReservationRequestStruct,
+        limit_types.ReservationReplyStruct,
+    ),
+    "offer_units": Method(
+        limit_messages.UnitsOffer,
+        limit_messages.UnitsOfferReply,
+        limit_types.UnitsOfferStruct,
+        limit_types.UnitsOfferReplyStruct,
+    ),
+    "give_units": Method(
+        limit_messages.UnitsRequest,
+        limit_messages.UnitsReply,
+        limit_types.UnitsRequestStruct,
+        limit_types.UnitsReplyStruct,
+    ),
     # Health and balancing.
+    health.METHOD: Method(
+        reports.HealthReport,
+        reports.HealthReply,
+        health_types.HealthReportStruct,
+        health_types.HealthReplyStruct,
+    ),
+    take_overs.METHOD: Method(
+        reports.TakeOverRequest,
+        reports.TakeOverReply,
+        health_types.TakeOverRequestStruct,
+        health_types.TakeOverReplyStruct,
+    ),
 }
 
 
--- /dev/null
+++ b/trefoilpin/tests/test_addresses.py
@@ -0,0 +1,118 @@
+"""Which hosts callers are told to use."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from trefoilpin import addresses
+from trefoilpin.fakes import fleets, loops
+from trefoilpin.records import AvailabilityZone, ClientAccount, Host
+from trefoilpin.services import Configurations, Keys, Shutdowns
+from trefoilpin.shutdowns import LEAVING_TOPIC
+from trefoilpin.verdicts import Reason, Refusal, Verdict
+
+ZONES = ("a", "b", "c")
+MISSING = Refusal(Reason.KEY_MISSING, Verdict.NOT_RUN, "")
+UNKNOWN = Refusal(Reason.KEY_UNKNOWN, Verdict.NOT_RUN, "")
+
+
+def create_hosts(count):
+    return [
+        Host(f"i{n}", f"h{n}", ZONES[n % 3], "r", f"10.0.0.{n}:1", "")
+        for n in range(count)
+    ]
+
+
+class Fleet:
+    """One host's service with everything it asks."""
+
+    def __init__(self, hosts):
+        self.loop = loops.LoopState(1)
+        self.view = fleets.FleetView(hosts[0], hosts)
+        self.zones = {}
+        self.checked = Success(ClientAccount("hielo", 1, 1))
+        self.stopping = False
+        kernel = loops.create_host_kernel(self.loop)
+        self.memberships = fleets.create_memberships(self.view)
+        board = fleets.Board(hosts[0].incarnation)
+        self.notices = fleets.create_notices(board, kernel.clock.now)
+        empty = [None] * len(Configurations._fields)
+        configurations = Configurations(*empty)._replace(zones_by_id=self.zones)
+        stopping = Shutdowns(None, lambda: self.stopping, None, None)
+        kernel.register("memberships", self.memberships)
+        kernel.register("notices", self.notices)
+        kernel.register("configurations", configurations)
+        kernel.register("shutdowns", stopping)
+        kernel.register("keys", Keys(lambda route, request: self.checked, None))
+        self.answer = addresses.create(kernel, 10.0).answer
+
+    def zones_given(self):
+        return [zone for _, zone in self.answer(None).unwrap().hosts]
+
+
+def test_an_accounts_callers_go_to_few_hosts_its_quota_owner_first():
+    fleet = Fleet(create_hosts(40))
+    answer = fleet.answer(None).unwrap()
+    owner = fleet.memberships.first("limits/hielo")
+    assert answer.hosts[0] == (owner.caller_address, owner.zone)
+    assert len(answer.hosts) == addresses.HOSTS_GIVEN
+    assert fleet.answer(None).unwrap() == answer
+    assert answer.issuer == "i0"
+
+
+def test_callers_without_a_key_are_spread():
+    fleet = Fleet(create_hosts(40))
+    fleet.checked = Failure(MISSING)
+    assert len({fleet.answer(None).unwrap().hosts for _ in range(20)}) > 10
+
+
+def test_a_wrong_key_is_refused():
+    fleet = Fleet(create_hosts(2))
+    fleet.checked = Failure(UNKNOWN)
+    assert fleet.answer(None) == Failure(UNKNOWN)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    st.integers(1, 12),
+    st.sets(st.integers(0, 11)),
+    st.sets(st.sampled_from(ZONES)),
+    st.booleans(),
+)
+def test_no_host_that_leaves_or_is_in_a_zone_out(count, leaving, out, stopping):
+    hosts = create_hosts(count)
+    fleet = Fleet(hosts)
+    fleet.stopping = stopping
+    for zone in out:
+        fleet.zones[zone] = AvailabilityZone(zone, "r", True)
+    for number in leaving:
+        fleet.notices.publish(LEAVING_TOPIC, f"i{number}", "", 60.0)
+    usable = [
+        host
+        for number, host in enumerate(hosts)
+        if host.zone not in out
+        and number not in leaving
+        and not (stopping and number == 0)
+    ]
+    outcome = fleet.answer(None)
+    if not usable:
+        assert outcome.failure().verdict is Verdict.NOT_RUN
+        return
+    answer = outcome.unwrap()
+    given_hosts = [address for address, _ in answer.hosts]
+    assert set(given_hosts) <= {host.caller_address for host in usable}
+    assert len(given_hosts) == min(len(usable), addresses.HOSTS_GIVEN)
+    zones = {zone for _, zone in answer.hosts}
+    assert len(zones) >= min(2, len({host.zone for host in usable}))
+    issuing = {host.incarnation for host in hosts} - {f"i{n}" for n in leaving}
+    assert answer.issuer in issuing - ({"i0"} if stopping else set())
+
+
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_two_zones_are_taken_where_there_are_two(count):
+    hosts = create_hosts(6)
+    same = [hosts[0], hosts[3]]
+    chosen = addresses.select([*same, hosts[1]], count)
+    assert len(chosen) == count
+    assert len({host.zone for host in chosen}) == min(count, 2)
