--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -113,6 +113,20 @@
     kernel.find("shutdowns").on_hand_over("operations", service.hand_over)
 
 
+def add_fleet_gauges(kernel):
+    """Have the view of the fleet among the metrics."""
+    gauge = kernel.find("metrics").gauge
+    peers_service = kernel.find("peers")
+    view = kernel.find("memberships")
+    gauge("peer_bytes_sent", lambda: peers_service.traffic()[0])
+    gauge("peer_bytes_received", lambda: peers_service.traffic()[1])
+    gauge("hosts_live", lambda: len(view.live()))
+    gauge("hosts_on_roster", lambda: len(view.roster()))
+    gauge("host_is_current", lambda: int(view.is_current()))
+    gauge("store_age_seconds", view.store_age)
+    gauge("ticket_in_force", kernel.find("configurations").head)
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -156,6 +170,7 @@
         ),
     )
     tickets.create(kernel, checks.check)
+    add_fleet_gauges(kernel)
     routes.create(kernel)
     keys.create(kernel)
     lifetime = settings["shutdown.address_lifetime_seconds"]
--- a/trefoilpin/memberships.py
+++ b/trefoilpin/memberships.py
@@ -39,7 +39,7 @@
 RECORD_SECONDS = 1800.0
 DEPARTED_SECONDS = 21600.0
 PULL_SECONDS = 0.5
-PULL_TIMEOUT_SECONDS = 0.4
+PULL_TIMEOUT_SECONDS = 0.3
 FAILED_PULL_SECONDS = 0.05
 BEHIND_PULL_SECONDS = 0.15
 SYNC_TIMEOUT_SECONDS = 2.0
@@ -239,7 +239,8 @@
         pulled = address is None or pull_from(host, address)
         refresh_live()
         pause = PULL_SECONDS if pulled else FAILED_PULL_SECONDS
-        if state.known_number > configurations.head():
+        is_behind = state.known_number > configurations.head()
+        if address is not None and (is_behind or not has_majority()):
             pause = min(pause, BEHIND_PULL_SECONDS)
         return pause * (0.5 + rng.random())
 
--- a/trefoilpin/tests/test_peers.py
+++ b/trefoilpin/tests/test_peers.py
@@ -80,6 +80,8 @@
 def test_late_reply_is_dropped_and_the_connection_kept(nodes):
     caller, listener = nodes
     release = eventlet.event.Event()
+    listener.peers.serve(METHOD, lambda sender, message: SyncReply(()))
+    call(caller, listener).unwrap()
     listener.peers.serve(METHOD, lambda sender, message: release.wait())
     late = call(caller, listener, timeout=0.05)
     assert late.failure().may_have_arrived
--- a/trefoilpin/tickets.py
+++ b/trefoilpin/tickets.py
@@ -145,10 +145,10 @@
             listed = store.list(TICKET_PREFIX, after)
             if isinstance(listed, Failure):
                 return listed
-            if not listed.unwrap():
+            numbers = [join(stored) for stored in listed.unwrap()]
+            last = max([last, *filter(None, numbers)])
+            if not any(numbers):
                 break
-            for stored in listed.unwrap():
-                last = max(last, join(stored) or last)
         last = max(last, configurations.head())
         memberships.report_head(last, began_at)
         return Success(last)
