Command line: hosts, upstreams, fleet view; nothing runs on bad usage

Cause: fire called a command and looked at left-over arguments afterwards, so a ticket could be submitted by a call that ended with 2. Change: commands give an action that runs once every argument was understood; a missing command ends with 2; admin has /upstreams and the fleet in /status; the daemon runs the planned stop on the first signal and lets later ones pass.

--- a/trefoilpin/__main__.py
+++ b/trefoilpin/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of the command ``trefoilpin``."""
 
+import sys
 import warnings
 
 warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
@@ -8,8 +9,6 @@
 
 eventlet.monkey_patch()
 
-import fire  # noqa: E402
-
 from trefoilpin import commands  # noqa: E402
 
 __all__ = ["main"]
@@ -17,7 +16,7 @@
 
 def main():
     """Run the command line."""
-    fire.Fire(commands.COMMANDS, name="trefoilpin")
+    commands.run(sys.argv[1:])
 
 
 if __name__ == "__main__":
--- a/trefoilpin/admin.py
+++ b/trefoilpin/admin.py
@@ -8,6 +8,7 @@
 
 from trefoilpin import codecs, events, listeners
 from trefoilpin.services import StoreOutcome
+from trefoilpin.shutdowns import LEAVING_TOPIC
 from trefoilpin.tickets import TicketOutcome
 
 __all__ = ["create"]
@@ -36,6 +37,55 @@
     return 503, {"outcome": outcome, "detail": f"the store: {failure.detail}"}
 
 
+def fleet_view(kernel):
+    """Return the fleet as this host sees it."""
+    memberships = kernel.find("memberships")
+    shutdowns = kernel.find("shutdowns")
+    own = memberships.own()
+    leaving = {notice.key for notice in kernel.find("notices").read(LEAVING_TOPIC)}
+    rows = []
+    for host in memberships.live():
+        rows.append(
+            {
+                "host": host.name,
+                "zone": host.zone,
+                "incarnation": host.incarnation,
+                "caller_address": host.caller_address,
+                "age_seconds": round(memberships.age(host.incarnation), 2),
+                "leaving": host.incarnation in leaving,
+            }
+        )
+    return {
+        "host": own.name,
+        "incarnation": own.incarnation,
+        "current": memberships.is_current(),
+        "majority": memberships.has_majority(),
+        "stopping": shutdowns.is_stopping(),
+        "hosts": rows,
+    }
+
+
+def upstreams_view(kernel):
+    """Return every upstream, and why it is out if it is."""
+    standings = kernel.find("standings")
+    rows = []
+    for _, pool in sorted(kernel.find("configurations").pools_by_id.items()):
+        absent_by_id = standings.view(pool).absent_by_id
+        for upstream in pool.upstreams:
+            absence = absent_by_id.get(upstream.id)
+            rows.append(
+                {
+                    "pool": pool.id,
+                    "upstream": upstream.id,
+                    "address": upstream.address,
+                    "zone": upstream.zone,
+                    "state": "in_service" if absence is None else absence.reason,
+                    "badness": 0.0 if absence is None else round(absence.badness, 3),
+                }
+            )
+    return {"upstreams": rows}
+
+
 def create(kernel, address):
     """Create the front end for operators and register it as ``admin``.
 
@@ -91,11 +141,13 @@
             "routes": len(configurations.routes_by_id),
             "accounts": len(configurations.accounts_by_id),
             "pools": len(configurations.pools_by_id),
+            **fleet_view(kernel),
         }
 
     function_by_call = {
         ("POST", "/tickets"): submit,
         ("GET", "/status"): status,
+        ("GET", "/upstreams"): lambda environ: (200, upstreams_view(kernel)),
         ("GET", "/metrics"): lambda environ: (200, metrics.render()),
     }
 
--- a/trefoilpin/commands.py
+++ b/trefoilpin/commands.py
@@ -3,27 +3,33 @@
 Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown.
 """
 
+import functools
 import json
 import logging
 import random
 import sys
+from typing import Callable, NamedTuple
 
 import eventlet
 import eventlet.wsgi
+import fire
 import urllib3
+from fire.decorators import SetParseFns
 from returns.result import Failure
 
 from trefoilpin import clocks, daemons, settings
 from trefoilpin.fakes import stores as fake_stores
 from trefoilpin.fakes import upstreams as fake_upstreams
 
-__all__ = ["COMMANDS"]
+__all__ = ["COMMANDS", "run"]
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
 EXIT_UNKNOWN = 3
 CALL_TIMEOUT_SECONDS = 30.0
 DEFAULT_ADMIN = "127.0.0.1:7070"
+TEXT_ARGUMENTS = ("address", "admin", "caller", "file", "key", "name", "settings")
+DEFAULT_CALLER = "127.0.0.1:8080"
 
 
 def stop(code, message):
@@ -32,40 +38,68 @@
     sys.exit(code)
 
 
-def call(method, address, path, body=None):
-    """Call a host's operator address; exit unless it answered 200."""
+def request(method, address, path, body=None, headers=None):
+    """Call a host; return status and decoded body, or exit with what is known."""
     try:
         response = urllib3.request(
             method,
             f"http://{address}{path}",
             body=body,
+            headers=headers,
             timeout=CALL_TIMEOUT_SECONDS,
             retries=False,
         )
-        row = json.loads(response.data)
+        return response.status, json.loads(response.data)
+    except urllib3.exceptions.LocationParseError:
+        stop(EXIT_USAGE, f"{address!r} is not an address such as {DEFAULT_ADMIN}")
     except urllib3.exceptions.NewConnectionError:
         stop(EXIT_REFUSED, f"no connection to {address}; nothing was sent")
     except (urllib3.exceptions.HTTPError, ValueError) as error:
         stop(EXIT_UNKNOWN, f"no answer from {address}: {type(error).__name__}")
-    if response.status == 200:
+
+
+def call(method, address, path, body=None):
+    """Call a host's operator address; exit unless it answered 200."""
+    status, row = request(method, address, path, body)
+    if status == 200:
         return row
-    unknown = row.get("outcome") == "unknown"
-    detail = row.get("detail", f"status {response.status}")
+    outcome = row.get("outcome", "refused")
+    detail = row.get("detail", f"status {status}")
     if "next_number" in row:
         detail += f" (next number: {row['next_number']})"
-    hint = "; send the same ticket again" if unknown and method == "POST" else ""
-    stop(EXIT_UNKNOWN if unknown else EXIT_REFUSED, f"{row['outcome']}: {detail}{hint}")
+    if outcome == "unknown":
+        hint = "; send the same ticket again" if method == "POST" else ""
+        stop(EXIT_UNKNOWN, f"{outcome}: {detail}{hint}")
+    stop(EXIT_REFUSED, f"{outcome}: {detail}")
 
 
 def show(row, as_json):
-    """Print an object as a table of two columns, or as JSON."""
+    """Print an object as JSON, or as a table of two columns and one for each list."""
     if as_json:
         print(json.dumps(row))
         return
-    width = max((len(name) for name in row), default=0)
+    plain, tables = {}, {}
     for name, value in row.items():
+        is_table = isinstance(value, list) and value and isinstance(value[0], dict)
+        (tables if is_table else plain)[name] = value
+    width = max((len(name) for name in plain), default=0)
+    for name, value in plain.items():
         text = value if isinstance(value, (str, int, float)) else json.dumps(value)
         print(f"{name:<{width}}  {text}")
+    for rows in tables.values():
+        show_table(rows)
+
+
+def show_table(rows):
+    """Print objects with the same fields, one a line."""
+    names = list(rows[0])
+    lines = [names]
+    for row in rows:
+        lines.append([str(row.get(name, "-")) for name in names])
+    widths = [max(len(line[column]) for line in lines) for column in range(len(names))]
+    for line in lines:
+        cells = [cell.ljust(width) for cell, width in zip(line, widths)]
+        print("  ".join(cells).rstrip())
 
 
 def load_settings(path):
@@ -76,34 +110,48 @@
     return loaded.unwrap()
 
 
-def run_daemon(settings_file):
+def run_daemon(settings):
     """Run one host's daemon."""
-    daemons.run(load_settings(settings_file))
+    daemons.run(load_settings(settings))
 
 
-def submit_ticket(file, admin=DEFAULT_ADMIN, as_json=False):
+def submit_ticket(file, admin=DEFAULT_ADMIN, json=False):
     """Submit the change ticket in a JSON file."""
     try:
         with open(file, "rb") as source:
             body = source.read()
     except OSError as error:
         stop(EXIT_USAGE, f"{file}: {error.strerror}")
-    show(call("POST", admin, "/tickets", body), as_json)
+    show(call("POST", admin, "/tickets", body), json)
 
 
-def show_ticket(number, admin=DEFAULT_ADMIN, as_json=False):
+def show_ticket(number, admin=DEFAULT_ADMIN, json=False):
     """Show an accepted ticket."""
-    show(call("GET", admin, f"/tickets/{number}"), as_json)
+    show(call("GET", admin, f"/tickets/{number}"), json)
 
 
-def show_next_ticket(admin=DEFAULT_ADMIN, as_json=False):
+def show_next_ticket(admin=DEFAULT_ADMIN, json=False):
     """Show the number that the next ticket must have."""
-    show(call("GET", admin, "/tickets/next"), as_json)
+    show(call("GET", admin, "/tickets/next"), json)
+
+
+def show_status(admin=DEFAULT_ADMIN, json=False):
+    """Show what is in force on a host, and the fleet as it sees it."""
+    show(call("GET", admin, "/status"), json)
 
 
-def show_status(admin=DEFAULT_ADMIN, as_json=False):
-    """Show what is in force on a host."""
-    show(call("GET", admin, "/status"), as_json)
+def show_upstreams(admin=DEFAULT_ADMIN, json=False):
+    """Show every upstream, and why it is out if it is."""
+    show(call("GET", admin, "/upstreams"), json)
+
+
+def show_hosts(caller=DEFAULT_CALLER, key=None, json=False):
+    """Show which hosts a caller is to use."""
+    headers = {} if key is None else {"Authorization": f"Bearer {key}"}
+    status, row = request("GET", caller, "/v1/hosts", headers=headers)
+    if status != 200:
+        stop(EXIT_REFUSED, f"{row.get('reason')}: {row.get('detail')}")
+    show(row, json)
 
 
 def check_settings(file):
@@ -112,11 +160,10 @@
     print(f"{file}: valid")
 
 
-def show_settings(as_json=False):
+def show_settings(json=False):
     """Show every setting with its default."""
-    row = {setting.name: setting.default for setting in settings.DEFAULTS}
-    if as_json:
-        print(json.dumps(row))
+    if json:
+        show({setting.name: setting.default for setting in settings.DEFAULTS}, json)
         return
     print(settings.render(), end="")
 
@@ -159,21 +206,56 @@
     serve_application(address, fake_upstreams.create_application(state))
 
 
+class Action(NamedTuple):
+    """A command that runs once all of its arguments were understood."""
+
+    function: Callable
+    arguments: tuple
+    options: dict
+
+
+def deferred(function):
+    """Return a command with the same arguments that gives an ``Action``."""
+
+    @functools.wraps(function)
+    def command(*arguments, **options):
+        return Action(function, arguments, options)
+
+    return SetParseFns(**{name: str for name in TEXT_ARGUMENTS})(command)
+
+
 COMMANDS = {
-    "daemon": lambda settings: run_daemon(settings),
+    "daemon": deferred(run_daemon),
     "ticket": {
-        "submit": lambda file, admin=DEFAULT_ADMIN, json=False: submit_ticket(
-            file, admin, json
-        ),
-        "show": lambda number, admin=DEFAULT_ADMIN, json=False: show_ticket(
-            number, admin, json
-        ),
-        "next": lambda admin=DEFAULT_ADMIN, json=False: show_next_ticket(admin, json),
+        "submit": deferred(submit_ticket),
+        "show": deferred(show_ticket),
+        "next": deferred(show_next_ticket),
     },
-    "status": lambda admin=DEFAULT_ADMIN, json=False: show_status(admin, json),
+    "status": deferred(show_status),
+    "hosts": deferred(show_hosts),
+    "upstreams": deferred(show_upstreams),
     "settings": {
-        "check": check_settings,
-        "show": lambda json=False: show_settings(json),
+        "check": deferred(check_settings),
+        "show": deferred(show_settings),
+    },
+    "fake": {
+        "store": deferred(run_fake_store),
+        "upstream": deferred(run_fake_upstream),
     },
-    "fake": {"store": run_fake_store, "upstream": run_fake_upstream},
 }
+
+
+def run(arguments):
+    """Run the command line.
+
+    Parameters
+    ----------
+    arguments : list of str
+        Without the program's name. Nothing runs unless all are understood.
+    """
+    found = fire.Fire(
+        COMMANDS, command=arguments, name="trefoilpin", serialize=lambda result: None
+    )
+    if not isinstance(found, Action):
+        stop(EXIT_USAGE, "a command is missing; see trefoilpin --help")
+    found.function(*found.arguments, **found.options)
--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -216,10 +216,12 @@
     kernel = assemble(settings)
     emit = kernel.find("events").emit
     stopping = eventlet.event.Event()
+    signals = []
 
     def request_stop(number, frame):
-        if not stopping.ready():
+        if not signals:
             eventlet.spawn_after(0, stopping.send)
+        signals.append(number)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, request_stop)
@@ -228,5 +230,6 @@
     name, zone = settings["host.name"], settings["host.zone"]
     emit(events.DAEMON_STARTED, host=name, zone=zone)
     stopping.wait()
+    kernel.find("shutdowns").stop()
     emit(events.DAEMON_STOPPED, host=name)
     kernel.stop()
