--- a/bench/retry_amplification.py
+++ b/bench/retry_amplification.py
@@ -9,7 +9,7 @@
 from bench.results import Result, finish
 from trefoilpin import proxies, quarantines, retries
 from trefoilpin.fakes import fleets, loops, writers
-from trefoilpin.fakes.tasks import create_tasks
+from trefoilpin.fakes.calls import create_tasks
 from trefoilpin.kernel import create_kernel
 from trefoilpin.messages import Answer, Attempt, Choice, Permit
 from trefoilpin.records import Upstream
--- a/trefoilpin/quarantines.py
+++ b/trefoilpin/quarantines.py
@@ -4,7 +4,8 @@
 can act on another's fingerprint. A request that was only in flight when another one
 broke the upstream is told apart in two ways: a whole answer clears it, and where a
 request of another account broke the same upstreams too, one more must break before
-either is refused. Breaks of other hosts get time to arrive before that is judged.
+either is refused, up to a number that leaves no doubt. Breaks of other hosts get time
+to arrive before that is judged.
 """
 
 from trefoilpin import events
@@ -16,6 +17,7 @@
 BROKEN_TOPIC = "quarantines.broken"
 CLEARED_TOPIC = "quarantines.cleared"
 UPSTREAMS_TO_QUARANTINE = 2
+UPSTREAMS_TO_BE_CERTAIN = 4
 SETTLE_SECONDS = 1.0
 SUSPECT_SECONDS = 120.0
 MAX_SUSPECTS = 10_000
@@ -63,10 +65,13 @@
 
 
 def is_shared(suspects, suspect, now):
-    """Tell whether another account's request broke the same upstreams too."""
+    """Tell whether the request of someone else broke the same upstreams too.
+
+    On a route open to all every other request may be someone else's.
+    """
     broken = broken_upstreams(suspect, now)
     for other in suspects:
-        if other.account == suspect.account:
+        if other is suspect or other.account == suspect.account != "":
             continue
         if broken <= broken_upstreams(other, now):
             return True
@@ -121,7 +126,8 @@
     def judge(fingerprint, suspect):
         suspect.judged_at = None
         broken = broken_upstreams(suspect, now())
-        if is_shared(suspects.values(), suspect, now()):
+        certain = len(broken) >= UPSTREAMS_TO_BE_CERTAIN
+        if not certain and is_shared(suspects.values(), suspect, now()):
             suspect.wanted = len(broken) + 1
             return
         suspect.refused_until = now() + seconds
--- a/trefoilpin/tests/test_quarantines.py
+++ b/trefoilpin/tests/test_quarantines.py
@@ -66,6 +66,16 @@
     assert all(scene.refused("poison")) and not any(scene.refused("innocent"))
 
 
+@pytest.mark.parametrize("accounts", [("hielo", "cupula"), ("", "")])
+def test_two_that_break_the_same_upstreams_do_not_shield_each_other(scene, accounts):
+    for number in range(quarantines.UPSTREAMS_TO_BE_CERTAIN):
+        assert not any(scene.refused("one") + scene.refused("two"))
+        for fingerprint, account in zip(("one", "two"), accounts):
+            scene.services[0].report(fingerprint, f"u{number}", account)
+        scene.settle()
+    assert all(scene.refused("one") + scene.refused("two"))
+
+
 def test_a_whole_answer_clears_a_request(scene):
     scene.services[0].report("popular", "u1", "")
     scene.settle()
