Tests and measures of the limits; quotas keep their lenders, requests wait in turn

Cause: the first form of the limits had no tests. Writing them showed four faults: a pair of hosts that was forgotten and met again began its request numbers anew, so the lender ignored it until its record was gone; arrivals at a saturated pool all got turns, whose refunds gave one account every slot; the rule that sheds did not count requests with a turn; and tokens reserved by hosts with little traffic lapsed unspent.

Change: request numbers grow over the whole life of a host. One arrival's turn at a time. A holder whose borrower is leaving prefers the next owner. Renewal tasks run only while there are loans.

--- a/trefoilpin/lenders.py
+++ b/trefoilpin/lenders.py
@@ -21,6 +21,7 @@
 __all__ = ["LenderState", "create"]
 
 TOMBSTONE_SECONDS = 600.0
+STEP_SECONDS = 5.0
 REFUSED = LoanReply(False, 0, 0, (), ())
 
 
@@ -134,6 +135,10 @@
             put_back(item.account, 0.0, instant + terms.lapse)
 
     def ranks_higher(account_id, one, other):
+        """Tell whether one host is the better owner; a leaving one never is."""
+        live = {host.incarnation for host in memberships.live()}
+        if (one in live) != (other in live):
+            return one in live
         return hashes.rank(f"limits/{account_id}", (one, other))[0] == one
 
     def is_claimed(account_id, sender, instant):
@@ -241,9 +246,14 @@
             if instant > borrower.until + TOMBSTONE_SECONDS:
                 del state.borrower_by_incarnation[incarnation]
 
+    def step_forever():
+        while True:
+            step()
+            kernel.clock.sleep(STEP_SECONDS)
+
     state.account_by_id.update(configurations.accounts_by_id)
     configurations.subscribe(on_change)
     kernel.find("peers").serve("borrow_units", handle)
     service = Lenders(handle, step)
-    kernel.register("lenders", service)
+    kernel.register("lenders", service, lambda: kernel.spawn(step_forever))
     return service
--- a/trefoilpin/limits.py
+++ b/trefoilpin/limits.py
@@ -25,7 +25,7 @@
 SWEEP_SECONDS = 10.0
 MIN_ASK_SECONDS = 0.02
 MAX_BATCH = 1000
-MAX_WAITING = 32
+MAX_WAITING = 256
 RETRY_AFTER_SECONDS = 1.0
 
 ADMITTED = Success(None)
@@ -70,6 +70,8 @@
         Recent tokens a second.
     low : int
         Tokens at which the next batch is asked for.
+    is_available : bool
+        False when no owner had units at the last request.
     fetching : object or None
         Event that is sent when the request under way ends.
     waiting : int
@@ -86,6 +88,7 @@
         self.spent = 0
         self.demand = 0.0
         self.low = 0
+        self.is_available = True
         self.fetching = None
         self.waiting = 0
         self.used_at = now
@@ -176,13 +179,17 @@
         return True
 
     def wait_for_token(account, hand, reply, until):
-        """Try again when tokens are due; few requests of an account may."""
+        """Try again when a token is due; those that wait already come first."""
         if hand.waiting >= min(MAX_WAITING, account.burst):
             return reply
         hand.waiting += 1
         try:
-            while not reply.tokens and now() + reply.retry_after < until:
-                kernel.clock.sleep(max(reply.retry_after, MIN_ASK_SECONDS))
+            while not reply.tokens:
+                wait = reply.retry_after * (hand.waiting if reply.available else 1)
+                wait = max(wait, MIN_ASK_SECONDS)
+                if now() + wait > until:
+                    break
+                kernel.clock.sleep(wait)
                 if not memberships.is_current():
                     return UNREACHABLE
                 if spend(account, hand):
@@ -206,12 +213,13 @@
         if spend(account, hand):
             return SPENT
         wait = max(hand.next_ask - now(), MIN_ASK_SECONDS)
-        return ReservationReply(0, False, wait, bool(hand.owner))
+        return ReservationReply(0, False, wait, hand.is_available)
 
     def fetch(account, hand, spends=False):
         """Ask the owners in order; return the reply, with one token spent if asked."""
         try:
             reply = ask_in_order(account, hand)
+            hand.is_available = reply.available
         finally:
             fetching, hand.fetching = hand.fetching, None
             fetching.send()
--- a/trefoilpin/owners.py
+++ b/trefoilpin/owners.py
@@ -28,8 +28,11 @@
 
 UNITS_TOPIC = "units"
 IDLE_SECONDS = 30.0
+MOVED_SECONDS = 2.0
 CALL_TIMEOUT_SECONDS = 0.3
 RENEWALS_IN_LOAN = 3
+OPENING_SECONDS = 0.1
+OPENING = ReservationReply(0, False, 0.005, True)
 UNAVAILABLE = ReservationReply(0, False, UNAVAILABLE_RETRY_SECONDS, False)
 
 
@@ -38,7 +41,6 @@
 
     Attributes
     ----------
-    sequence : int
     until : float
         Seconds; nothing borrowed may be used from then on.
     units : int
@@ -55,7 +57,6 @@
     """
 
     def __init__(self):
-        self.sequence = 0
         self.until = float("-inf")
         self.units = 0
         self.accounts: set[str] = set()
@@ -73,6 +74,7 @@
         self.pair_by_lender: dict[str, Pair] = {}
         self.next_lapse = float("inf")
         self.followed: set[str] = set()
+        self.sequence = 0
 
 
 def create(kernel, terms):
@@ -117,8 +119,7 @@
             pair.wanted.add(account.id)
             if lender == own:
                 renew(lender)
-                continue
-            kernel.spawn(renew, lender)
+            start_following(lender, pair)
         emit(events.QUOTA_OPENED, account=account.id, lenders=len(state.pair_by_lender))
         return quota
 
@@ -160,8 +161,9 @@
             pair = state.pair_by_lender[lender] = Pair()
             pair.wanted.update(state.quota_by_account)
         for lender, pair in list(state.pair_by_lender.items()):
-            idle = not (pair.accounts or pair.returned or pair.busy)
-            if lender not in published and idle:
+            is_used = pair.accounts or pair.returned or pair.busy
+            if lender not in published and not is_used:
+                pair.wanted.clear()
                 del state.pair_by_lender[lender]
         return tuple(state.pair_by_lender)
 
@@ -170,9 +172,7 @@
         pair = state.pair_by_lender.get(lender)
         if pair is None or pair.busy:
             return False
-        if not (pair.accounts or pair.wanted or pair.returned):
-            return False
-        if not memberships.is_current():
+        if not is_active(pair) or not memberships.is_current():
             return False
         pair.busy = True
         try:
@@ -182,11 +182,11 @@
 
     def exchange(lender, pair):
         asked = now()
-        pair.sequence += 1
+        state.sequence += 1
         wanted = tuple(sorted(pair.wanted))
         returned = tuple(pair.returned.values())
         pair.unconfirmed.update(wanted)
-        request = LoanRequest(pair.sequence, wanted, returned)
+        request = LoanRequest(state.sequence, wanted, returned)
         reply = send(lender, request)
         if reply is None or not reply.accepted:
             return False
@@ -229,11 +229,17 @@
         called = peers.call(address, "borrow_units", request, CALL_TIMEOUT_SECONDS)
         return called.value_or(None)
 
+    def is_opening(quota):
+        """Tell whether the lenders may not have answered yet."""
+        return now() - quota.opened_at < OPENING_SECONDS
+
     def take_token(account_id):
         quota = find_quota(account_id)
         if quota is None or not memberships.is_current():
             return UNAVAILABLE
         wait = take(quota, now())
+        if wait and is_opening(quota):
+            return OPENING
         return ReservationReply(int(not wait), False, wait, quota.units > 0)
 
     def handle(sender, request):
@@ -242,7 +248,10 @@
         quota = find_quota(request.account)
         if quota is None:
             return UNAVAILABLE
-        return reserve(quota, sender, request, now(), terms.outstanding)
+        reply = reserve(quota, sender, request, now(), terms.outstanding)
+        if not reply.tokens and is_opening(quota):
+            return reply._replace(retry_after=OPENING.retry_after, available=True)
+        return reply
 
     def on_change(changes):
         for change in changes:
@@ -254,18 +263,33 @@
             change_account(state.quota_by_account[change.id], change.state, now())
 
     def step():
-        """Close quotas that nobody uses; return the lenders to renew with."""
+        """Close quotas that nobody uses; give the lenders."""
         instant = now()
         lapse_pairs(instant)
         for account_id, quota in list(state.quota_by_account.items()):
-            if instant - quota.used_at > IDLE_SECONDS:
+            unused = instant - quota.used_at
+            if unused > IDLE_SECONDS:
                 close_quota(account_id, "idle")
+                continue
+            if unused < MOVED_SECONDS:
+                continue
+            if memberships.first(f"limits/{account_id}").incarnation != own:
+                close_quota(account_id, "moved")
         return find_lenders()
 
-    def follow(lender):
-        """Renew the loans from one lender for as long as it holds units."""
+    def is_active(pair):
+        return bool(pair.accounts or pair.wanted or pair.returned)
+
+    def start_following(lender, pair):
+        """Start the task of a lender unless it runs or has nothing to do."""
+        if lender not in state.followed and is_active(pair):
+            state.followed.add(lender)
+            kernel.spawn(follow, lender, pair)
+
+    def follow(lender, pair):
+        """Renew the loans from one lender for as long as there are any."""
         try:
-            while lender in state.pair_by_lender:
+            while is_active(pair):
                 renew(lender)
                 kernel.clock.sleep(terms.loan / RENEWALS_IN_LOAN)
         finally:
@@ -273,11 +297,9 @@
 
     def follow_forever():
         while True:
-            for lender in step():
-                if lender in state.followed:
-                    continue
-                state.followed.add(lender)
-                kernel.spawn(follow, lender)
+            step()
+            for lender, pair in list(state.pair_by_lender.items()):
+                start_following(lender, pair)
             kernel.clock.sleep(terms.loan)
 
     configurations.subscribe(on_change)
--- a/trefoilpin/queues.py
+++ b/trefoilpin/queues.py
@@ -156,9 +156,10 @@
         waiter = Waiter(create_event())
         lane = join(queue, account, waiter)
         emit_line(events.REQUEST_QUEUED, pool, lane, queue)
-        if queue.waiting > max_waiting:
+        if queue.waiting + queue.turns > max_waiting:
             shed(pool, queue)
-        give_turn(queue)
+        if not queue.turns:
+            give_turn(queue)
         return wait(queue, lane, waiter, deadline, choose)
 
     def emit_line(event, pool, lane, queue):
--- a/trefoilpin/quotas.py
+++ b/trefoilpin/quotas.py
@@ -65,8 +65,8 @@
         Sum of the reservations that may still be spent.
     next_lapse : float
         Instant of the next reservation's end.
-    shrunk_at, used_at : float
-        Instants at which units were last lost, and tokens last asked for.
+    opened_at, shrunk_at, used_at : float
+        Instants of its making, of the last loss of units and the last use.
     """
 
     def __init__(self, account, now):
@@ -79,6 +79,7 @@
         self.outstanding = 0
         self.next_lapse = float("inf")
         self.shrunk_at = now
+        self.opened_at = now
         self.used_at = now
 
 
--- /dev/null
+++ b/trefoilpin/tests/test_owners.py
@@ -0,0 +1,135 @@
+"""Quota owners borrow, lose and take over units; no window is over its rate."""
+
+import random
+
+import pytest
+
+from trefoilpin.fakes.limit_fleets import (
+    apply_ticket,
+    crash,
+    create_limit_fleet,
+    hand_over,
+    set_absent,
+    start_request,
+)
+from trefoilpin.fakes.naive_buckets import Segment, envelope, excess
+from trefoilpin.limit_messages import Terms
+from trefoilpin.records import ClientAccount
+
+TERMS = Terms(hold=4.0)
+ACCOUNT = ClientAccount("a", 20.0, 20.0)
+HOSTS = 6
+
+
+@pytest.fixture
+def fleet():
+    fleet = create_limit_fleet(1, HOSTS, (ACCOUNT,), TERMS, 12, 4, 0.25)
+    fleet.tasks.run(fleet.loop.now + 15.0)
+    return fleet
+
+
+def ranked(fleet):
+    kernel = fleet.host_by_incarnation["h00"].kernel
+    hosts = kernel.find("memberships").ranked("limits/a")
+    return [host.incarnation for host in hosts]
+
+
+def offer(fleet, seconds, rate, names=None):
+    """Send requests to hosts for a while; return the grants of that time."""
+    rng, until = random.Random(1), fleet.loop.now + seconds
+    since = fleet.loop.now
+    while fleet.loop.now < until:
+        fleet.tasks.run(fleet.loop.now + rng.expovariate(rate))
+        alive = set(names or fleet.host_by_incarnation) - fleet.loop.dead
+        start_request(fleet, rng.choice(sorted(alive)), "a")
+    return sum(row[0] >= since for row in fleet.granted)
+
+
+def assert_within(fleet, segments):
+    assert excess(sorted(row[0] for row in fleet.granted), segments) < 1e-6
+
+
+def test_the_whole_rate_is_given_and_not_more(fleet):
+    start = fleet.loop.now
+    offer(fleet, 10.0, 100.0)
+    assert_within(fleet, [Segment(start, 20.0, 20.0)])
+    assert len(fleet.granted) > 0.9 * (20 + 200)
+
+
+def test_the_next_owner_serves_within_three_seconds_of_a_crash(fleet):
+    start = fleet.loop.now
+    offer(fleet, 5.0, 15.0)
+    crash(fleet, ranked(fleet)[0], 8.0)
+    offer(fleet, 3.0, 15.0)
+    fleet.refused.clear()
+    assert offer(fleet, 4.0, 9.0) > 25
+    assert not fleet.refused
+    assert_within(fleet, [Segment(start, 20.0, 20.0)])
+
+
+def test_two_hosts_that_believe_they_are_owner_share_the_rate(fleet):
+    start, names = fleet.loop.now, sorted(fleet.host_by_incarnation)
+    for _ in range(10):
+        set_absent(fleet, ranked(fleet)[0], True, names[3:])
+        offer(fleet, 0.7, 100.0)
+        set_absent(fleet, ranked(fleet)[0], False)
+        offer(fleet, 0.7, 100.0)
+    assert_within(fleet, [Segment(start, 20.0, 20.0)])
+
+
+def test_an_owner_cut_off_from_the_lenders_stops_when_the_loan_ends(fleet):
+    offer(fleet, 2.0, 15.0)
+    name = ranked(fleet)[0]
+    owners = fleet.host_by_incarnation[name].kernel.find("owners")
+    fleet.is_partitioned = lambda sender, receiver: name in (sender, receiver)
+    fleet.tasks.run(fleet.loop.now + TERMS.loan - 0.4)
+    assert offer(fleet, 0.2, 100.0, [name]) > 2
+    fleet.tasks.run(fleet.loop.now + 0.5)
+    entitlements = fleet.host_by_incarnation[name].kernel.find("entitlements")
+    assert owners.take("a").available == (entitlements.units() > 0)
+    before = len(fleet.granted)
+    offer(fleet, 5.0, 100.0, [name])
+    own_share = entitlements.units() / 12
+    assert len(fleet.granted) - before <= own_share * 20 * (5 + 1) + 1
+
+
+def test_a_planned_stop_of_the_owner_moves_the_units(fleet):
+    start = fleet.loop.now
+    offer(fleet, 3.0, 15.0)
+    order = ranked(fleet)
+    hand_over(fleet, order[0], order[1])
+    offer(fleet, 3.0, 15.0)
+    assert offer(fleet, 5.0, 15.0) > 60
+    assert_within(fleet, [Segment(start, 20.0, 20.0)])
+
+
+@pytest.mark.parametrize("rate, burst", [(5.0, 100.0), (100.0, 5.0), (60.0, 60.0)])
+def test_a_changed_rate_gives_no_burst_of_old_plus_new(fleet, rate, burst):
+    states = [(fleet.loop.now, ACCOUNT)]
+    offer(fleet, 2.0, 300.0)
+    for account in (ACCOUNT._replace(rate=rate, burst=burst), ACCOUNT):
+        states.append((fleet.loop.now, account))
+        apply_ticket(fleet, account, 1.0)
+        offer(fleet, 3.0, 300.0)
+    assert_within(fleet, envelope(states, 1.0))
+
+
+def test_an_unused_quota_gives_its_level_back(fleet):
+    offer(fleet, 1.0, 5.0)
+    fleet.tasks.run(fleet.loop.now + 40.0)
+    calls = fleet.loop.calls
+    fleet.tasks.run(fleet.loop.now + 10.0)
+    assert fleet.loop.calls == calls
+    before = len(fleet.granted)
+    for _ in range(20):
+        start_request(fleet, ranked(fleet)[0], "a")
+    fleet.tasks.run(fleet.loop.now + 0.3)
+    assert len(fleet.granted) - before >= 18
+
+
+def test_a_removed_account_gets_nothing(fleet):
+    offer(fleet, 1.0, 20.0)
+    host = fleet.host_by_incarnation[ranked(fleet)[0]]
+    owners = host.kernel.find("owners")
+    assert owners.take("a").available
+    assert not owners.take("none").available
