Units are handed over at a planned stop, or freed when nobody takes them

Cause: a host that stopped kept its units in the ledger until the grace of a crash was over, so the only host of a small fleet left every account without a rate for 50 s.

Change: the shutdown hands units to its successor, which asks for them itself and so counts their time from its own clock; they go to one successor alone, also when answers get lost. Without a successor they are freed in the ledger once their loans ended. A holder goes on without the store only while memberships, too, knows of no read.

--- a/trefoilpin/entitlements.py
+++ b/trefoilpin/entitlements.py
@@ -39,6 +39,7 @@
 READ_TOPIC = "ledger-read"
 STEP_SECONDS = 0.5
 HAND_OVER_TIMEOUT_SECONDS = 1.0
+FETCH_TIMEOUT_SECONDS = 0.4
 
 
 class EntitlementState:
@@ -57,7 +58,10 @@
         Units it restricts itself to, on the way to giving some up.
     limited_at : float
     offered_to, given_to : str or None
-        The successor that may fetch everything, and the one that did.
+        The successor that may fetch everything, and the one that did; this host
+        itself when there is none and the units are to be freed.
+    is_handed_over : bool
+        True once it is known to have them.
     accepted : set of str
         Entries that were handed over to this host at any time.
     seen_at_by_mark : dict
@@ -74,6 +78,7 @@
         self.limited_at = now
         self.offered_to: str | None = None
         self.given_to: str | None = None
+        self.is_handed_over = False
         self.accepted: set[str] = set()
         self.last_read = float("-inf")
         self.next_read = now
@@ -253,7 +258,7 @@
             return
         if not (memberships.is_current() and memberships.has_majority()):
             return
-        if notices.read(READ_TOPIC):
+        if notices.read(READ_TOPIC) or memberships.store_age() <= terms.notice:
             return
         state.valid_until = max(state.valid_until, instant + terms.hold)
 
@@ -274,17 +279,33 @@
         notices.publish(UNITS_TOPIC, "", str(held), lifetime)
 
     def hand_over(successor):
-        """Give every unit to a successor; True when it has them."""
-        if not state.units_by_entry:
+        """Give every unit to a successor, or free them; True once that is done."""
+        if state.is_handed_over or not state.units_by_entry:
             return True
-        if successor is None:
-            return False
+        if state.given_to not in (None, own):
+            successor = memberships.find(state.given_to) or successor
+        if successor is None or state.given_to == own:
+            state.is_handed_over = free_own()
+            return state.is_handed_over
         state.offered_to = successor.incarnation
         offer = UnitsOffer(sum(state.units_by_entry.values()))
         address = successor.peer_address
         called = peers.call(address, "offer_units", offer, HAND_OVER_TIMEOUT_SECONDS)
         reply = called.value_or(None)
-        return reply is not None and reply.accepted
+        state.is_handed_over = reply is not None and reply.accepted
+        return state.is_handed_over
+
+    def free_own():
+        """Write back units that no other host takes, once their loans ended."""
+        if state.given_to is None:
+            state.given_to = own
+            kernel.clock.sleep(terms.lapse)
+        stored = store.get(LEDGER_PATH).value_or(None)
+        if stored is None:
+            return False
+        ledger = with_units(decode(stored.value), own, 0)
+        written = store.update(LEDGER_PATH, encode(ledger), stored.version)
+        return written.value_or(None) is not None
 
     def give(sender, request):
         """Answer a successor's request; from here on the units are its own."""
@@ -302,7 +323,7 @@
             return UnitsOfferReply(False)
         asked = now()
         called = peers.call(
-            host.peer_address, "give_units", UnitsRequest(1), HAND_OVER_TIMEOUT_SECONDS
+            host.peer_address, "give_units", UnitsRequest(1), FETCH_TIMEOUT_SECONDS
         )
         reply = called.value_or(None)
         if reply is None or not reply.entries:
--- a/trefoilpin/fakes/limit_fleets.py
+++ b/trefoilpin/fakes/limit_fleets.py
@@ -159,6 +159,12 @@
     return peers._replace(call=call)
 
 
+def read_store_age(fleet):
+    """Return 0 while the store answers some host, and an unknown age otherwise."""
+    hosts = fleet.host_by_incarnation.values()
+    return float("inf") if all(host.faults.down for host in hosts) else 0.0
+
+
 def add_host(fleet, host, known):
     """Start one host that knows of others."""
     loop, tasks = fleet.loop, fleet.tasks
@@ -169,7 +175,9 @@
     store, faults, _ = create_store(loop, fleet.objects)
     view, board = FleetView(host, known), Board(host.incarnation)
     kernel.register("store", store)
-    kernel.register("memberships", create_memberships(view))
+    memberships = create_memberships(view)
+    age = partial(read_store_age, fleet)
+    kernel.register("memberships", memberships._replace(store_age=age))
     kernel.register("notices", create_notices(board, lambda: loop.now))
     kernel.register("peers", connect(fleet, host))
     configurations.create(kernel)
--- a/trefoilpin/ledgers.py
+++ b/trefoilpin/ledgers.py
@@ -72,9 +72,9 @@
 def with_units(ledger, holder, units):
     """Return the ledger with another number for one holder."""
     units_by_holder = dict(ledger.units_by_holder)
-    units_by_holder[holder] = units
-    if not units:
-        del units_by_holder[holder]
+    units_by_holder.pop(holder, None)
+    if units:
+        units_by_holder[holder] = units
     return without_mark(ledger._replace(units_by_holder=units_by_holder), holder)
 
 
--- a/trefoilpin/tests/test_entitlements.py
+++ b/trefoilpin/tests/test_entitlements.py
@@ -9,7 +9,7 @@
     set_absent,
     thaw,
 )
-from trefoilpin.limit_messages import Terms
+from trefoilpin.limit_messages import Terms, UnitsRequest
 
 TERMS = Terms(hold=4.0)
 HOSTS = 6
@@ -144,7 +144,19 @@
     assert ledger(fleet)[successor] == 3 and leaver not in ledger(fleet)
 
 
-def test_units_go_to_one_successor_alone(fleet):
+def test_a_leaver_without_a_successor_frees_its_units(fleet):
+    leaver = any_holder(fleet)
+    done = []
+    service = entitlements(fleet, leaver)
+    fleet.tasks.spawn(leaver, lambda: done.append(service.hand_over(None)))
+    run(fleet, TERMS.lapse - 0.1)
+    assert leaver in ledger(fleet) and service.units() == 0
+    run(fleet, 0.2)
+    assert leaver not in ledger(fleet) and done == [True]
+
+
+@pytest.mark.parametrize("fetched", [False, True])
+def test_units_go_to_one_successor_alone(fleet, fetched):
     leaver = any_holder(fleet)
     one, other = [name for name in held(fleet) if name not in ledger(fleet)]
     hosts = fleet.host_by_incarnation
@@ -155,15 +167,18 @@
         fleet.loop.cut_pairs.add((one, leaver))
         given.append(service.hand_over(hosts[one].host))
         fleet.loop.cut_pairs.clear()
-        fleet.loop.cut_pairs.add((leaver, one))
-        given.append(service.hand_over(hosts[one].host))
-        fleet.loop.cut_pairs.clear()
+        if fetched:
+            handlers = fleet.loop.handler_by_method_by_address[leaver]
+            assert handlers["give_units"](other, UnitsRequest(1)).entries == ()
+            assert handlers["give_units"](one, UnitsRequest(1)).entries != ()
         given.append(service.hand_over(hosts[other].host))
 
     fleet.tasks.spawn(leaver, stop)
-    run(fleet, 10.0)
-    assert given == [False, False, True] or given == [False, False, False]
-    assert sum(held(fleet).values()) <= UNITS
+    run(fleet, 5.0)
+    assert given == [False, True]
+    has, lacks = (one, other) if fetched else (other, one)
+    assert entitlements(fleet, has).units() == 3
+    assert entitlements(fleet, lacks).units() == 0
 
 
 @pytest.mark.parametrize("seed", range(3))
