--- a/trefoilpin/coordinators.py
+++ b/trefoilpin/coordinators.py
@@ -82,10 +82,12 @@
 
     def receive_pool(sender, zone, report):
         found = state.evidence_by_pool.setdefault(report.pool, PoolEvidence())
-        evidence.add_samples(found, int(now()), sender, zone, report.samples)
+        view = standings.view(configurations.pools_by_id[report.pool])
+        cold = frozenset(upstream.id for upstream in view.cold)
+        evidence.add_samples(found, int(now()), sender, zone, report.samples, cold)
         for upstream in report.draining:
             drains.report(report.pool, upstream, "host")
-        observe_cold(report, found.slow_from)
+        observe_cold(report, view.cold)
         grants = slow_starts.grant(sender, report)
         entries = standings.entries(report.pool)
         if report.known == standings.known(report.pool):
@@ -93,13 +95,11 @@
             entries = tuple(entry for entry in entries if entry.state == ejected)
         return PoolReply(report.pool, entries, grants, drains.draining(report.pool))
 
-    def observe_cold(report, slow_from):
-        cold = standings.view(configurations.pools_by_id[report.pool]).cold
+    def observe_cold(report, cold):
         for upstream in cold:
             samples = [item for item in report.samples if item.upstream == upstream.id]
             if samples:
-                ramp = slow_starts.ramp_of(report.pool, upstream.id)
-                ramps.observe(ramp, samples, slow_from)
+                ramps.observe(slow_starts.ramp_of(report.pool, upstream.id), samples)
 
     def step():
         """Decide once on every pool that this host coordinates."""
@@ -219,9 +219,11 @@
             )
 
     def advance_cold(pool):
+        found = state.evidence_by_pool.get(pool.id)
+        usual = found.usual if found is not None else None
         for upstream in standings.view(pool).cold:
             ramp = slow_starts.ramp_of(pool.id, upstream.id)
-            step = ramps.advance(ramp, upstream.slots, now())
+            step = ramps.advance(ramp, upstream.slots, usual, now())
             if step is ramps.Step.HELD:
                 continue
             emit(
@@ -236,14 +238,18 @@
                 slow_starts.restart(pool.id, upstream.id)
                 forget_evidence(pool, upstream.id)
             if step is ramps.Step.FAILED:
-                fail(pool, upstream)
+                fail(pool, upstream, ramp)
 
-    def fail(pool, upstream):
+    def fail(pool, upstream, ramp):
         """Eject an upstream that does not get through its slow start."""
         slow_starts.restart(pool.id, upstream.id)
         if len(standings.view(pool).warm) < pool.floor:
             return
-        outlier = outliers.Outlier(upstream.id, "slow_start", 1, 1, 0.0, 0.0, 0, 0)
+        requests = max(ramp.total, 1)
+        bad = max(ramp.total_bad, 1)
+        outlier = outliers.Outlier(
+            upstream.id, "slow_start", requests, bad, 0.0, 0.0, 0, 0
+        )
         eject(pool, outlier)
 
     def publish(pool):
--- a/trefoilpin/evidence.py
+++ b/trefoilpin/evidence.py
@@ -16,7 +16,8 @@
     "expire_fingerprints",
     "forget",
     "open_second",
-    "slow_bucket",
+    "slow_from",
+    "usual_bucket",
 ]
 
 LONGEST_WINDOW_SECONDS = 16
@@ -68,22 +69,32 @@
         self.sums_by_upstream: dict[str, list[int]] = {}
         self.sums = [0, 0, 0]
         self.weight_by_bucket: dict[int, float] = {}
-        self.slow_from = None
+        self.usual = None
         self.upstreams_by_fingerprint: dict[int, dict[str, int]] = {}
         self.hard_run_by_upstream: dict[str, HardRun] = {}
 
 
-def slow_bucket(evidence):
-    """Return the latency bucket from which on an answer is slow, or None."""
+def usual_bucket(evidence):
+    """Return the median latency bucket of the pool, or None while unknown.
+
+    The last one known holds while there are too few answers.
+    """
     total = sum(evidence.weight_by_bucket.values())
     if total < LEAST_HISTOGRAM_WEIGHT:
-        return None
+        return evidence.usual
     seen = 0.0
     for bucket in sorted(evidence.weight_by_bucket):
         seen += evidence.weight_by_bucket[bucket]
         if seen >= total / 2:
-            return bucket + round(SLOW_OCTAVES * BUCKETS_PER_OCTAVE)
-    return None
+            return bucket
+    return evidence.usual
+
+
+def slow_from(evidence):
+    """Return the latency bucket from which on an answer is slow, or None."""
+    if evidence.usual is None:
+        return None
+    return evidence.usual + round(SLOW_OCTAVES * BUCKETS_PER_OCTAVE)
 
 
 def open_second(evidence, tick):
@@ -98,7 +109,7 @@
         if weight * HISTOGRAM_DECAY >= LEAST_WEIGHT:
             decayed[bucket] = weight * HISTOGRAM_DECAY
     evidence.weight_by_bucket = decayed
-    evidence.slow_from = slow_bucket(evidence)
+    evidence.usual = usual_bucket(evidence)
     seconds.append(Second(tick))
     return seconds[-1]
 
@@ -119,7 +130,7 @@
     sums[2] += sign * row.slow
 
 
-def add_samples(evidence, tick, host, zone, samples):
+def add_samples(evidence, tick, host, zone, samples, cold=frozenset()):
     """Add one host's report.
 
     Parameters
@@ -129,15 +140,17 @@
         Whole seconds of the coordinator's clock.
     host, zone : str
     samples : tuple of Sample
+    cold : set of str
+        Upstreams in slow start, whose latencies don't count as usual.
     """
     second = open_second(evidence, tick)
-    slow_from = evidence.slow_from
-    weight_by_bucket = evidence.weight_by_bucket
+    limit = slow_from(evidence)
     for sample in samples:
         slow = 0
-        for bucket in sample.latencies:
-            weight_by_bucket[bucket] = weight_by_bucket.get(bucket, 0.0) + 1.0
-            slow += slow_from is not None and bucket >= slow_from
+        if limit is not None:
+            slow = sum(bucket >= limit for bucket in sample.latencies)
+        if evidence.usual is None or sample.upstream not in cold:
+            add_latencies(evidence, sample)
         row = Row(
             host,
             zone,
@@ -157,6 +170,13 @@
         note_hard_run(evidence, tick, sample.upstream, row)
 
 
+def add_latencies(evidence, sample):
+    """Add a sample's latencies to the pool's histogram."""
+    weight_by_bucket = evidence.weight_by_bucket
+    for bucket in sample.latencies:
+        weight_by_bucket[bucket] = weight_by_bucket.get(bucket, 0.0) + 1.0
+
+
 def note_fingerprints(evidence, tick, sample):
     """Remember at which upstreams a request broke its connection."""
     for fingerprint in sample.fingerprints:
--- a/trefoilpin/fakes/pools.py
+++ b/trefoilpin/fakes/pools.py
@@ -43,6 +43,7 @@
     "ModelUpstream",
     "World",
     "create_world",
+    "drive",
     "make_pool",
     "request",
     "run_until",
@@ -50,11 +51,12 @@
     "warm_up",
 ]
 
-FRESHNESS_SECONDS = 3.0
+LIVE_SECONDS = 8.0
 DEADLINE_SECONDS = 10.0
 REPORT_SECONDS = 1.0
 STEP_SECONDS = 0.25
 PULL_SECONDS = 0.4
+RETRY_SECONDS = 0.1
 SLOW_WHEN_LOADED = 3.0
 ZONES = ("a", "b", "c")
 
@@ -106,16 +108,20 @@
         self.order = 0
         self.ticket = 0
         self.lines: list = []
-        self.outcomes: list = []
+        self.ranked_by_name: dict = {}
+        self.refused = 0
+        self.failed = 0
+        self.answered = 0
         self.unreachable: set[tuple[str, str]] = set()
 
 
 def bears(model, now):
     """Return how many requests at once an upstream bears now."""
-    if model.cold_since is None:
-        return model.upstream.slots
-    share = (now - model.cold_since) / model.cold_seconds if model.cold_seconds else 1
-    return max(1, min(model.upstream.slots, int(model.upstream.slots * share)))
+    slots = model.upstream.slots
+    if model.cold_since is None or not model.cold_seconds:
+        return slots
+    share = (now - model.cold_since) / model.cold_seconds
+    return min(slots, max(1.0, slots * share))
 
 
 def make_pool(name, count, slots, floor, zones=ZONES, connections=350):
@@ -186,7 +192,7 @@
     view = fleets.FleetView(host, hosts)
     board = fleets.Board(host.incarnation)
     kernel.register("store", world.store)
-    kernel.register("memberships", create_memberships(view))
+    kernel.register("memberships", create_memberships(world, view))
     kernel.register("notices", fleets.create_notices(board, kernel.clock.now))
     peers = world.network.connect(host.peer_address, host.incarnation)
     kernel.register("peers", peers)
@@ -195,7 +201,7 @@
     kernel.register("queues", queues)
     drains.create(kernel)
     standings.create(kernel)
-    slow_starts.create(kernel, FRESHNESS_SECONDS)
+    slow_starts.create(kernel, LIVE_SECONDS)
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
@@ -204,21 +210,23 @@
     return HostParts(host, kernel, view, board, kernel.find)
 
 
-def create_memberships(view):
+def create_memberships(world, view):
     """Create the fake membership, remembering what it ranked."""
     plain = fleets.create_memberships(view)
-    host_by_name = {}
 
-    def first(name):
+    def ranked(name):
         key = (name, frozenset(view.absent))
-        if key not in host_by_name:
-            host_by_name[key] = plain.first(name)
-        return host_by_name[key]
+        if key not in world.ranked_by_name:
+            world.ranked_by_name[key] = plain.ranked(name)
+        return world.ranked_by_name[key]
+
+    def first(name):
+        return ranked(name)[0]
 
     def roster():
         return tuple(view.host_by_incarnation.values())
 
-    return plain._replace(first=first, roster=roster)
+    return plain._replace(first=first, ranked=ranked, roster=roster)
 
 
 KIND_BY_TYPE = {AvailabilityZone: "zone", Pool: "pool", Route: "route"}
@@ -253,6 +261,55 @@
     heapq.heappush(world.queue, (at, world.order, function))
 
 
+def drive(world, pool, rate, until, accounts=("hielo",), weights=None, tries=1):
+    """Send requests at random times through random hosts, until a time.
+
+    A refused or shed request is tried again through the same host after a pause.
+
+    Parameters
+    ----------
+    world : World
+    pool : str
+    rate : float
+        Requests a second.
+    until : float
+    accounts : sequence of str
+    weights : sequence of float, optional
+    tries : int
+    """
+    rng = world.state.rng
+
+    def arrive():
+        if world.state.now >= until:
+            return
+        push(world, world.state.now + rng.expovariate(rate), arrive)
+        parts = rng.choice(world.hosts)
+        account = rng.choices(accounts, weights)[0]
+        attempt_once(parts, account, f"{rng.getrandbits(64):016x}", tries)
+
+    def attempt_once(parts, account, fingerprint, left):
+        def done(attempt):
+            if attempt.verdict is Verdict.NOT_RUN and left > 1:
+                again(parts, account, fingerprint, left)
+            elif attempt.answer is not None and attempt.answer.status < 500:
+                world.answered += 1
+            else:
+                world.failed += 1
+
+        if request(world, parts, pool, account, fingerprint, done):
+            return
+        if left > 1:
+            again(parts, account, fingerprint, left)
+        else:
+            world.refused += 1
+
+    def again(parts, account, fingerprint, left):
+        at = world.state.now + RETRY_SECONDS
+        push(world, at, lambda: attempt_once(parts, account, fingerprint, left - 1))
+
+    push(world, world.state.now + rng.expovariate(rate), arrive)
+
+
 def run_until(world, at):
     """Move time on, from event to event."""
     while world.queue and world.queue[0][0] <= at:
@@ -333,7 +390,7 @@
     excess = model.in_flight - bearable
     model.peak_cold_excess = max(model.peak_cold_excess, excess)
     seconds = model.median * math.exp(rng.gauss(0, model.sigma)) * model.ratio
-    if model.in_flight > max(1, bearable / 2) and bearable < model.upstream.slots:
+    if model.in_flight > bearable / 2 and bearable < model.upstream.slots:
         seconds *= SLOW_WHEN_LOADED
     fault = model.fault(rng) if model.fault else None
     if fault == "unreachable":
--- a/trefoilpin/ramps.py
+++ b/trefoilpin/ramps.py
@@ -6,7 +6,7 @@
 
 __all__ = ["Ramp", "Step", "advance", "observe"]
 
-STEP_SECONDS = 1.0
+STEP_SECONDS = 2.0
 LEAST_SUCCESSES = 3
 SUCCESSES_PER_UNIT = 2
 MOST_BAD_SHARE = 0.3
@@ -30,6 +30,7 @@
 
     def __init__(self, since):
         self.level = 1
+        self.began_at = since
         self.since = since
         self.setbacks = 0
         self.first_bucket = None
@@ -38,29 +39,26 @@
         self.sheds = 0
         self.bucket_sum = 0
         self.answered = 0
+        self.total = 0
+        self.total_bad = 0
 
 
-def observe(ramp, samples, slow_from):
+def observe(ramp, samples):
     """Count the attempts of one report at this upstream.
 
     Parameters
     ----------
     ramp : Ramp
     samples : iterable of Sample
-    slow_from : int or None
-        Bucket from which on an answer is slow for the pool.
     """
     for sample in samples:
-        good = sample.requests - sample.failures
         ramp.bad += sample.failures
         ramp.sheds += sample.sheds
         ramp.bucket_sum += sum(sample.latencies)
         ramp.answered += len(sample.latencies)
-        ramp.successes += good
-        if slow_from is not None:
-            slow = sum(bucket >= slow_from for bucket in sample.latencies)
-            ramp.bad += min(slow, good)
-            ramp.successes -= min(slow, good)
+        ramp.successes += sample.requests - sample.failures
+        ramp.total += sample.requests
+        ramp.total_bad += sample.failures
 
 
 def reset_counts(ramp, now):
@@ -70,19 +68,23 @@
     ramp.bucket_sum = ramp.answered = 0
 
 
+def is_slow(ramp, bucket):
+    """Tell whether answers at this level are slower than a bucket by far."""
+    if bucket is None or ramp.answered < LEAST_SUCCESSES:
+        return False
+    return ramp.bucket_sum / ramp.answered > bucket + RISE_BUCKETS
+
+
 def is_overloaded(ramp):
     """Tell whether the outcomes at this level speak against it."""
     if ramp.sheds:
         return True
-    total = ramp.successes + ramp.bad
-    if ramp.bad > 1 and ramp.bad > MOST_BAD_SHARE * total:
+    if ramp.bad > 1 and ramp.bad > MOST_BAD_SHARE * (ramp.successes + ramp.bad):
         return True
-    if ramp.first_bucket is None or ramp.answered < LEAST_SUCCESSES:
-        return False
-    return ramp.bucket_sum / ramp.answered > ramp.first_bucket + RISE_BUCKETS
+    return is_slow(ramp, ramp.first_bucket)
 
 
-def advance(ramp, slots, now):
+def advance(ramp, slots, usual, now):
     """Raise, lower or keep the level; return the ``Step``.
 
     Parameters
@@ -90,23 +92,34 @@
     ramp : Ramp
     slots : int
         Concurrency at which the upstream is warm.
+    usual : int or None
+        Median latency bucket of the pool's warm upstreams.
     now : float
     """
-    if is_overloaded(ramp):
+    if is_overloaded(ramp) or (ramp.level > 1 and is_slow(ramp, usual)):
         return lower(ramp, now)
     needed = max(LEAST_SUCCESSES, SUCCESSES_PER_UNIT * ramp.level)
     if ramp.successes < needed or now - ramp.since < STEP_SECONDS:
-        stuck = ramp.bad and now - ramp.since > PATIENCE_SECONDS
-        return Step.FAILED if stuck else Step.HELD
+        return Step.HELD
+    if is_slow(ramp, usual):
+        return hold_slow(ramp, now)
     if ramp.level >= slots:
         return Step.WARM
     if ramp.level == 1:
-        ramp.first_bucket = ramp.bucket_sum / ramp.answered
+        ramp.first_bucket = ramp.bucket_sum / max(ramp.answered, 1)
     ramp.level = min(2 * ramp.level, slots)
     reset_counts(ramp, now)
     return Step.RAISED
 
 
+def hold_slow(ramp, now):
+    """Stay at the lowest level while answers are slow; give up after a time."""
+    if now - ramp.began_at > PATIENCE_SECONDS:
+        return Step.FAILED
+    reset_counts(ramp, now)
+    return Step.HELD
+
+
 def lower(ramp, now):
     """Halve the level after a setback; give up after several at the lowest."""
     if ramp.level == 1:
