--- a/bench/cold_load.py
+++ b/bench/cold_load.py
@@ -10,15 +10,18 @@
 from bench.results import Result, finish
 from trefoilpin.fakes import pools
 from trefoilpin.ramps import STEP_SECONDS
+from trefoilpin.slow_starts import GRANT_SECONDS
 
 HOSTS = 44
 SEEDS = 6
 WORKERS = 3
 RUN_SECONDS = 40.0
+LONG_RUN_SECONDS = 65.0
 COLD_SECONDS = 8.0
 UNKNOWN_COLD_SECONDS = 4.0
 LEVELS = 4
 REPORT_LAG_SECONDS = 2.0
+TENURE_SECONDS = 2 * pools.FRESH_SECONDS + GRANT_SECONDS + pools.DEADLINE_SECONDS
 TAKE_OVER_SECONDS = 2.0
 RESTART_AFTER_SECONDS = 8.0
 SCENARIOS = ("new_upstream", "whole_pool", "two_coordinators", "coordinator_dies")
@@ -74,6 +77,11 @@
             function()
 
 
+def run_seconds(scenario):
+    """Return how long a scenario runs."""
+    return LONG_RUN_SECONDS if scenario == "coordinator_dies" else RUN_SECONDS
+
+
 def create(seed, scenario, protects):
     """Return a world and the models of its cold upstreams."""
     is_whole = scenario == "whole_pool"
@@ -85,7 +93,7 @@
     else:
         pools.warm_up(world)
         models = []
-    end = world.state.now + RESTART_AFTER_SECONDS + RUN_SECONDS
+    end = world.state.now + RESTART_AFTER_SECONDS + run_seconds(scenario)
     pools.drive(world, "p", 125.0, end, tries=30)
     if not is_whole:
         pools.run_until(world, world.state.now + RESTART_AFTER_SECONDS)
@@ -113,7 +121,7 @@
     world, models = create(seed, scenario, protects)
     began = world.state.now
     disturb(world, scenario)
-    pools.run_until(world, began + RUN_SECONDS)
+    pools.run_until(world, began + run_seconds(scenario))
     excess = max(model.peak_cold_excess for model in models)
     cold = {model.upstream.id for model in models}
     warm_at = {}
@@ -121,7 +129,7 @@
         if event == "slow_start_step" and fields["step"] == "warm":
             warm_at.setdefault(fields["upstream"], at - began)
     done = cold <= warm_at.keys()
-    seconds = max(warm_at[item] for item in cold) if done else RUN_SECONDS
+    seconds = max(warm_at[item] for item in cold) if done else run_seconds(scenario)
     return excess, seconds
 
 
@@ -140,8 +148,10 @@
             seconds = round(max(item[1] for item in found), 1)
             whole = scenario == "whole_pool"
             limit = bound(UNKNOWN_COLD_SECONDS if whole else COLD_SECONDS)
-            if scenario in ("two_coordinators", "coordinator_dies"):
+            if scenario == "two_coordinators":
                 limit = None
+            if scenario == "coordinator_dies":
+                limit += pools.LIVE_SECONDS + TENURE_SECONDS
             name = f"cold_load_{scenario}_full_after"
             results.append(Result(name, seconds, "s", limit, SEEDS))
     finish(results)
--- a/trefoilpin/binomials.py
+++ b/trefoilpin/binomials.py
@@ -58,7 +58,7 @@
     return binomial_tail(trials - successes, trials, 1 - share)
 
 
-def expected_share(own_by_account, pool_by_account):
+def expected_share(own_by_account, pool_by_account, lasting_by_account):
     """Return the share of bad attempts that the pool lets expect at an upstream.
 
     Parameters
@@ -67,6 +67,8 @@
         ``Tally`` by account at this upstream.
     pool_by_account : dict
         The same over the whole pool, this upstream included.
+    lasting_by_account : dict
+        ``Tally`` by account over a longer time, for accounts with few attempts.
 
     Returns
     -------
@@ -74,21 +76,33 @@
         For each account its share at the other upstreams, weighted by the account's
         attempts here, with a tolerance and a lower limit.
     """
-    others = [0, 0]
-    for account, tally in pool_by_account.items():
-        own = own_by_account.get(account, NOTHING)
-        others[0] += tally.requests - own.requests
-        others[1] += tally.bad - own.bad
-    overall = others[1] / (others[0] + PRIOR_REQUESTS)
+    overall = overall_share(own_by_account, pool_by_account, lasting_by_account)
     expected = 0.0
     total = 0
     for account, own in own_by_account.items():
         tally = pool_by_account[account]
+        lasting = lasting_by_account.get(account, NOTHING)
         requests = tally.requests - own.requests
         share = overall
         if requests >= LEAST_ACCOUNT_REQUESTS:
             share = (tally.bad - own.bad) / requests
+        elif lasting.requests >= LEAST_ACCOUNT_REQUESTS:
+            share = lasting.bad / lasting.requests
         expected += own.requests * share
         total += own.requests
     share = TOLERANCE * expected / max(total, 1)
     return min(max(share, LEAST_SHARE), MOST_SHARE)
+
+
+def overall_share(own_by_account, pool_by_account, lasting_by_account):
+    """Return the share over all accounts, now or over the longer time."""
+    requests = bad = 0
+    for account, tally in pool_by_account.items():
+        own = own_by_account.get(account, NOTHING)
+        requests += tally.requests - own.requests
+        bad += tally.bad - own.bad
+    lasting = sum(tally.requests for tally in lasting_by_account.values())
+    lasting_bad = sum(tally.bad for tally in lasting_by_account.values())
+    return max(
+        bad / (requests + PRIOR_REQUESTS), lasting_bad / (lasting + PRIOR_REQUESTS)
+    )
--- a/trefoilpin/coordinators.py
+++ b/trefoilpin/coordinators.py
@@ -43,6 +43,7 @@
         self.ejection_by_upstream: dict[tuple[str, str], Ejection] = {}
         self.published_at_by_pool: dict[str, float] = {}
         self.published_by_pool: dict[str, int] = {}
+        self.ejection_functions: list = []
 
 
 def create(kernel):
@@ -167,7 +168,9 @@
     def eject(pool, outlier):
         share = outlier.bad / outlier.requests
         times = count_ejection(pool, outlier.upstream)
-        standings.mark(pool.id, outlier.upstream, State.EJECTED, share, times)
+        entry = standings.mark(pool.id, outlier.upstream, State.EJECTED, share, times)
+        for function in state.ejection_functions:
+            function(pool.id, entry)
         forget_evidence(pool, outlier.upstream)
         emit(
             events.UPSTREAM_EJECTED,
@@ -273,6 +276,6 @@
             kernel.clock.sleep(STEP_SECONDS)
             step()
 
-    service = Coordinators(receive, step)
+    service = Coordinators(receive, step, state.ejection_functions.append)
     kernel.register("coordinators", service, lambda: kernel.spawn(step_forever))
     return service
--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -108,7 +108,7 @@
     queues.create(kernel)
     drains.create(kernel)
     standings.create(kernel)
-    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    slow_starts.create(kernel, memberships.FRESH_SECONDS)
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
--- a/trefoilpin/evidence.py
+++ b/trefoilpin/evidence.py
@@ -23,6 +23,7 @@
 LONGEST_WINDOW_SECONDS = 16
 SLOW_OCTAVES = 2.3
 HISTOGRAM_DECAY = 0.9
+LASTING_DECAY = 0.99
 LEAST_WEIGHT = 0.01
 LEAST_HISTOGRAM_WEIGHT = 20.0
 FINGERPRINT_SECONDS = 60
@@ -59,6 +60,7 @@
         self.zones: set[str] = set()
         self.accounts: set[str] = set()
         self.ticks: set[int] = set()
+        self.fingerprints: list[int] = []
 
 
 class PoolEvidence:
@@ -69,6 +71,7 @@
         self.sums_by_upstream: dict[str, list[int]] = {}
         self.sums = [0, 0, 0]
         self.weight_by_bucket: dict[int, float] = {}
+        self.lasting_by_account: dict[str, list[float]] = {}
         self.usual = None
         self.upstreams_by_fingerprint: dict[int, dict[str, int]] = {}
         self.hard_run_by_upstream: dict[str, HardRun] = {}
@@ -110,10 +113,23 @@
             decayed[bucket] = weight * HISTOGRAM_DECAY
     evidence.weight_by_bucket = decayed
     evidence.usual = usual_bucket(evidence)
+    decay_lasting(evidence)
     seconds.append(Second(tick))
     return seconds[-1]
 
 
+def decay_lasting(evidence):
+    """Let the lasting sums of each account fade, and drop those that faded."""
+    faded = []
+    for account, sums in evidence.lasting_by_account.items():
+        for position in range(len(sums)):
+            sums[position] *= LASTING_DECAY
+        if sums[0] < LEAST_WEIGHT:
+            faded.append(account)
+    for account in faded:
+        del evidence.lasting_by_account[account]
+
+
 def drop(evidence, second):
     """Subtract a second from the running sums."""
     for upstream, rows in second.rows_by_upstream.items():
@@ -166,6 +182,7 @@
         add(sums, row)
         add(evidence.sums, row)
         add(second.sums_by_account.setdefault(row.account, [0, 0, 0]), row)
+        add(evidence.lasting_by_account.setdefault(row.account, [0.0, 0.0, 0.0]), row)
         note_fingerprints(evidence, tick, sample)
         note_hard_run(evidence, tick, sample.upstream, row)
 
@@ -197,6 +214,7 @@
     run.zones.add(row.zone)
     run.accounts.add(row.account)
     run.ticks.add(tick)
+    run.fingerprints.extend(row.fingerprints)
 
 
 def forget(evidence, upstream):
--- a/trefoilpin/fakes/pools.py
+++ b/trefoilpin/fakes/pools.py
@@ -51,6 +51,7 @@
     "warm_up",
 ]
 
+FRESH_SECONDS = 4.0
 LIVE_SECONDS = 8.0
 DEADLINE_SECONDS = 10.0
 REPORT_SECONDS = 1.0
@@ -201,7 +202,7 @@
     kernel.register("queues", queues)
     drains.create(kernel)
     standings.create(kernel)
-    slow_starts.create(kernel, LIVE_SECONDS)
+    slow_starts.create(kernel, FRESH_SECONDS)
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
--- a/trefoilpin/health.py
+++ b/trefoilpin/health.py
@@ -8,12 +8,13 @@
 
 from returns.result import Success
 
-from trefoilpin.reports import HealthReply, HealthReport, PoolReport
+from trefoilpin.reports import HealthReply, HealthReport, PoolReply, PoolReport, Told
 from trefoilpin.services import Health
 
-__all__ = ["METHOD", "create"]
+__all__ = ["METHOD", "TELL_METHOD", "create"]
 
 METHOD = "health"
+TELL_METHOD = "standings"
 REPORT_SECONDS = 1.0
 CALL_SECONDS = 0.5
 DEMAND_SECONDS = 2.0
@@ -172,12 +173,26 @@
     def answer(sender, message):
         return HealthReply(coordinators.receive(sender, message))
 
+    def learn_told(sender, message):
+        standings.learn(message.pool, message.entries)
+        return Told(message.pool)
+
+    def tell(pool, entry):
+        """Tell every host at once of an ejection; notices follow."""
+        message = PoolReply(pool, (entry,), (), ())
+        for host in memberships.live():
+            if host.incarnation != memberships.own().incarnation:
+                arguments = (host.peer_address, TELL_METHOD, message, CALL_SECONDS)
+                kernel.spawn(peers.call, *arguments)
+
     def run_forever():
         while True:
             kernel.clock.sleep(REPORT_SECONDS)
             report()
 
     peers.serve(METHOD, answer)
+    peers.serve(TELL_METHOD, learn_told)
+    coordinators.on_ejection(tell)
     service = Health(report, ask, note_demand, surrender)
     kernel.register("health", service, lambda: kernel.spawn(run_forever))
     return service
--- a/trefoilpin/idl/health.thrift
+++ b/trefoilpin/idl/health.thrift
@@ -62,3 +62,7 @@
 struct TakeOverReplyStruct {
   1: list<HeldStruct> held
 }
+
+struct ToldStruct {
+  1: string pool
+}
--- a/trefoilpin/outliers.py
+++ b/trefoilpin/outliers.py
@@ -20,7 +20,7 @@
 __all__ = ["Outlier", "find_outliers"]
 
 WINDOWS_SECONDS = (2, 4, 6, 8, 11, LONGEST_WINDOW_SECONDS)
-CHANCE = 3e-6
+CHANCE_PER_POOL = 6e-5
 REST_CHANCE = 1e-2
 ZONE_CHANCE = 1e-2
 LEAST_BAD = 4
@@ -59,17 +59,17 @@
     zones: int
 
 
-def crashes(evidence, row):
-    """Return how many failures of a row came from requests that break others too."""
+def crashes(evidence, fingerprints):
+    """Return how many of these requests broke other upstreams too."""
     known = evidence.upstreams_by_fingerprint
-    return sum(len(known.get(item, ())) > 1 for item in row.fingerprints)
+    return sum(len(known.get(item, ())) > 1 for item in fingerprints)
 
 
 def bad_of(evidence, row, kind):
     """Return the bad attempts of a row that count against the upstream."""
     if kind == "slow":
         return row.slow
-    return row.failures - crashes(evidence, row)
+    return row.failures - crashes(evidence, row.fingerprints)
 
 
 def is_suspect(evidence, upstream, position):
@@ -156,19 +156,17 @@
     return is_seen_twice and (affected[0] == home or zones <= set(affected))
 
 
-def reporters_since(evidence, oldest):
-    """Return the hosts and the zones that reported since a tick."""
+def reporters(evidence):
+    """Return the hosts and the zones that reported within the longest window."""
     hosts, zones = set(), set()
     for second in evidence.seconds:
-        if second.tick < oldest:
-            continue
         for rows in second.rows_by_upstream.values():
             hosts.update(row.host for row in rows)
             zones.update(row.zone for row in rows)
     return hosts, zones
 
 
-def test_window(evidence, upstream, home, kind, oldest):
+def test_window(evidence, upstream, home, kind, oldest, most_chance):
     """Return an ``Outlier`` for one kind and window, or None."""
     position = 1 if kind == "failures" else 2
     rows = []
@@ -181,18 +179,24 @@
     if bad < LEAST_BAD:
         return None
     pool_by_account = pool_tallies(evidence, position, oldest)
-    expected = binomials.expected_share(own_by_account, pool_by_account)
+    lasting_by_account = {
+        account: Tally(sums[0], sums[position])
+        for account, sums in evidence.lasting_by_account.items()
+    }
+    expected = binomials.expected_share(
+        own_by_account, pool_by_account, lasting_by_account
+    )
     chance = binomials.binomial_tail(bad, requests, expected)
-    if chance > CHANCE:
+    if chance > most_chance:
         return None
     if not is_beyond_one_account(own_by_account, pool_by_account, expected):
         return None
     tally_by_zone = merge_rows(evidence, rows, kind, "zone")
     tally_by_host = merge_rows(evidence, rows, kind, "host")
     hosts = sum(tally.bad > 0 for tally in tally_by_host.values())
-    reporters, zones = reporters_since(evidence, oldest)
+    reporting_hosts, zones = reporters(evidence)
     answered = 0 if kind == "slow" else bad - sum(row.hard for row in rows)
-    is_seen_twice = hosts > 1 or len(reporters) == 1 or answered >= LEAST_BAD
+    is_seen_twice = hosts > 1 or len(reporting_hosts) == 1 or answered >= LEAST_BAD
     if not is_beyond_one_place(tally_by_zone, is_seen_twice, home, zones, expected):
         return None
     affected = sum(tally.bad > 0 for tally in tally_by_zone.values())
@@ -202,7 +206,10 @@
 def test_hard_run(evidence, upstream, home):
     """Return an ``Outlier`` for a run of failures without an answer, or None."""
     run = evidence.hard_run_by_upstream.get(upstream)
-    if run is None or run.count < HARD_RUN or len(run.ticks) < HARD_RUN_SECONDS:
+    if run is None or len(run.ticks) < HARD_RUN_SECONDS:
+        return None
+    count = run.count - crashes(evidence, run.fingerprints)
+    if count < HARD_RUN:
         return None
     if len(run.hosts) < 2:
         return None
@@ -210,7 +217,7 @@
         return None
     if len(run.zones) < 2 and run.zones != {home}:
         return None
-    count, hosts, zones = run.count, len(run.hosts), len(run.zones)
+    hosts, zones = len(run.hosts), len(run.zones)
     return Outlier(upstream, "hard", count, count, 0.0, 0.0, hosts, zones)
 
 
@@ -230,24 +237,25 @@
     """
     open_second(evidence, tick)
     expire_fingerprints(evidence, tick)
+    most_chance = CHANCE_PER_POOL / max(len(home_by_upstream), 1)
     found = []
     for upstream, home in home_by_upstream.items():
         outlier = test_hard_run(evidence, upstream, home)
         if outlier is None and upstream in evidence.sums_by_upstream:
-            outlier = test_upstream(evidence, tick, upstream, home)
+            outlier = test_upstream(evidence, tick, upstream, home, most_chance)
         if outlier is not None:
             found.append(outlier)
     return sorted(found, key=lambda item: (-item.bad / item.requests, item.upstream))
 
 
-def test_upstream(evidence, tick, upstream, home):
+def test_upstream(evidence, tick, upstream, home, most_chance):
     """Return an ``Outlier`` from the first kind and window that shows one."""
     for position, kind in ((1, "failures"), (2, "slow")):
         if not is_suspect(evidence, upstream, position):
             continue
         for seconds in WINDOWS_SECONDS:
             oldest = tick - seconds + 1
-            outlier = test_window(evidence, upstream, home, kind, oldest)
+            outlier = test_window(evidence, upstream, home, kind, oldest, most_chance)
             if outlier is not None:
                 return outlier
     return None
--- a/trefoilpin/peer_codecs.py
+++ b/trefoilpin/peer_codecs.py
@@ -83,6 +83,12 @@
         health_types.HealthReportStruct,
         health_types.HealthReplyStruct,
     ),
+    health.TELL_METHOD: Method(
+        reports.PoolReply,
+        reports.Told,
+        health_types.PoolReplyStruct,
+        health_types.ToldStruct,
+    ),
     take_overs.METHOD: Method(
         reports.TakeOverRequest,
         reports.TakeOverReply,
--- a/trefoilpin/ramps.py
+++ b/trefoilpin/ramps.py
@@ -7,10 +7,11 @@
 __all__ = ["Ramp", "Step", "advance", "observe"]
 
 STEP_SECONDS = 2.0
-LEAST_SUCCESSES = 3
+LEAST_SUCCESSES = 6
 SUCCESSES_PER_UNIT = 2
 MOST_BAD_SHARE = 0.3
 RISE_BUCKETS = BUCKETS_PER_OCTAVE
+USUAL_RISE_BUCKETS = 3
 MOST_SETBACKS = 3
 PATIENCE_SECONDS = 30.0
 
@@ -68,20 +69,25 @@
     ramp.bucket_sum = ramp.answered = 0
 
 
-def is_slow(ramp, bucket):
-    """Tell whether answers at this level are slower than a bucket by far."""
+def is_slow(ramp, bucket, rise):
+    """Tell whether answers at this level are slower than a bucket by some rise."""
     if bucket is None or ramp.answered < LEAST_SUCCESSES:
         return False
-    return ramp.bucket_sum / ramp.answered > bucket + RISE_BUCKETS
+    return ramp.bucket_sum / ramp.answered > bucket + rise
 
 
-def is_overloaded(ramp):
-    """Tell whether the outcomes at this level speak against it."""
+def is_failing(ramp):
+    """Tell whether the upstream refuses or fails at this level."""
     if ramp.sheds:
         return True
-    if ramp.bad > 1 and ramp.bad > MOST_BAD_SHARE * (ramp.successes + ramp.bad):
+    return ramp.bad > 1 and ramp.bad > MOST_BAD_SHARE * (ramp.successes + ramp.bad)
+
+
+def is_slower(ramp, usual):
+    """Tell whether answers are slower than at the first level, or than usual."""
+    if is_slow(ramp, usual, USUAL_RISE_BUCKETS):
         return True
-    return is_slow(ramp, ramp.first_bucket)
+    return ramp.level > 1 and is_slow(ramp, ramp.first_bucket, RISE_BUCKETS)
 
 
 def advance(ramp, slots, usual, now):
@@ -96,12 +102,15 @@
         Median latency bucket of the pool's warm upstreams.
     now : float
     """
-    if is_overloaded(ramp) or (ramp.level > 1 and is_slow(ramp, usual)):
+    if is_failing(ramp):
+        ramp.setbacks += ramp.level == 1
+        return lower(ramp, now)
+    if ramp.level > 1 and is_slower(ramp, usual):
         return lower(ramp, now)
     needed = max(LEAST_SUCCESSES, SUCCESSES_PER_UNIT * ramp.level)
     if ramp.successes < needed or now - ramp.since < STEP_SECONDS:
         return Step.HELD
-    if is_slow(ramp, usual):
+    if is_slower(ramp, usual):
         return hold_slow(ramp, now)
     if ramp.level >= slots:
         return Step.WARM
@@ -121,11 +130,9 @@
 
 
 def lower(ramp, now):
-    """Halve the level after a setback; give up after several at the lowest."""
-    if ramp.level == 1:
-        ramp.setbacks += 1
-        if ramp.setbacks >= MOST_SETBACKS:
-            return Step.FAILED
+    """Halve the level; give up after several failures at the lowest."""
+    if ramp.setbacks >= MOST_SETBACKS:
+        return Step.FAILED
     ramp.level = max(1, ramp.level // 2)
     reset_counts(ramp, now)
     return Step.LOWERED
--- a/trefoilpin/reports.py
+++ b/trefoilpin/reports.py
@@ -21,6 +21,7 @@
     "Sample",
     "TakeOverReply",
     "TakeOverRequest",
+    "Told",
     "bucket_of",
     "bucket_seconds",
     "count_attempt",
@@ -149,6 +150,12 @@
     pools: tuple[PoolReply, ...]
 
 
+class Told(NamedTuple):
+    """Acknowledgement of a ``PoolReply`` that was sent without being asked for."""
+
+    pool: str
+
+
 class TakeOverRequest(NamedTuple):
     """A new coordinator's request to give up the grants of a pool."""
 
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -491,10 +491,12 @@
 
     ``receive(sender, report)`` takes a ``reports.HealthReport`` and gives a tuple of
     ``reports.PoolReply``. ``step()`` ejects, re-admits and raises levels once.
+    ``on_ejection(function)`` has ``function(pool, entry)`` called for each ejection.
     """
 
     receive: Callable[[str, Any], tuple]
     step: Callable[[], None]
+    on_ejection: Callable[[Callable[[str, Any], None]], None]
 
 
 class Health(NamedTuple):
--- a/trefoilpin/thrift_gen/health/ttypes.py
+++ b/trefoilpin/thrift_gen/health/ttypes.py
@@ -932,6 +932,63 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ToldStruct(object):
+    """
+    Attributes:
+     - pool
+
+    """
+
+
+    def __init__(self, pool=None,):
+        self.pool = pool
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ToldStruct')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(SampleStruct)
 SampleStruct.thrift_spec = (
     None,  # 0
@@ -1005,5 +1062,10 @@
     None,  # 0
     (1, TType.LIST, 'held', (TType.STRUCT, [HeldStruct, None], False), None, ),  # 1
 )
+all_structs.append(ToldStruct)
+ToldStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
