--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -171,7 +171,7 @@
     queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     drains.create(kernel)
     standings.create(kernel)
-    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    slow_starts.create(kernel, memberships.FRESH_SECONDS)
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
