--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -81,9 +81,10 @@
         loan=settings["limits.loan_seconds"],
         reservation=settings["limits.reservation_seconds"],
     )
-    entitlements.create(
+    held = entitlements.create(
         kernel, terms, settings["limits.units"], settings["limits.holders"]
     )
+    kernel.find("shutdowns").on_hand_over("units", held.hand_over)
     lenders.create(kernel, terms)
     owners.create(kernel, terms)
     limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
@@ -185,7 +186,7 @@
     queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     drains.create(kernel)
     standings.create(kernel)
-    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    slow_starts.create(kernel, memberships.FRESH_SECONDS)
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
@@ -204,7 +205,9 @@
         settings["proxy.idle_seconds"],
         settings["proxy.max_body_bytes"],
     )
-    admin.create(kernel, settings["host.admin_address"])
+    admin.create(
+        kernel, settings["host.admin_address"], settings["host.accepts_faults"]
+    )
     return kernel
 
 
@@ -231,10 +234,12 @@
     kernel = assemble(settings)
     emit = kernel.find("events").emit
     stopping = eventlet.event.Event()
+    signals = []
 
     def request_stop(number, frame):
-        if not stopping.ready():
+        if not signals:
             eventlet.spawn_after(0, stopping.send)
+        signals.append(number)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, request_stop)
@@ -243,5 +248,6 @@
     name, zone = settings["host.name"], settings["host.zone"]
     emit(events.DAEMON_STARTED, host=name, zone=zone)
     stopping.wait()
+    kernel.find("shutdowns").stop()
     emit(events.DAEMON_STOPPED, host=name)
     kernel.stop()
