Units handed over at the stop; writes in added_latency; tests of events and listeners

Cause: the units of a stopping host waited for their lapse, since nothing called their hand-over, so a rolling restart had within-rate requests refused.

--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -2,13 +2,15 @@
 
 Each kind of request is measured in a run of its own: one process calls the upstream
 directly and one calls it through the host, at the same rate, turn about, so that both
-see the same state of the machine. Callers send bytes prepared beforehand on a few kept
-connections at fixed instants, waiting between them in the kernel, and read each answer
-with one call where they can; a library's client would add its own spread to both sides.
-The figure is the difference of the percentiles of the two.
+see the same state of the machine. A keyed read passes the account's rate too, and a
+write has an idempotency key of its own issued by the host. Callers send bytes prepared
+beforehand on a few kept connections at fixed instants, waiting between them in the
+kernel; a library's client would add its own spread to both sides. The figure is the
+difference of the percentiles of the two.
 """
 
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -23,13 +25,20 @@
 BOUND_MILLISECONDS = 1.3
 RATES = (61, 200)
 SECONDS = 12
+START_SECONDS = 1.5
+SETTLE_SECONDS = 3.0
 CONNECTIONS = 4
 SEED = 1
 MICROSECONDS = 1_000_000
 HIGHEST_MICROSECONDS = 60 * MICROSECONDS
 READ_BYTES = 65_536
 KEY = "Authorization: Bearer hielo.secret\r\n"
-FIELDS_BY_KIND = {"open": ("GET", "/open/1", ""), "keyed": ("GET", "/ponds/1", KEY)}
+WRITE = f"{KEY}Content-Length: 0\r\nIdempotency-Key: {{operation}}\r\n"
+FIELDS_BY_KIND = {
+    "open": ("GET", "/open/1", ""),
+    "keyed": ("GET", "/ponds/1", KEY),
+    "write": ("POST", "/slots/1", WRITE),
+}
 
 
 def encode(method, path, address, fields):
@@ -67,12 +76,12 @@
     return part
 
 
-def run_connection(address, request, instants, found):
-    """Send one request at each instant and keep how long each took."""
+def run_connection(address, requests, instants, found):
+    """Send each request at its instant and keep how long it took."""
     host, _, port = address.rpartition(":")
     with socket.create_connection((host, int(port)), timeout=10) as sock:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        for instant in instants:
+        for request, instant in zip(requests, instants):
             time.sleep(max(instant - time.monotonic(), 0))
             started = time.monotonic()
             sock.sendall(request)
@@ -80,18 +89,22 @@
             found.append((status, time.monotonic() - started))
 
 
-def run_caller(address, kind, rate, first):
+def run_caller(address, kind, rate, first, issuer):
     """Call one target from this process and print what was seen as JSON."""
-    request = encode(*FIELDS_BY_KIND[kind][:2], address, FIELDS_BY_KIND[kind][2])
-    instants = [first + number / rate for number in range(int(rate * SECONDS))]
+    method, path, fields = FIELDS_BY_KIND[kind]
+    count = int(rate * SECONDS)
+    requests = []
+    for number in range(count):
+        operation = f"{issuer}.{os.getpid()}-{number}"
+        filled = fields.replace("{operation}", operation)
+        requests.append(encode(method, path, address, filled))
+    instants = [first + number / rate for number in range(count)]
     found = []
-    threads = [
-        threading.Thread(
-            target=run_connection,
-            args=(address, request, instants[number::CONNECTIONS], found),
-        )
-        for number in range(CONNECTIONS)
-    ]
+    threads = []
+    for number in range(CONNECTIONS):
+        share = slice(number, None, CONNECTIONS)
+        arguments = (address, requests[share], instants[share], found)
+        threads.append(threading.Thread(target=run_connection, args=arguments))
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -99,9 +112,9 @@
     print(json.dumps(found))
 
 
-def start_caller(address, kind, rate, first):
+def start_caller(address, kind, rate, first, issuer):
     """Start a process that calls one target."""
-    arguments = ("caller", address, kind, str(rate), str(first))
+    arguments = ("caller", address, kind, str(rate), str(first), issuer)
     command = [sys.executable, "-m", "bench.added_latency", *arguments]
     return subprocess.Popen(command, stdout=subprocess.PIPE)
 
@@ -119,10 +132,11 @@
 
 def measure(fleet, kind, rate):
     """Return the percentile functions of direct calls and of calls through a host."""
-    first = time.monotonic() + 1.0
-    half = 0.5 / rate
-    direct = start_caller(fleet.upstreams[0].address, kind, rate, first)
-    proxied = start_caller(fleet.hosts[0].caller_address, kind, rate, first + half)
+    first = time.monotonic() + START_SECONDS
+    upstream, host = fleet.upstreams[0].address, fleet.hosts[0].caller_address
+    issuer = processes.call("GET", host, "/v1/hosts")[1]["issuer"]
+    direct = start_caller(upstream, kind, rate, first, issuer)
+    proxied = start_caller(host, kind, rate, first + 0.5 / rate, issuer)
     return collect(direct), collect(proxied)
 
 
@@ -140,13 +154,14 @@
 def main():
     """Measure with one host and one upstream."""
     if sys.argv[1:2] == ["caller"]:
-        address, kind, rate, first = sys.argv[2:]
-        run_caller(address, kind, float(rate), float(first))
+        address, kind, rate, first, issuer = sys.argv[2:]
+        run_caller(address, kind, float(rate), float(first), issuer)
         return
     fleet = processes.create_fleet(("a",), 1, SEED, slots=64)
     try:
         processes.submit(fleet, 1, processes.standard_changes(fleet))
-        time.sleep(1)
+        processes.wait_for_ticket(fleet, 1)
+        time.sleep(SETTLE_SECONDS)
         found = list(results(fleet))
     finally:
         processes.stop_fleet(fleet)
--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -81,9 +81,10 @@
         loan=settings["limits.loan_seconds"],
         reservation=settings["limits.reservation_seconds"],
     )
-    entitlements.create(
+    held = entitlements.create(
         kernel, terms, settings["limits.units"], settings["limits.holders"]
     )
+    kernel.find("shutdowns").on_hand_over("limits", held.hand_over)
     lenders.create(kernel, terms)
     owners.create(kernel, terms)
     limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
--- /dev/null
+++ b/trefoilpin/tests/test_events.py
@@ -0,0 +1,70 @@
+"""Log lines: form, sampling, and how many are written at a time."""
+
+import json
+import logging
+
+import pytest
+
+from trefoilpin import events
+from trefoilpin.fakes import loops
+from trefoilpin.kernel import create_kernel
+
+
+def create(lines, **arguments):
+    kernel = create_kernel(loops.movable_clock(loops.LoopState(1)), lambda *task: None)
+    logging.getLogger("trefoilpin").setLevel(logging.INFO)
+    return events.create(kernel, write=lines.append, **arguments)
+
+
+@pytest.mark.parametrize(
+    "value, text",
+    [
+        (None, "-"),
+        ("", '""'),
+        ("a b", '"a b"'),
+        ("a\nE9 b", '"a\\nE9 b"'),
+        ('="', '"=\\""'),
+    ],
+)
+def test_no_value_can_pass_for_another_field_or_line(value, text):
+    assert events.quote(value) == text
+
+
+def test_lines_hold_number_name_and_fields():
+    lines = []
+    service = create(lines)
+    service.emit(events.CALLER_GONE, request_id="r1")
+    assert lines == []
+    service.flush()
+    assert lines == ["1000.000 E113 caller_gone request_id=r1\n"]
+    service = create(lines, log_format="json")
+    service.emit(events.CALLER_GONE, request_id="r1")
+    service.flush()
+    assert json.loads(lines[1])["request_id"] == "r1"
+
+
+def test_only_sampled_events_are_left_out():
+    lines = []
+    service = create(lines, sample=10)
+    for _ in range(30):
+        service.emit(events.UPSTREAM_CHOSEN)
+        service.emit(events.REQUEST_REFUSED)
+    service.flush()
+    assert "".join(lines).count("upstream_chosen") == 3
+    assert "".join(lines).count("request_refused") == 30
+
+
+def test_lines_over_the_limit_are_counted(monkeypatch):
+    monkeypatch.setattr(events, "MAX_WAITING_LINES", 2)
+    lines = []
+    service = create(lines)
+    for _ in range(5):
+        service.emit(events.CALLER_GONE, request_id="r1")
+    service.flush()
+    assert "3 lines were dropped" in lines[0]
+
+
+def test_every_number_and_name_stands_once():
+    numbers = [event.number for event in events.CATALOGUE]
+    assert len(set(numbers)) == len(numbers)
+    assert len({event.name for event in events.CATALOGUE}) == len(numbers)
--- /dev/null
+++ b/trefoilpin/tests/test_listeners.py
@@ -0,0 +1,82 @@
+"""Closing a listener cuts no request, and idle connections end only when idle."""
+
+import random
+import socket
+
+import eventlet
+import pytest
+
+from trefoilpin import clocks, listeners
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Served:
+    """A listener whose answers wait for a gate."""
+
+    def __init__(self):
+        self.gate = eventlet.event.Event()
+        self.listener = listeners.listen("127.0.0.1:0")
+        self.address = self.listener.sock.getsockname()
+        self.task = eventlet.spawn(
+            listeners.serve,
+            self.listener,
+            self.application,
+            (10, 5.0),
+            clocks.system_clock(eventlet.sleep),
+            random.Random(1),
+            lambda peer, detail: None,
+        )
+
+    def application(self, environ, start_response):
+        self.gate.wait()
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    def wait_for_connection(self):
+        with eventlet.Timeout(5):
+            while not self.listener.connections:
+                eventlet.sleep(0.001)
+        return next(iter(self.listener.connections))
+
+
+@pytest.fixture
+def served():
+    served = Served()
+    yield served
+    served.task.kill()
+
+
+def test_close_returns_after_the_answer_under_way(served):
+    with socket.create_connection(served.address, timeout=5) as sock:
+        sock.sendall(REQUEST)
+        connection = served.wait_for_connection()
+        with eventlet.Timeout(5):
+            while connection.server_state[2] != "request":
+                eventlet.sleep(0.001)
+        closing = eventlet.spawn(listeners.close, served.listener)
+        eventlet.sleep(0.01)
+        assert not closing.dead
+        with pytest.raises(OSError):
+            socket.create_connection(served.address, timeout=5).recv(1)
+        served.gate.send()
+        assert sock.recv(65536).endswith(b"ok")
+        closing.wait()
+
+
+def test_a_connection_with_a_request_on_its_way_is_not_retired(served):
+    with socket.create_connection(served.address, timeout=5) as sock:
+        connection = served.wait_for_connection()
+        sock.sendall(REQUEST)
+        assert not listeners.retire(connection)
+        served.gate.send()
+        assert sock.recv(65536).endswith(b"ok")
+        with eventlet.Timeout(5):
+            while not listeners.retire(connection):
+                eventlet.sleep(0.001)
+        assert sock.recv(1) == b""
+
+
+def test_an_address_in_use_is_refused(served):
+    with pytest.raises(OSError):
+        listeners.listen(f"127.0.0.1:{served.address[1]}")
