--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -84,7 +84,7 @@
     held = entitlements.create(
         kernel, terms, settings["limits.units"], settings["limits.holders"]
     )
-    kernel.find("shutdowns").on_hand_over("limits", held.hand_over)
+    kernel.find("shutdowns").on_hand_over("units", held.hand_over)
     lenders.create(kernel, terms)
     owners.create(kernel, terms)
     limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
@@ -171,7 +171,7 @@
     queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     drains.create(kernel)
     standings.create(kernel)
-    slow_starts.create(kernel, memberships.LIVE_SECONDS)
+    slow_starts.create(kernel, memberships.FRESH_SECONDS)
     attempts.create(kernel)
     coordinators.create(kernel)
     health.create(kernel)
@@ -190,7 +190,9 @@
         settings["proxy.idle_seconds"],
         settings["proxy.max_body_bytes"],
     )
-    admin.create(kernel, settings["host.admin_address"])
+    admin.create(
+        kernel, settings["host.admin_address"], settings["host.accepts_faults"]
+    )
     return kernel
 
 
