--- a/trefoilpin/claims.py
+++ b/trefoilpin/claims.py
@@ -32,6 +32,14 @@
         self.holder_by_issuer: dict[str, str] = {}
 
 
+class PendingClaim:
+    """A claim under way; ``may_be_held`` once a reply to it was lost."""
+
+    def __init__(self, message):
+        self.message = message
+        self.may_be_held = False
+
+
 class Asked(NamedTuple):
     """Outcome of asking the host that holds an issuer's table.
 
@@ -116,32 +124,28 @@
         return Asked(None, lost, gone)
 
     def claim(issuer, key, fingerprint, attempt_id, deadline):
-        message = Claim(issuer, key, fingerprint, attempt_id)
         if outbox.size() >= MAX_WAITING_REPORTS:
             return ClaimReply(Decision.FULL.value)
-        may_be_held = [False]
+        pending = PendingClaim(Claim(issuer, key, fingerprint, attempt_id))
         try:
-            reply = wait_for_decision(message, deadline, may_be_held)
+            reply = wait_for_decision(pending, deadline)
         except BaseException:
-            give_up(message)
+            give_up(pending.message)
             raise
-        if may_be_held[0] and reply.decision != Decision.GRANTED.value:
-            give_up(message)
+        if pending.may_be_held and reply.decision != Decision.GRANTED.value:
+            give_up(pending.message)
         return reply
 
     def give_up(message):
-        report(
-            Report(
-                message.issuer, message.key, message.attempt_id, Verdict.NOT_RUN.value
-            )
-        )
+        verdict = Verdict.NOT_RUN.value
+        report(Report(message.issuer, message.key, message.attempt_id, verdict))
 
-    def wait_for_decision(message, deadline, may_be_held):
+    def wait_for_decision(pending, deadline):
         give_up_at = min(now() + CLAIM_SECONDS, deadline)
         delay = FIRST_DELAY_SECONDS
         while True:
-            asked = ask(CLAIM, message, deadline - now())
-            may_be_held[0] = may_be_held[0] or asked.lost
+            asked = ask(CLAIM, pending.message, deadline - now())
+            pending.may_be_held = pending.may_be_held or asked.lost
             if asked.gone:
                 return ClaimReply(Decision.UNCERTAIN.value)
             reply = asked.reply or ClaimReply(Decision.UNREACHABLE.value)
@@ -154,11 +158,9 @@
             delay = min(delay * 2, MAX_DELAY_SECONDS)
 
     def report(message):
-        if (
-            find_holder(message.issuer) == own
-            and not issuers.report(message).decision in UNDECIDED
-        ):
-            return
+        if find_holder(message.issuer) == own:
+            if issuers.report(message).decision not in UNDECIDED:
+                return
         if outbox.size() >= MAX_WAITING_ANSWERS:
             message = message._replace(answer=None)
         outbox.put(message.issuer, message)
