--- a/trefoilpin/owners.py
+++ b/trefoilpin/owners.py
@@ -4,6 +4,11 @@
 a loan is counted from before the request. Lenders are known from the notices that
 holders of units publish. Two hosts that both believe they own an account just hold
 fewer units each; lenders give preference to the one that ranks higher.
+
+Cost: an owner of any number of accounts in use sends ``RENEWALS_IN_LOAN`` requests in
+each loan to each holder, and a holder answers as many from each owner. Accounts that
+nobody uses cost nothing. A large fleet keeps the number of holders and takes longer
+loans, which delays the change of an owner that crashed.
 """
 
 from trefoilpin import events
