Judge accounts over a longer time; count slow-start failures at every level

A failing upstream in slow start was kept while its pool was cold.

Change: the expected share is the higher of the window's and the lasting one, scaled by how much worse the pool does now; failures at any level count towards giving up; an upstream is not given up while the rest of the pool fails alike.

--- a/trefoilpin/binomials.py
+++ b/trefoilpin/binomials.py
@@ -76,26 +76,35 @@
         For each account its share at the other upstreams, weighted by the account's
         attempts here, with a tolerance and a lower limit.
     """
-    overall = overall_share(own_by_account, pool_by_account, lasting_by_account)
+    lasting_by_account = {
+        account: without(tally, own_by_account.get(account, NOTHING))
+        for account, tally in lasting_by_account.items()
+    }
+    overall, growth = overall_share(own_by_account, pool_by_account, lasting_by_account)
     expected = 0.0
     total = 0
     for account, own in own_by_account.items():
         tally = pool_by_account[account]
         lasting = lasting_by_account.get(account, NOTHING)
         requests = tally.requests - own.requests
-        share = overall
+        shares = []
         if requests >= LEAST_ACCOUNT_REQUESTS:
-            share = (tally.bad - own.bad) / requests
-        elif lasting.requests >= LEAST_ACCOUNT_REQUESTS:
-            share = lasting.bad / lasting.requests
-        expected += own.requests * share
+            shares.append((tally.bad - own.bad) / requests)
+        if lasting.requests >= LEAST_ACCOUNT_REQUESTS:
+            shares.append(growth * lasting.bad / lasting.requests)
+        expected += own.requests * min(max(shares, default=overall), 1.0)
         total += own.requests
     share = TOLERANCE * expected / max(total, 1)
     return min(max(share, LEAST_SHARE), MOST_SHARE)
 
 
+def without(tally, own):
+    """Return a tally less the attempts at one upstream."""
+    return Tally(max(tally.requests - own.requests, 0), max(tally.bad - own.bad, 0))
+
+
 def overall_share(own_by_account, pool_by_account, lasting_by_account):
-    """Return the share over all accounts, now or over the longer time."""
+    """Return the share over all accounts, and its growth over the longer time."""
     requests = bad = 0
     for account, tally in pool_by_account.items():
         own = own_by_account.get(account, NOTHING)
@@ -103,6 +112,6 @@
         bad += tally.bad - own.bad
     lasting = sum(tally.requests for tally in lasting_by_account.values())
     lasting_bad = sum(tally.bad for tally in lasting_by_account.values())
-    return max(
-        bad / (requests + PRIOR_REQUESTS), lasting_bad / (lasting + PRIOR_REQUESTS)
-    )
+    share = bad / (requests + PRIOR_REQUESTS)
+    before = max(lasting_bad / (lasting + PRIOR_REQUESTS), LEAST_SHARE / TOLERANCE)
+    return max(share, before), max(share / before, 1.0)
--- a/trefoilpin/coordinators.py
+++ b/trefoilpin/coordinators.py
@@ -246,7 +246,9 @@
     def fail(pool, upstream, ramp):
         """Eject an upstream that does not get through its slow start."""
         slow_starts.restart(pool.id, upstream.id)
-        if len(standings.view(pool).warm) < pool.floor:
+        entry = standings.entry_of(pool.id, upstream.id)
+        is_ejected = entry is not None and entry.state == State.EJECTED.value
+        if is_ejected or fails_alike(pool, ramp):
             return
         requests = max(ramp.total, 1)
         bad = max(ramp.total_bad, 1)
@@ -255,6 +257,13 @@
         )
         eject(pool, outlier)
 
+    def fails_alike(pool, ramp):
+        """Tell whether the rest of the pool fails as an upstream in slow start."""
+        found = state.evidence_by_pool.get(pool.id)
+        if found is None or not found.sums[0] or not ramp.total:
+            return False
+        return found.sums[1] / found.sums[0] > ramp.total_bad / ramp.total / 2
+
     def publish(pool):
         """Publish standings when they changed, and renew them in time."""
         known = standings.known(pool.id)
--- a/trefoilpin/ramps.py
+++ b/trefoilpin/ramps.py
@@ -77,9 +77,7 @@
 
 
 def is_failing(ramp):
-    """Tell whether the upstream refuses or fails at this level."""
-    if ramp.sheds:
-        return True
+    """Tell whether the upstream fails at this level."""
     return ramp.bad > 1 and ramp.bad > MOST_BAD_SHARE * (ramp.successes + ramp.bad)
 
 
@@ -103,9 +101,9 @@
     now : float
     """
     if is_failing(ramp):
-        ramp.setbacks += ramp.level == 1
+        ramp.setbacks += 1
         return lower(ramp, now)
-    if ramp.level > 1 and is_slower(ramp, usual):
+    if ramp.sheds or (ramp.level > 1 and is_slower(ramp, usual)):
         return lower(ramp, now)
     needed = max(LEAST_SUCCESSES, SUCCESSES_PER_UNIT * ramp.level)
     if ramp.successes < needed or now - ramp.since < STEP_SECONDS:
@@ -130,7 +128,7 @@
 
 
 def lower(ramp, now):
-    """Halve the level; give up after several failures at the lowest."""
+    """Halve the level; give up after several failures."""
     if ramp.setbacks >= MOST_SETBACKS:
         return Step.FAILED
     ramp.level = max(1, ramp.level // 2)
