--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -81,9 +81,10 @@
         loan=settings["limits.loan_seconds"],
         reservation=settings["limits.reservation_seconds"],
     )
-    entitlements.create(
+    held = entitlements.create(
         kernel, terms, settings["limits.units"], settings["limits.holders"]
     )
+    kernel.find("shutdowns").on_hand_over("units", held.hand_over)
     lenders.create(kernel, terms)
     owners.create(kernel, terms)
     limits.create(kernel, terms, eventlet.event.Event, settings["limits.wait_seconds"])
@@ -189,7 +190,9 @@
         settings["proxy.idle_seconds"],
         settings["proxy.max_body_bytes"],
     )
-    admin.create(kernel, settings["host.admin_address"])
+    admin.create(
+        kernel, settings["host.admin_address"], settings["host.accepts_faults"]
+    )
     return kernel
 
 
@@ -216,10 +219,12 @@
     kernel = assemble(settings)
     emit = kernel.find("events").emit
     stopping = eventlet.event.Event()
+    signals = []
 
     def request_stop(number, frame):
-        if not stopping.ready():
+        if not signals:
             eventlet.spawn_after(0, stopping.send)
+        signals.append(number)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, request_stop)
@@ -228,5 +233,6 @@
     name, zone = settings["host.name"], settings["host.zone"]
     emit(events.DAEMON_STARTED, host=name, zone=zone)
     stopping.wait()
+    kernel.find("shutdowns").stop()
     emit(events.DAEMON_STOPPED, host=name)
     kernel.stop()
--- a/trefoilpin/services.py
+++ b/trefoilpin/services.py
@@ -256,13 +256,15 @@
     are ``NamedTuple`` types listed in ``peer_codecs``. ``call_all(addresses, method,
     message, timeout, enough)`` calls many hosts at the same time and gives the
     addresses that replied, as soon as there are ``enough`` of them. ``traffic()``
-    gives the bytes sent and received so far.
+    gives the bytes sent and received so far. ``cut(addresses)`` has calls to these
+    addresses get lost, for tests of partitions that run one way.
     """
 
     call: Callable[[str, str, Any, float], Result]
     serve: Callable[[str, Callable[[str, Any], Any]], None]
     call_all: Callable[[list[str], str, Any, float, int], tuple[str, ...]] = None
     traffic: Callable[[], tuple[int, int]] = None
+    cut: Callable[[list[str]], None] = None
 
 
 class Memberships(NamedTuple):
@@ -281,10 +283,12 @@
 
     ``roster()`` are all hosts that count for a majority, live or not.
     ``leave(successor)`` spreads that this host goes and names the incarnation that
-    takes its place, or None. ``pull_once()`` exchanges with one other host;
+    takes its place, or None. ``pull_once()`` exchanges with one other host and gives
+    the seconds until the next time;
     ``renew_once()`` spreads this host's own record. ``report_head(head, began_at)``
     tells that a read of the store, begun at an instant, found that ticket to be the
-    last; ``report_number(number)`` that a ticket of that number exists.
+    last; ``report_number(number)`` that a ticket of that number exists,
+    and ``known_number()`` is the highest of those.
     ``store_age()`` bounds the seconds since a read of the store whose head is in
     force here. ``is_watcher()`` tells whether this host is to watch the store for its
     zone. ``on_behind(function)`` has ``function(host)`` called after a pull from a
@@ -303,10 +307,11 @@
     subscribe: Callable[[Callable[[], None]], None]
     roster: Callable[[], tuple[Host, ...]] = None
     leave: Callable[[str | None], None] = None
-    pull_once: Callable[[], bool] = None
+    pull_once: Callable[[], float] = None
     renew_once: Callable[[], None] = None
     report_head: Callable[[int, float], None] = None
     report_number: Callable[[int], None] = None
+    known_number: Callable[[], int] = None
     store_age: Callable[[], float] = None
     is_watcher: Callable[[], bool] = None
     on_behind: Callable[[Callable[[Host], None]], None] = None
