Let only its reader close a peer connection's socket

Cause: under faults together a daemon ended with code 1. A call that timed out closed the socket under its reader, which went on waiting for the descriptor; once another socket got that number, eventlet threw into the reader, and the error left through the main task. Ruled out: the signal handlers, which had not run. Change: close() only shuts the connection down; the reader, woken by that, closes. Result: the new test fails without the change (the reader is still waiting after the close) and passes with it. Conclusion: no other task may close a socket that someone waits on.

--- a/trefoilpin/peers.py
+++ b/trefoilpin/peers.py
@@ -109,7 +109,11 @@
     """Read a number of bytes; ``ConnectionError`` when the stream ends before."""
     received = connection.buffer
     while len(received) < size:
-        part = connection.sock.recv(READ_BYTES)
+        try:
+            part = connection.sock.recv(READ_BYTES)
+        except EOFError:
+            # Eventlet's way to tell a task that another one closed its socket.
+            raise ConnectionError("closed by this side") from None
         if not part:
             raise ConnectionError("closed by the other side")
         received += part
@@ -169,18 +173,27 @@
 
 
 def close(connection):
-    """Close a connection and fail every call that waits on it."""
+    """Shut a connection down and fail every call that waits on it.
+
+    Its reader is woken by that and releases the socket; were it released here, the
+    reader would go on waiting for a descriptor that may soon be another socket's.
+    """
     connection.closed = True
     try:
         connection.sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         pass
-    connection.sock.close()
     waiting, connection.waiting_by_call = connection.waiting_by_call, {}
     for _, event in waiting.values():
         event.send(Failure(PeerFailure(True, "the connection was lost")))
 
 
+def release(connection):
+    """Close a connection whose reader has ended."""
+    close(connection)
+    connection.sock.close()
+
+
 def open_connection(state, address):
     """Connect to a host and exchange challenges."""
     host, _, port = address.rpartition(":")
@@ -194,7 +207,7 @@
         hello = Envelope("hello", 0, state.incarnation, own, b"", False)
         send(state, connection, hello)
     except BaseException:
-        close(connection)
+        release(connection)
         raise
     sock.settimeout(None)
     return connection
@@ -277,7 +290,7 @@
             logger.debug("connection of %s ended: %s", connection.address, error)
         finally:
             state.accepted.discard(connection)
-            close(connection)
+            release(connection)
 
     def read_replies(connection):
         connection.sock.settimeout(CALLER_IDLE_SECONDS)
@@ -290,6 +303,7 @@
             logger.debug("connection to %s ended: %s", connection.address, error)
         finally:
             forget(connection)
+            connection.sock.close()
 
     def take_reply(connection):
         envelope = receive(state, connection)
--- a/trefoilpin/tests/test_peers.py
+++ b/trefoilpin/tests/test_peers.py
@@ -204,3 +204,13 @@
     struct_type = peers.EnvelopeStruct
     data = peer_codecs.encode(envelope, struct_type)
     assert peer_codecs.decode(data, peers.Envelope, struct_type).unwrap() == envelope
+
+
+def test_a_connection_closed_while_its_reader_waits_ends_nothing_else(nodes):
+    caller, listener = nodes
+    listener.peers.serve(METHOD, lambda sender, message: SyncReply(()))
+    call(caller, listener).unwrap()
+    reader = caller.tasks[-1]
+    caller.kernel.stop()
+    eventlet.sleep(0.05)
+    assert reader.dead
