Terms of loans may differ between hosts; measures repeat exactly

Change: a request for loans names how long they are used, and a lender refuses one that is longer than its own; a reservation carries its lifetime; a hand-over says how long its loans last. Lenders are met in order.

Gossip once a second in the stand-in was tried and reverted: with the tests' short terms, notices of lenders ran out in between.

--- a/trefoilpin/entitlements.py
+++ b/trefoilpin/entitlements.py
@@ -309,12 +309,13 @@
 
     def give(sender, request):
         """Answer a successor's request; from here on the units are its own."""
-        nothing = UnitsReply((), state.total, 0.0)
+        nothing = UnitsReply((), state.total, 0.0, 0.0)
         if state.offered_to != sender or state.given_to not in (None, sender):
             return nothing
         state.given_to = sender
         entries = tuple(HeldUnits(*item) for item in state.units_by_entry.items())
-        return UnitsReply(entries, state.total, state.valid_until - now())
+        valid_seconds = state.valid_until - now()
+        return UnitsReply(entries, state.total, valid_seconds, terms.lapse)
 
     def accept(sender, offer):
         """Fetch the units that a leaving host offers."""
@@ -333,7 +334,7 @@
 
     def inherit(reply, asked):
         """Use a leaver's entries once its loans ended, for as long as it could."""
-        instant = now()
+        usable_at = now() + max(terms.lapse, reply.lapse_seconds)
         until = asked + reply.valid_seconds
         if state.units_by_entry:
             until = min(until, state.valid_until)
@@ -344,9 +345,9 @@
                 continue
             state.accepted.add(entry)
             state.units_by_entry[entry] = count
-            state.usable_at_by_entry[entry] = instant + terms.lapse
-        state.since = instant + terms.lapse
-        state.next_read = instant
+            state.usable_at_by_entry[entry] = usable_at
+        state.since = usable_at
+        state.next_read = now()
 
     def run_forever():
         while True:
--- a/trefoilpin/idl/limits.thrift
+++ b/trefoilpin/idl/limits.thrift
@@ -13,8 +13,9 @@
 
 struct LoanRequestStruct {
   1: i64 sequence
-  2: list<string> wanted
-  3: list<ReturnedAccountStruct> returned
+  2: double use_seconds
+  3: list<string> wanted
+  4: list<ReturnedAccountStruct> returned
 }
 
 struct LoanReplyStruct {
@@ -35,7 +36,7 @@
 
 struct ReservationReplyStruct {
   1: i32 tokens
-  2: bool renewed
+  2: double lifetime
   3: double retry_after
   4: bool available
 }
@@ -61,4 +62,5 @@
   1: list<HeldUnitsStruct> entries
   2: i32 total
   3: double valid_seconds
+  4: double lapse_seconds
 }
--- a/trefoilpin/lenders.py
+++ b/trefoilpin/lenders.py
@@ -197,6 +197,8 @@
         units = entitlements.units()
         if not units or not memberships.is_current():
             return REFUSED
+        if request.use_seconds > terms.use:
+            return REFUSED
         for account_id, until in list(borrower.recalled.items()):
             if instant >= until:
                 del borrower.recalled[account_id]
--- a/trefoilpin/limit_messages.py
+++ b/trefoilpin/limit_messages.py
@@ -19,7 +19,9 @@
 
 
 class Terms(NamedTuple):
-    """How long each right lasts, in seconds; the same on every host.
+    """How long each right lasts, in seconds.
+
+    A lender refuses a borrower that uses loans for longer than it counts itself.
 
     Attributes
     ----------
@@ -38,6 +40,11 @@
     margin: float = 0.1
     hold: float = 20.0
 
+    @property
+    def use(self):
+        """Seconds from a request until a loan and its reservations are unused."""
+        return self.loan + self.reservation
+
     @property
     def lapse(self):
         """Seconds after an answer until a loan and all its reservations ended."""
@@ -100,12 +107,15 @@
     ----------
     sequence : int
         Grows with each request; a lender ignores one that comes late.
+    use_seconds : float
+        How long the borrower and its reservations use what it borrows.
     wanted : tuple of str
         Accounts to borrow for.
     returned : tuple of ReturnedAccount
     """
 
     sequence: int
+    use_seconds: float
     wanted: tuple[str, ...]
     returned: tuple[ReturnedAccount, ...]
 
@@ -159,8 +169,9 @@
     ----------
     tokens : int
         New tokens.
-    renewed : bool
-        True when new and kept tokens last from this request on.
+    lifetime : float
+        Seconds from this request on that new and kept tokens last; 0 when kept ones
+        are not renewed.
     retry_after : float
         Seconds until another token is likely.
     available : bool
@@ -168,7 +179,7 @@
     """
 
     tokens: int
-    renewed: bool
+    lifetime: float
     retry_after: float
     available: bool
 
@@ -207,8 +218,11 @@
     total : int
     valid_seconds : float
         How long they may be used without reading the ledger.
+    lapse_seconds : float
+        How long loans of them may still be in use.
     """
 
     entries: tuple[HeldUnits, ...]
     total: int
     valid_seconds: float
+    lapse_seconds: float
--- a/trefoilpin/limits.py
+++ b/trefoilpin/limits.py
@@ -46,8 +46,8 @@
     )
 )
 VOID_SEQUENCE = -1
-SPENT = ReservationReply(1, False, 0.0, True)
-UNREACHABLE = ReservationReply(0, False, 0.0, False)
+SPENT = ReservationReply(1, 0.0, 0.0, True)
+UNREACHABLE = ReservationReply(0, 0.0, 0.0, False)
 
 
 class Hand:
@@ -213,7 +213,7 @@
         if spend(account, hand):
             return SPENT
         wait = max(hand.next_ask - now(), MIN_ASK_SECONDS)
-        return ReservationReply(0, False, wait, hand.is_available)
+        return ReservationReply(0, 0.0, wait, hand.is_available)
 
     def fetch(account, hand, spends=False):
         """Ask the owners in order; return the reply, with one token spent if asked."""
@@ -225,7 +225,7 @@
             fetching.send()
         if spends and reply.tokens and hand.owner != own:
             if not spend(account, hand):
-                return ReservationReply(0, False, MIN_ASK_SECONDS, True)
+                return ReservationReply(0, 0.0, MIN_ASK_SECONDS, True)
         return reply
 
     def ask_in_order(account, hand):
@@ -289,9 +289,9 @@
         instant = now()
         if instant >= hand.until:
             hand.tokens = 0
-        if reply.renewed:
+        if reply.lifetime:
             hand.tokens += reply.tokens
-            hand.until = asked + terms.reservation
+            hand.until = asked + reply.lifetime
         if not reply.tokens:
             hand.next_ask = instant + max(reply.retry_after, MIN_ASK_SECONDS)
 
--- a/trefoilpin/owners.py
+++ b/trefoilpin/owners.py
@@ -37,8 +37,8 @@
 CALL_TIMEOUT_SECONDS = 0.3
 RENEWALS_IN_LOAN = 3
 OPENING_SECONDS = 0.1
-OPENING = ReservationReply(0, False, 0.005, True)
-UNAVAILABLE = ReservationReply(0, False, UNAVAILABLE_RETRY_SECONDS, False)
+OPENING = ReservationReply(0, 0.0, 0.005, True)
+UNAVAILABLE = ReservationReply(0, 0.0, UNAVAILABLE_RETRY_SECONDS, False)
 
 
 class Pair:
@@ -162,7 +162,7 @@
     def find_lenders():
         """Learn of holders of units, and forget those that are gone."""
         published = {notice.publisher for notice in notices.read(UNITS_TOPIC)}
-        for lender in published - set(state.pair_by_lender):
+        for lender in sorted(published - set(state.pair_by_lender)):
             pair = state.pair_by_lender[lender] = Pair()
             pair.wanted.update(state.quota_by_account)
         for lender, pair in list(state.pair_by_lender.items()):
@@ -191,7 +191,7 @@
         wanted = tuple(sorted(pair.wanted))
         returned = tuple(pair.returned.values())
         pair.unconfirmed.update(wanted)
-        request = LoanRequest(state.sequence, wanted, returned)
+        request = LoanRequest(state.sequence, terms.use, wanted, returned)
         reply = send(lender, request)
         if reply is None or not reply.accepted:
             return False
@@ -245,7 +245,7 @@
         wait = take(quota, now())
         if wait and is_opening(quota):
             return OPENING
-        return ReservationReply(int(not wait), False, wait, quota.units > 0)
+        return ReservationReply(int(not wait), 0.0, wait, quota.units > 0)
 
     def handle(sender, request):
         if not memberships.is_current():
@@ -253,7 +253,7 @@
         quota = find_quota(request.account)
         if quota is None:
             return UNAVAILABLE
-        reply = reserve(quota, sender, request, now(), terms.outstanding)
+        reply = reserve(quota, sender, request, now(), terms)
         if not reply.tokens and is_opening(quota):
             return reply._replace(retry_after=OPENING.retry_after, available=True)
         return reply
--- a/trefoilpin/quotas.py
+++ b/trefoilpin/quotas.py
@@ -178,7 +178,7 @@
     return max(seconds_until(quota.bucket, rate_of(quota), 1), 0.001)
 
 
-def reserve(quota, host, request, now, lifetime):
+def reserve(quota, host, request, now, terms):
     """Reserve tokens for another host.
 
     Parameters
@@ -187,8 +187,9 @@
     host : str
         Incarnation.
     request : ReservationRequest
-    now, lifetime : float
-        Seconds; reservations count as outstanding for the lifetime.
+    now : float
+        Seconds.
+    terms : Terms
 
     Returns
     -------
@@ -200,24 +201,24 @@
     if reservation is None:
         reservation = quota.reservation_by_host[host] = Reservation(now)
     if request.sequence <= reservation.sequence:
-        return ReservationReply(0, False, UNAVAILABLE_RETRY_SECONDS, True)
+        return ReservationReply(0, 0.0, UNAVAILABLE_RETRY_SECONDS, True)
     reservation.sequence = request.sequence
     take_back(quota, reservation, request)
     settle(quota, now)
     capacity = quota.account.burst * quota.units / quota.total
     if not quota.units or quota.outstanding > capacity:
         available = quota.units > 0
-        return ReservationReply(0, False, wait_for_token(quota), available)
+        return ReservationReply(0, 0.0, wait_for_token(quota), available)
     level = quota.bucket.level
     tokens = min(request.wanted, max(math.floor(level * GRANTED_SHARE), 1))
     tokens = tokens if level >= 1 else 0
     quota.bucket.level -= tokens
     quota.outstanding += tokens
     reservation.tokens += tokens
-    reservation.made_at, reservation.until = now, now + lifetime
+    reservation.made_at, reservation.until = now, now + terms.outstanding
     quota.next_lapse = min(quota.next_lapse, reservation.until)
     wait = 0.0 if tokens else wait_for_token(quota)
-    return ReservationReply(tokens, True, wait, True)
+    return ReservationReply(tokens, terms.reservation, wait, True)
 
 
 def take_back(quota, reservation, request):
--- a/trefoilpin/settings.py
+++ b/trefoilpin/settings.py
@@ -365,14 +365,14 @@
         0.8,
         "a number from 0.5 to 60",
         is_number(0.5, 60),
-        "Time units are lent for; the same on every host. Longer saves messages.",
+        "Time units are lent for; a host with a longer one gets no loans.",
     ),
     Setting(
         "limits.reservation_seconds",
         0.4,
         "a number from 0.1 to 10",
         is_number(0.1, 10),
-        "Time a host may use reserved tokens; the same on every host.",
+        "Time a host may use tokens that this one reserves for it.",
     ),
     Setting(
         "limits.wait_seconds",
--- a/trefoilpin/thrift_gen/limits/ttypes.py
+++ b/trefoilpin/thrift_gen/limits/ttypes.py
@@ -167,14 +167,16 @@
     """
     Attributes:
      - sequence
+     - use_seconds
      - wanted
      - returned
 
     """
 
 
-    def __init__(self, sequence=None, wanted=None, returned=None,):
+    def __init__(self, sequence=None, use_seconds=None, wanted=None, returned=None,):
         self.sequence = sequence
+        self.use_seconds = use_seconds
         self.wanted = wanted
         self.returned = returned
 
@@ -193,6 +195,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.use_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.LIST:
                     self.wanted = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -202,7 +209,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 4:
                 if ftype == TType.LIST:
                     self.returned = []
                     (_etype9, _size6) = iprot.readListBegin()
@@ -227,15 +234,19 @@
             oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.use_seconds is not None:
+            oprot.writeFieldBegin('use_seconds', TType.DOUBLE, 2)
+            oprot.writeDouble(self.use_seconds)
+            oprot.writeFieldEnd()
         if self.wanted is not None:
-            oprot.writeFieldBegin('wanted', TType.LIST, 2)
+            oprot.writeFieldBegin('wanted', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
             for iter12 in self.wanted:
                 oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returned is not None:
-            oprot.writeFieldBegin('returned', TType.LIST, 3)
+            oprot.writeFieldBegin('returned', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.returned))
             for iter13 in self.returned:
                 iter13.write(oprot)
@@ -482,16 +493,16 @@
     """
     Attributes:
      - tokens
-     - renewed
+     - lifetime
      - retry_after
      - available
 
     """
 
 
-    def __init__(self, tokens=None, renewed=None, retry_after=None, available=None,):
+    def __init__(self, tokens=None, lifetime=None, retry_after=None, available=None,):
         self.tokens = tokens
-        self.renewed = renewed
+        self.lifetime = lifetime
         self.retry_after = retry_after
         self.available = available
 
@@ -510,8 +521,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.BOOL:
-                    self.renewed = iprot.readBool()
+                if ftype == TType.DOUBLE:
+                    self.lifetime = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -538,9 +549,9 @@
             oprot.writeFieldBegin('tokens', TType.I32, 1)
             oprot.writeI32(self.tokens)
             oprot.writeFieldEnd()
-        if self.renewed is not None:
-            oprot.writeFieldBegin('renewed', TType.BOOL, 2)
-            oprot.writeBool(self.renewed)
+        if self.lifetime is not None:
+            oprot.writeFieldBegin('lifetime', TType.DOUBLE, 2)
+            oprot.writeDouble(self.lifetime)
             oprot.writeFieldEnd()
         if self.retry_after is not None:
             oprot.writeFieldBegin('retry_after', TType.DOUBLE, 3)
@@ -813,14 +824,16 @@
      - entries
      - total
      - valid_seconds
+     - lapse_seconds
 
     """
 
 
-    def __init__(self, entries=None, total=None, valid_seconds=None,):
+    def __init__(self, entries=None, total=None, valid_seconds=None, lapse_seconds=None,):
         self.entries = entries
         self.total = total
         self.valid_seconds = valid_seconds
+        self.lapse_seconds = lapse_seconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -852,6 +865,11 @@
                     self.valid_seconds = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.lapse_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -877,6 +895,10 @@
             oprot.writeFieldBegin('valid_seconds', TType.DOUBLE, 3)
             oprot.writeDouble(self.valid_seconds)
             oprot.writeFieldEnd()
+        if self.lapse_seconds is not None:
+            oprot.writeFieldBegin('lapse_seconds', TType.DOUBLE, 4)
+            oprot.writeDouble(self.lapse_seconds)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -910,8 +932,9 @@
 LoanRequestStruct.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
-    (2, TType.LIST, 'wanted', (TType.STRING, 'UTF8', False), None, ),  # 2
-    (3, TType.LIST, 'returned', (TType.STRUCT, [ReturnedAccountStruct, None], False), None, ),  # 3
+    (2, TType.DOUBLE, 'use_seconds', None, None, ),  # 2
+    (3, TType.LIST, 'wanted', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'returned', (TType.STRUCT, [ReturnedAccountStruct, None], False), None, ),  # 4
 )
 all_structs.append(LoanReplyStruct)
 LoanReplyStruct.thrift_spec = (
@@ -935,7 +958,7 @@
 ReservationReplyStruct.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'tokens', None, None, ),  # 1
-    (2, TType.BOOL, 'renewed', None, None, ),  # 2
+    (2, TType.DOUBLE, 'lifetime', None, None, ),  # 2
     (3, TType.DOUBLE, 'retry_after', None, None, ),  # 3
     (4, TType.BOOL, 'available', None, None, ),  # 4
 )
@@ -966,6 +989,7 @@
     (1, TType.LIST, 'entries', (TType.STRUCT, [HeldUnitsStruct, None], False), None, ),  # 1
     (2, TType.I32, 'total', None, None, ),  # 2
     (3, TType.DOUBLE, 'valid_seconds', None, None, ),  # 3
+    (4, TType.DOUBLE, 'lapse_seconds', None, None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
