--- a/trefoilpin/stores.py
+++ b/trefoilpin/stores.py
@@ -29,6 +29,7 @@
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 8.0
 MAX_DOUBLINGS = 10
+FAILURES_WITHOUT_PAUSE = 1
 WATCH_GRACE_SECONDS = 2.0
 
 
@@ -163,16 +164,20 @@
         return outcome
 
     def note(method, path, outcome):
-        """Pause calls for longer after each failure in a row, with jitter."""
+        """Pause calls for longer after each failure in a row, with jitter.
+
+        The first one brings no pause, so that an unknown outcome can be read back.
+        """
         failure = outcome.swap().value_or(None)
         if failure is None or failure.missing or failure.conflict:
             state.failures = 0
             return
         state.position += 1
         state.failures += 1
-        longest = FIRST_PAUSE_SECONDS * 2 ** min(state.failures, MAX_DOUBLINGS)
-        pause = min(longest, MAX_PAUSE_SECONDS) * (0.5 + rng.random() / 2)
-        state.paused_until = now() + pause
+        if state.failures > FAILURES_WITHOUT_PAUSE:
+            doublings = min(state.failures - FAILURES_WITHOUT_PAUSE, MAX_DOUBLINGS)
+            longest = min(FIRST_PAUSE_SECONDS * 2**doublings, MAX_PAUSE_SECONDS)
+            state.paused_until = now() + longest * (0.5 + rng.random() / 2)
         report(method, path, failure)
 
     def report(method, path, failure):
