Leave out connections that break together with a crashing request

Cause: a request that crashes an upstream also breaks what else runs there; these failures have fingerprints of their own.

Change: where a request that broke other upstreams broke this one, no connection that broke in the same second counts.

Ruled out: a higher bound on chance, which delays half errors at 2 requests a second.

--- a/trefoilpin/outliers.py
+++ b/trefoilpin/outliers.py
@@ -65,6 +65,26 @@
     return sum(len(known.get(item, ())) > 1 for item in fingerprints)
 
 
+def rows_of(evidence, second, upstream):
+    """Return an upstream's rows of a second.
+
+    Where a request that breaks other upstreams too broke this one, the connections
+    that broke with it don't count.
+    """
+    rows = second.rows_by_upstream.get(upstream, ())
+    if not any(crashes(evidence, row.fingerprints) for row in rows):
+        return rows
+    return [
+        row._replace(
+            requests=row.requests - row.hard,
+            failures=row.failures - row.hard,
+            hard=0,
+            fingerprints=(),
+        )
+        for row in rows
+    ]
+
+
 def bad_of(evidence, row, kind):
     """Return the bad attempts of a row that count against the upstream."""
     if kind == "slow":
@@ -172,7 +192,7 @@
     rows = []
     for second in evidence.seconds:
         if second.tick >= oldest:
-            rows.extend(second.rows_by_upstream.get(upstream, ()))
+            rows.extend(rows_of(evidence, second, upstream))
     own_by_account = merge_rows(evidence, rows, kind, "account")
     requests = sum(own.requests for own in own_by_account.values())
     bad = sum(own.bad for own in own_by_account.values())
--- a/trefoilpin/tests/test_outliers.py
+++ b/trefoilpin/tests/test_outliers.py
@@ -101,6 +101,20 @@
     assert outliers.find_outliers(evidence, 16, HOMES) == []
 
 
+def test_connections_that_break_with_a_crash_do_not_count():
+    evidence = PoolEvidence()
+    feed(evidence, 12)
+    add_samples(evidence, 11, "a00", "a", (sample("u0", "A", 1, 1, GOOD, (7,)),))
+    for tick, host in ((11, "b00"), (11, "b01")):
+        crash = sample("u1", "A", 1, 1, GOOD, (7,))
+        others = tuple(sample("u1", account, 1, 1) for account in "BCDB")
+        add_samples(evidence, tick, host, "b", (crash, *others))
+    assert outliers.find_outliers(evidence, 12, HOMES) == []
+    evidence.upstreams_by_fingerprint.clear()
+    ejected = outliers.find_outliers(evidence, 12, HOMES)
+    assert [item.upstream for item in ejected] == ["u1"]
+
+
 def test_running_sums_come_back_to_nothing():
     evidence = PoolEvidence()
     feed(evidence, 10, on_u1(failures=1))
