Refuse all work on a host that is not current; name an issuer that takes keys

Cause: an open route on a host cut off from store and fleet went on sending work to an availability zone after it was taken out, and a host just started answered route_unknown before it had the configuration; a host full of keys named itself as issuer and then refused. Conclusion: departs from the first design, which refused only keyed work; the promise on zones holds for open routes too.

--- a/trefoilpin/addresses.py
+++ b/trefoilpin/addresses.py
@@ -67,6 +67,7 @@
     notices = kernel.find("notices")
     configurations = kernel.find("configurations")
     shutdowns = kernel.find("shutdowns")
+    issuers = kernel.find("issuers")
 
     def is_usable(host, leaving):
         if host.incarnation in leaving:
@@ -101,7 +102,10 @@
             return Failure(NO_HOST)
         chosen = select(usable, HOSTS_GIVEN)
         own = memberships.own().incarnation
-        issuer = chosen[0].incarnation if own in leaving else own
+        issuer = own
+        if own in leaving or not issuers.takes_keys():
+            others = [host for host in chosen if host.incarnation != own]
+            issuer = (others or chosen)[0].incarnation
         hosts = tuple((host.caller_address, host.zone) for host in chosen)
         emit(
             events.HOSTS_GIVEN,
--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -180,9 +180,9 @@
         max(settings["shutdown.drain_seconds"], lifetime),
         settings["shutdown.spread_reconnects"],
     )
-    addresses.create(kernel, lifetime)
     create_limits(kernel, settings)
     create_operations(kernel, settings)
+    addresses.create(kernel, lifetime)
     queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     drains.create(kernel)
     standings.create(kernel)
--- a/trefoilpin/proxies.py
+++ b/trefoilpin/proxies.py
@@ -19,6 +19,12 @@
 INTERRUPTED = Attempt(
     Verdict.MAY_HAVE_RUN, None, Reason.INTERNAL, "the attempt was interrupted", 0.0
 )
+NOT_CURRENT = Refusal(
+    Reason.NOT_CURRENT,
+    Verdict.NOT_RUN,
+    "this host can't tell whether its configuration is in force",
+    RETRY_AFTER_SECONDS,
+)
 TOO_LATE = Refusal(
     Reason.OVERLOADED,
     Verdict.NOT_RUN,
@@ -121,6 +127,7 @@
     now = kernel.clock.now
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
+    memberships = kernel.find("memberships")
     configurations = kernel.find("configurations")
     routes = kernel.find("routes")
     keys = kernel.find("keys")
@@ -133,6 +140,8 @@
     forwarders = kernel.find("forwarders")
 
     def handle(request):
+        if not memberships.is_current():
+            return refuse(request, None, None, NOT_CURRENT)
         matched = routes.match(request.host, request.path, request.method)
         if isinstance(matched, Failure):
             return refuse(request, None, None, matched.failure())
--- a/trefoilpin/tests/test_addresses.py
+++ b/trefoilpin/tests/test_addresses.py
@@ -8,7 +8,7 @@
 from trefoilpin import addresses
 from trefoilpin.fakes import fleets, loops
 from trefoilpin.records import AvailabilityZone, ClientAccount, Host
-from trefoilpin.services import Configurations, Keys, Shutdowns
+from trefoilpin.services import Configurations, Issuers, Keys, Shutdowns
 from trefoilpin.shutdowns import LEAVING_TOPIC
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
@@ -44,6 +44,9 @@
         kernel.register("notices", self.notices)
         kernel.register("configurations", configurations)
         kernel.register("shutdowns", stopping)
+        self.takes_keys = True
+        issuers = Issuers(None, None, lambda: self.takes_keys, None)
+        kernel.register("issuers", issuers)
         kernel.register("keys", Keys(lambda route, request: self.checked, None))
         self.answer = addresses.create(kernel, 10.0).answer
 
@@ -116,3 +119,10 @@
     chosen = addresses.select([*same, hosts[1]], count)
     assert len(chosen) == count
     assert len({host.zone for host in chosen}) == min(count, 2)
+
+
+def test_a_host_full_of_keys_names_another_issuer():
+    fleet = Fleet(create_hosts(4))
+    fleet.takes_keys = False
+    answer = fleet.answer(None).unwrap()
+    assert answer.issuer != "i0"
--- a/trefoilpin/tests/test_proxies.py
+++ b/trefoilpin/tests/test_proxies.py
@@ -9,6 +9,7 @@
 from trefoilpin.fakes.calls import create_tasks
 from trefoilpin.kernel import create_kernel
 from trefoilpin.messages import Answer, Attempt, Permit
+from trefoilpin.records import Host
 from trefoilpin.services import Balancers, Events, Forwarders, Operations, Queues
 from trefoilpin.verdicts import Reason, Verdict
 
@@ -35,6 +36,9 @@
         kernel = create_kernel(tasks.clock, lambda *task: None, self.state.rng)
         kernel.register("events", Events(lambda event, **fields: None, None))
         kernel.register("metrics", writers.SILENT_METRICS)
+        own = Host("h1", "h1", "a", "r", "", "")
+        self.view = fleets.FleetView(own, [own])
+        kernel.register("memberships", fleets.create_memberships(self.view))
         board = fleets.Board("h1")
         kernel.register("notices", fleets.create_notices(board, tasks.clock.now))
         truth = writers.Truth()
@@ -176,3 +180,13 @@
     request = writers.request("r", "hielo", None, "order", scene.state.now - 60.0)
     refusal = scene.proxies.handle(request).failure()
     assert refusal.verdict is Verdict.NOT_RUN and scene.finished == [None]
+
+
+def test_a_host_that_is_not_current_runs_nothing():
+    scene = Scene([WHOLE])
+    scene.view.is_current = False
+    refusal = scene.handle("GET").failure()
+    assert refusal.reason is Reason.NOT_CURRENT
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert refusal.retry_after
+    assert not scene.sent
