--- a/trefoilpin/memberships.py
+++ b/trefoilpin/memberships.py
@@ -100,15 +100,15 @@
         if state.host_by_incarnation.pop(incarnation, None) is None:
             return
         state.is_stale = True
+        state.removed.add(incarnation)
         refresh_live()
         emit(events.HOST_LEFT, incarnation=incarnation, successor=successor or None)
 
     def learn_member(notice):
         host = decode_host(notice.value)
-        if host is None or host.incarnation != notice.key:
-            return
-        state.expires_at[host.incarnation] = notice.expires_at
-        add(host)
+        if host is not None and host.incarnation == notice.key:
+            state.expires_at[host.incarnation] = notice.expires_at
+            add(host)
 
     def learn_departed(notice):
         if notice.key == own.incarnation and not state.leaving:
@@ -192,7 +192,6 @@
     def pull(sender, request):
         update_order(state)
         settle_heads(state, configurations.head())
-        seen = state.store_seen_at > NEVER
         return PullReply(
             state.digest,
             encode_ages(state, now()),
@@ -200,7 +199,7 @@
             configurations.head(),
             state.known_number,
             state.store_head,
-            store_age() if seen else -1.0,
+            store_age() if state.store_seen_at > NEVER else -1.0,
             notices.digest(),
             notices.news(request.recent_notices),
             state.joined,
@@ -282,8 +281,7 @@
 
     def sync_with(address):
         state.synced_at = began_at = now()
-        record = notices.own_items(MEMBER_TOPIC)
-        request = SyncRequest(notices.all_ids(), record)
+        request = SyncRequest(notices.all_ids(), notices.own_items(MEMBER_TOPIC))
         result = peers.call(address, "memberships.sync", request, SYNC_TIMEOUT_SECONDS)
         if isinstance(result, Failure):
             return
@@ -306,6 +304,17 @@
             ended = now() > state.expires_at.get(incarnation, float("inf"))
             if ended and age(incarnation) > FORGET_SECONDS:
                 remove(incarnation, None)
+        delete_records()
+
+    def delete_records():
+        """Delete the store's records of removed hosts, if it is this host's turn."""
+        removed, state.removed = state.removed, set()
+        if ranked("roster")[0] != own:
+            return
+        for incarnation in sorted(removed):
+            found = store.get(ROSTER_PREFIX + incarnation)
+            if isinstance(found, Success):
+                store.delete(found.unwrap().path, found.unwrap().version)
 
     def enroll_once():
         """Read the roster in the store and add this host to it."""
@@ -318,19 +327,16 @@
         for stored, host in zip(listed.unwrap(), hosts):
             replaced = host is not None and host.name == own.name
             if replaced and host.incarnation != own.incarnation:
-                depart(host.incarnation, "")
+                notices.publish(DEPARTED_TOPIC, host.incarnation, "", DEPARTED_SECONDS)
                 store.delete(stored.path, stored.version)
-        path = ROSTER_PREFIX + own.incarnation
-        created = store.create(path, encode_host(own))
+        created = store.create(ROSTER_PREFIX + own.incarnation, encode_host(own))
         state.enrolled = isinstance(created, Success) or created.failure().conflict
         return state.enrolled
 
-    def depart(incarnation, following):
-        notices.publish(DEPARTED_TOPIC, incarnation, following, DEPARTED_SECONDS)
-
     def leave(incarnation):
         state.leaving = True
-        depart(own.incarnation, incarnation or "")
+        text = incarnation or ""
+        notices.publish(DEPARTED_TOPIC, own.incarnation, text, DEPARTED_SECONDS)
 
     def is_watcher():
         zone = [host.incarnation for host in state.live if host.zone == own.zone]
--- a/trefoilpin/rosters.py
+++ b/trefoilpin/rosters.py
@@ -132,6 +132,7 @@
         self.swept_at = NEVER
         self.pulls = 0
         self.partners: list[str] = []
+        self.removed: set[str] = set()
         self.live: tuple[Host, ...] = (own,)
         self.ranked_by_name: dict[str, tuple[Host, ...]] = {}
         self.subscribers: list = []
--- a/trefoilpin/tests/test_memberships.py
+++ b/trefoilpin/tests/test_memberships.py
@@ -188,6 +188,16 @@
     assert not view(kept["h0"]).has_majority()
 
 
+def test_records_of_departed_hosts_leave_the_store():
+    state, _, kernel_by_name, (store, _) = create_fleet(4)
+    view(kernel_by_name["h1"]).leave("h2")
+    run(state, kernel_by_name, 6)
+    del kernel_by_name["h1"]
+    run(state, kernel_by_name, 40)
+    paths = [stored.path for stored in store.list("roster/").unwrap()]
+    assert paths == ["roster/h0", "roster/h2", "roster/h3"]
+
+
 def test_watchers_are_few_in_each_zone():
     _, _, kernel_by_name, _ = create_fleet(12)
     watchers = [
