Count at most two broken connections of an upstream in a second

Cause: a crashing request and the connections that broke with it came within one second and, with one background error, were enough for a pool of 6; the request was not yet known to crash others.

Change: more than two breaks in the same second count as two.

--- a/trefoilpin/outliers.py
+++ b/trefoilpin/outliers.py
@@ -28,6 +28,7 @@
 SCREEN_RATIO = 2.0
 SCREEN_SHARE = 0.05
 HARD_RUN = 5
+MOST_BREAKS_A_SECOND = 2
 HARD_RUN_SECONDS = 2
 MOST_SHARE = 0.99
 
@@ -190,12 +191,16 @@
     """Return an ``Outlier`` for one kind and window, or None."""
     position = 1 if kind == "failures" else 2
     rows = []
+    surplus = 0
     for second in evidence.seconds:
         if second.tick >= oldest:
-            rows.extend(rows_of(evidence, second, upstream))
+            found = rows_of(evidence, second, upstream)
+            broken = sum(len(row.fingerprints) for row in found)
+            surplus += max(0, broken - MOST_BREAKS_A_SECOND)
+            rows.extend(found)
     own_by_account = merge_rows(evidence, rows, kind, "account")
-    requests = sum(own.requests for own in own_by_account.values())
-    bad = sum(own.bad for own in own_by_account.values())
+    requests = sum(own.requests for own in own_by_account.values()) - surplus
+    bad = sum(own.bad for own in own_by_account.values()) - surplus
     if bad < LEAST_BAD:
         return None
     pool_by_account = pool_tallies(evidence, position, oldest)
