Split long modules; callers' own breaks are not held against upstreams

Change: interfaces by area, re-exported by services; catalogue and log writer apart; table of defaults apart from its checks; peer connections apart from calls; lines are written four at a time again; reports leave out what callers break off. Conclusion: behaviour is as before but for the two faults.

--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -31,6 +31,7 @@
     keys,
     lenders,
     limits,
+    logs,
     memberships,
     metrics,
     notices,
@@ -147,7 +148,7 @@
     """
     if kernel is None:
         kernel = create_kernel(clocks.system_clock(eventlet.sleep), eventlet.spawn)
-    events.create(kernel, settings["log.format"], settings["log.sample"], write_log)
+    logs.create(kernel, settings["log.format"], settings["log.sample"], write_log)
     metrics.create(kernel)
     stores.create(
         kernel,
--- /dev/null
+++ b/trefoilpin/logs.py
@@ -0,0 +1,121 @@
+"""Service that writes the log: one line for each event.
+
+Every line has an event's number, its name and its fields. Lines are formatted and
+written by a task of their own, so that a request never waits for the log.
+"""
+
+import json
+import logging
+import re
+import sys
+from collections import deque
+
+import eventlet
+import eventlet.event
+
+from trefoilpin.services import Events
+
+__all__ = ["create"]
+
+logger = logging.getLogger(__name__)
+
+MAX_WAITING_LINES = 100_000
+FLUSH_SECONDS = 0.05
+LINES_AT_ONCE = 4
+NEEDS_QUOTES = re.compile(r'[\s"=]')
+
+
+class LogState:
+    """Lines that wait to be written, and how many were dropped."""
+
+    def __init__(self):
+        self.waiting = deque()
+        self.dropped = 0
+        self.seen_by_number: dict[int, int] = {}
+        self.has_lines = eventlet.event.Event()
+
+
+def format_text(when, event, fields):
+    """Return a line of ``key=value`` pairs."""
+    pairs = [f"{name}={quote(fields.get(name))}" for name in event.fields]
+    return " ".join([f"{when:.3f}", f"E{event.number}", event.name, *pairs])
+
+
+def format_json(when, event, fields):
+    """Return a line of JSON."""
+    row = {"time": round(when, 3), "event": event.number, "name": event.name}
+    return json.dumps(row | fields, default=str)
+
+
+def quote(value):
+    """Return a value as text, in quotation marks when it holds white space."""
+    text = "-" if value is None else str(value)
+    if text and NEEDS_QUOTES.search(text) is None:
+        return text
+    return json.dumps(text)
+
+
+def create(kernel, log_format="text", sample=1, write=None):
+    """Create the service ``events``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    log_format : {"text", "json"}
+    sample : int
+        One in this many lines of a sampled event is written.
+    write : callable, optional
+        ``write(text)`` takes finished lines; standard error by default.
+
+    Returns
+    -------
+    Events
+    """
+    state = LogState()
+    wall = kernel.clock.wall
+    line = format_json if log_format == "json" else format_text
+    write = write or sys.stderr.write
+
+    def emit(event, **fields):
+        if not logger.isEnabledFor(event.level):
+            return
+        if event.sampled and sample > 1:
+            seen = state.seen_by_number.get(event.number, 0)
+            state.seen_by_number[event.number] = seen + 1
+            if seen % sample:
+                return
+        if len(state.waiting) >= MAX_WAITING_LINES:
+            state.dropped += 1
+            return
+        state.waiting.append((wall(), event, fields))
+        if not state.has_lines.ready():
+            state.has_lines.send()
+
+    def write_some(count):
+        """Write up to a number of lines, so that requests wait for few at a time."""
+        lines = []
+        while state.waiting and len(lines) < count:
+            when, event, fields = state.waiting.popleft()
+            lines.append(line(when, event, fields))
+        if state.dropped:
+            lines.append(f"{wall():.3f} {state.dropped} lines were dropped")
+            state.dropped = 0
+        if lines:
+            write("\n".join(lines) + "\n")
+
+    def flush():
+        while state.waiting or state.dropped:
+            write_some(MAX_WAITING_LINES)
+
+    def write_forever():
+        while True:
+            state.has_lines.wait()
+            state.has_lines = eventlet.event.Event()
+            while state.waiting or state.dropped:
+                write_some(LINES_AT_ONCE)
+                eventlet.sleep(0)
+            eventlet.sleep(FLUSH_SECONDS)
+
+    service = Events(emit, flush)
+    kernel.register("events", service, lambda: kernel.spawn(write_forever), flush)
+    return service
--- a/trefoilpin/reports.py
+++ b/trefoilpin/reports.py
@@ -8,6 +8,8 @@
 import math
 from typing import NamedTuple
 
+from trefoilpin.verdicts import Reason
+
 __all__ = [
     "UNKNOWN_ACCOUNT",
     "Counts",
@@ -33,6 +35,9 @@
 UNKNOWN_ACCOUNT = "?"
 LOWEST_SECONDS = 0.0001
 FINGERPRINT_BITS = 63
+REASONS_OF_CALLERS = frozenset(
+    (Reason.BAD_REQUEST, Reason.CALLER_GONE, Reason.INTERNAL)
+)
 
 
 class Sample(NamedTuple):
@@ -200,7 +205,7 @@
 
 
 def count_attempt(counts, attempt, fingerprint):
-    """Add the outcome of an attempt.
+    """Add the outcome of an attempt, unless the upstream has no part in it.
 
     Parameters
     ----------
@@ -208,6 +213,8 @@
     attempt : Attempt
     fingerprint : str
     """
+    if attempt.reason in REASONS_OF_CALLERS:
+        return
     if attempt.shed:
         counts.sheds += 1
         return
--- a/trefoilpin/tests/test_events.py
+++ b/trefoilpin/tests/test_logs.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from trefoilpin import events
+from trefoilpin import events, logs
 from trefoilpin.fakes import loops
 from trefoilpin.kernel import create_kernel
 
@@ -13,7 +13,7 @@
 def create(lines, **arguments):
     kernel = create_kernel(loops.movable_clock(loops.LoopState(1)), lambda *task: None)
     logging.getLogger("trefoilpin").setLevel(logging.INFO)
-    return events.create(kernel, write=lines.append, **arguments)
+    return logs.create(kernel, write=lines.append, **arguments)
 
 
 @pytest.mark.parametrize(
@@ -27,7 +27,7 @@
     ],
 )
 def test_no_value_can_pass_for_another_field_or_line(value, text):
-    assert events.quote(value) == text
+    assert logs.quote(value) == text
 
 
 def test_lines_hold_number_name_and_fields():
@@ -55,7 +55,7 @@
 
 
 def test_lines_over_the_limit_are_counted(monkeypatch):
-    monkeypatch.setattr(events, "MAX_WAITING_LINES", 2)
+    monkeypatch.setattr(logs, "MAX_WAITING_LINES", 2)
     lines = []
     service = create(lines)
     for _ in range(5):
--- a/trefoilpin/tests/test_peers.py
+++ b/trefoilpin/tests/test_peers.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure
 
-from trefoilpin import clocks, peer_codecs, peers
+from trefoilpin import clocks, peer_codecs, peer_connections, peers
 from trefoilpin.kernel import create_kernel
 from trefoilpin.rosters import SyncReply, SyncRequest
 from trefoilpin.services import Events
@@ -200,10 +200,13 @@
 
 
 def test_envelopes_survive_the_wire():
-    envelope = peers.Envelope("m", 2**40, "s", b"\x00\xff", b"t", True)
-    struct_type = peers.EnvelopeStruct
+    envelope = peer_connections.Envelope("m", 2**40, "s", b"\x00\xff", b"t", True)
+    struct_type = peer_connections.EnvelopeStruct
     data = peer_codecs.encode(envelope, struct_type)
-    assert peer_codecs.decode(data, peers.Envelope, struct_type).unwrap() == envelope
+    assert (
+        peer_codecs.decode(data, peer_connections.Envelope, struct_type).unwrap()
+        == envelope
+    )
 
 
 def test_a_connection_closed_while_its_reader_waits_ends_nothing_else(nodes):
