--- a/trefoilpin/entitlements.py
+++ b/trefoilpin/entitlements.py
@@ -38,7 +38,7 @@
 UNITS_TOPIC = "units"
 READ_TOPIC = "ledger-read"
 STEP_SECONDS = 0.5
-UNITS_NOTICE_SECONDS = 30.0
+UNITS_NOTICE_SECONDS = 15.0
 READ_NOTICE_SHARE = 0.8
 HAND_OVER_TIMEOUT_SECONDS = 1.0
 FETCH_TIMEOUT_SECONDS = 0.4
@@ -277,9 +277,9 @@
             state.next_read = now() + terms.read * (0.8 + 0.4 * kernel.rng.random())
             if state.units_by_entry or own in candidates():
                 read_ledger()
-            publish()
         elif state.limit is not None and now() >= state.limited_at + terms.lapse:
             read_ledger()
+        publish()
 
     def publish_read():
         """Have every host know that the store answers, unless it soon does."""
