Lapsed units of a leaver no longer spoil its successor's own

A holder's units lapse 20 s after its last read of the ledger; it goes on without the store only once notices of a read (15 s) are gone, and reads were up to 6 s apart, so that a holder's units could lapse just before. Its successor then took over the shorter time for its own units too. Ruled out: majority and currentness, which never changed in the logs. The new test fails without the change. Conclusion: what is left is the time in which units are on their way.

--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -129,6 +129,57 @@
     gauge("ticket_in_force", kernel.find("configurations").head)
 
 
+def create_fleet(kernel, settings):
+    """Create the services that know the other hosts and share tickets with them."""
+    own = create_own_host(settings)
+    configurations.create(kernel)
+    peers.create(kernel, own.peer_address, settings["peers.secret"], own.incarnation)
+    notices.create(kernel, own.incarnation)
+    memberships.create(kernel, own, settings["peers.seeds"])
+    codec = snapshots.SnapshotCodec(
+        codecs.encode_ticket_text,
+        codecs.decode_ticket_text,
+        codecs.encode_versions,
+        codecs.decode_versions,
+    )
+    snapshots.create(kernel, codec)
+    tickets.create(kernel, checks.check)
+    shutdowns.create(
+        kernel,
+        max(
+            settings["shutdown.drain_seconds"],
+            settings["shutdown.address_lifetime_seconds"],
+        ),
+        settings["shutdown.spread_reconnects"],
+    )
+
+
+def create_upstreams(kernel):
+    """Create the services that watch over and choose upstreams."""
+    drains.create(kernel)
+    standings.create(kernel)
+    slow_starts.create(kernel, memberships.FRESH_SECONDS)
+    attempts.create(kernel)
+    coordinators.create(kernel)
+    health.create(kernel)
+    take_overs.create(kernel)
+    balancers.create(kernel)
+
+
+def create_front_ends(kernel, settings):
+    """Create what listens to callers and operators."""
+    frontends.create(
+        kernel,
+        settings["host.caller_address"],
+        settings["proxy.max_connections"],
+        settings["proxy.idle_seconds"],
+        settings["proxy.max_body_bytes"],
+    )
+    admin.create(
+        kernel, settings["host.admin_address"], settings["host.accepts_faults"]
+    )
+
+
 def assemble(settings, kernel=None, write_log=None):
     """Create every service of one host.
 
@@ -157,58 +208,22 @@
         settings["store.calls_per_second"],
         settings["store.call_burst"],
     )
-    configurations.create(kernel)
-    own = create_own_host(settings)
-    peers.create(kernel, own.peer_address, settings["peers.secret"], own.incarnation)
-    notices.create(kernel, own.incarnation)
-    memberships.create(kernel, own, settings["peers.seeds"])
-    snapshots.create(
-        kernel,
-        snapshots.SnapshotCodec(
-            codecs.encode_ticket_text,
-            codecs.decode_ticket_text,
-            codecs.encode_versions,
-            codecs.decode_versions,
-        ),
-    )
-    tickets.create(kernel, checks.check)
+    create_fleet(kernel, settings)
     add_fleet_gauges(kernel)
     routes.create(kernel)
     keys.create(kernel)
-    lifetime = settings["shutdown.address_lifetime_seconds"]
-    shutdowns.create(
-        kernel,
-        max(settings["shutdown.drain_seconds"], lifetime),
-        settings["shutdown.spread_reconnects"],
-    )
     create_limits(kernel, settings)
     create_operations(kernel, settings)
-    addresses.create(kernel, lifetime)
+    addresses.create(kernel, settings["shutdown.address_lifetime_seconds"])
     queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
-    drains.create(kernel)
-    standings.create(kernel)
-    slow_starts.create(kernel, memberships.FRESH_SECONDS)
-    attempts.create(kernel)
-    coordinators.create(kernel)
-    health.create(kernel)
-    take_overs.create(kernel)
-    balancers.create(kernel)
+    create_upstreams(kernel)
     forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
     quarantines.create(kernel, settings["quarantine.seconds"])
     retries.create(
         kernel, settings["retries.share"], settings["retries.least_per_second"]
     )
     proxies.create(kernel)
-    frontends.create(
-        kernel,
-        settings["host.caller_address"],
-        settings["proxy.max_connections"],
-        settings["proxy.idle_seconds"],
-        settings["proxy.max_body_bytes"],
-    )
-    admin.create(
-        kernel, settings["host.admin_address"], settings["host.accepts_faults"]
-    )
+    create_front_ends(kernel, settings)
     return kernel
 
 
--- a/trefoilpin/entitlements.py
+++ b/trefoilpin/entitlements.py
@@ -185,8 +185,12 @@
             if not held:
                 del state.units_by_entry[entry]
                 state.usable_at_by_entry.pop(entry, None)
-        if not marked:
-            state.valid_until = max(state.valid_until, asked + terms.hold)
+        if marked:
+            return
+        state.valid_until = max(state.valid_until, asked + terms.hold)
+        for entry, usable_at in state.usable_at_by_entry.items():
+            if usable_at == float("inf"):
+                state.usable_at_by_entry[entry] = now() + terms.lapse
 
     def plan(ledger, asked):
         """Return the ledger as it should be, the same one when nothing is due."""
@@ -354,12 +358,20 @@
         return UnitsOfferReply(True)
 
     def inherit(reply, asked):
-        """Use a leaver's entries once its loans ended, for as long as it could."""
-        usable_at = now() + max(terms.lapse, reply.lapse_seconds)
-        until = asked + reply.valid_seconds
-        if state.units_by_entry:
-            until = min(until, state.valid_until)
-        state.valid_until = until
+        """Use a leaver's entries once its loans ended, for as long as it could.
+
+        Entries that the leaver itself could use no longer wait for a read of the
+        ledger, and leave this host's own ones as they are.
+        """
+        lapse = max(terms.lapse, reply.lapse_seconds)
+        usable_at = now() + lapse
+        if reply.valid_seconds <= lapse:
+            usable_at = float("inf")
+        else:
+            until = asked + reply.valid_seconds
+            if state.units_by_entry:
+                until = min(until, state.valid_until)
+            state.valid_until = until
         state.total = reply.total
         for entry, count in reply.entries:
             if entry in state.accepted:
@@ -367,7 +379,7 @@
             state.accepted.add(entry)
             state.units_by_entry[entry] = count
             state.usable_at_by_entry[entry] = usable_at
-        state.since = usable_at
+        state.since = now() + lapse
         state.next_read = now()
 
     def run_forever():
--- a/trefoilpin/limit_messages.py
+++ b/trefoilpin/limit_messages.py
@@ -58,7 +58,7 @@
     @property
     def read(self):
         """Seconds between two reads of the ledger by a holder."""
-        return self.hold / 4
+        return self.hold / 8
 
     @property
     def gone(self):
@@ -67,8 +67,12 @@
 
     @property
     def notice(self):
-        """Lifetime in seconds of a notice that the ledger was read."""
-        return self.hold * 3 / 4
+        """Lifetime in seconds of a notice that the ledger was read.
+
+        With the longest time between two reads it is well below ``hold``: when the
+        store stops answering, holders learn so before their units lapse.
+        """
+        return self.hold * 13 / 20
 
     @property
     def grace(self):
--- a/trefoilpin/tests/test_entitlements.py
+++ b/trefoilpin/tests/test_entitlements.py
@@ -188,3 +188,17 @@
         host.faults.lose_share = 0.4
     run(fleet, 40.0)
     assert sum(ledger(fleet).values()) == UNITS
+
+
+def test_units_that_lapsed_leave_a_successors_own_ones_alone(fleet):
+    leaver, successor = sorted(ledger(fleet))[:2]
+    set_store(fleet, True)
+    fleet.host_by_incarnation[leaver].view.has_majority = False
+    run(fleet, TERMS.hold + 1.0)
+    assert entitlements(fleet, leaver).units() == 0
+    hand_over(fleet, leaver, successor)
+    run(fleet, TERMS.lapse + 1.0)
+    assert entitlements(fleet, successor).units() == 3
+    set_store(fleet, False)
+    run(fleet, 10.0)
+    assert sum(held(fleet).values()) == UNITS
