--- a/bench/demo.py
+++ b/bench/demo.py
@@ -18,6 +18,7 @@
 PAUSE_SECONDS = 0.02
 MICROSECONDS = 1_000_000
 SEED = 1
+ACCOUNTS = ("hielo", "cupula")
 
 
 class Tally:
@@ -39,7 +40,8 @@
 def send_requests(host, tally, stop_at, number):
     """Send reads to one host until the time is over."""
     pool = urllib3.HTTPConnectionPool(*host.caller_address.split(":"), maxsize=1)
-    headers = {"Authorization": "Bearer hielo.secret"}
+    account = ACCOUNTS[int(number.rpartition("-")[2]) % len(ACCOUNTS)]
+    headers = {"Authorization": f"Bearer {account}.secret"}
     sequence = 0
     while time.monotonic() < stop_at:
         sequence += 1
