Let retry_amplification's stand-in take the account of a choice

Cause: proxies pass the client account to balancers since requests in flight are counted by account; the measure's own stand-in did not take it. Change: it does.

--- a/bench/retry_amplification.py
+++ b/bench/retry_amplification.py
@@ -50,7 +50,7 @@
         Upstream(str(number), "10.0.0.1:80", "a", 6) for number in range(UPSTREAMS)
     ]
 
-    def choose(pool, excluded):
+    def choose(pool, excluded, account=None):
         left = [item for item in upstreams if item.id not in excluded]
         return Success(Choice(state.rng.choice(left), pool.id, 0))
 
