--- /dev/null
+++ b/trefoilpin/fakes/models.py
@@ -0,0 +1,35 @@
+"""Model of an upstream: slots, a latency, a fault, and what it bears while cold."""
+
+__all__ = ["ModelUpstream", "bears"]
+
+
+class ModelUpstream:
+    """An upstream with its faults and the record of what it bore.
+
+    ``fault`` is a function of a random source that gives None or one of ``error``,
+    ``reset``, ``stall`` and ``unreachable``. ``ratio`` multiplies the latency.
+    """
+
+    def __init__(self, upstream, median, sigma):
+        self.upstream = upstream
+        self.median = median
+        self.sigma = sigma
+        self.fault = None
+        self.ratio = 1.0
+        self.draining = False
+        self.cold_since = None
+        self.cold_seconds = 0.0
+        self.in_flight = 0
+        self.peak = 0
+        self.peak_cold_excess = 0
+        self.starts: list[float] = []
+        self.sheds = 0
+
+
+def bears(model, now):
+    """Return how many requests at once an upstream bears now."""
+    slots = model.upstream.slots
+    if model.cold_since is None or not model.cold_seconds:
+        return slots
+    share = (now - model.cold_since) / model.cold_seconds
+    return min(slots, max(1.0, slots * share))
--- a/trefoilpin/fakes/pools.py
+++ b/trefoilpin/fakes/pools.py
@@ -23,6 +23,7 @@
     take_overs,
 )
 from trefoilpin.fakes import fleets, loops
+from trefoilpin.fakes.models import ModelUpstream, bears
 from trefoilpin.kernel import Kernel
 from trefoilpin.messages import Answer, Attempt
 from trefoilpin.records import (
@@ -72,29 +73,6 @@
     find: Any
 
 
-class ModelUpstream:
-    """An upstream with its faults and the record of what it bore.
-
-    ``fault`` is a function of a random source that gives None or one of ``error``,
-    ``reset``, ``stall`` and ``unreachable``. ``ratio`` multiplies the latency.
-    """
-
-    def __init__(self, upstream, median, sigma):
-        self.upstream = upstream
-        self.median = median
-        self.sigma = sigma
-        self.fault = None
-        self.ratio = 1.0
-        self.draining = False
-        self.cold_since = None
-        self.cold_seconds = 0.0
-        self.in_flight = 0
-        self.peak = 0
-        self.peak_cold_excess = 0
-        self.starts: list[float] = []
-        self.sheds = 0
-
-
 class World:
     """Everything of one loop."""
 
@@ -116,15 +94,6 @@
         self.unreachable: set[tuple[str, str]] = set()
 
 
-def bears(model, now):
-    """Return how many requests at once an upstream bears now."""
-    slots = model.upstream.slots
-    if model.cold_since is None or not model.cold_seconds:
-        return slots
-    share = (now - model.cold_since) / model.cold_seconds
-    return min(slots, max(1.0, slots * share))
-
-
 def make_pool(name, count, slots, floor, zones=ZONES, connections=350):
     """Return a pool whose upstreams are spread over zones."""
     upstreams = tuple(
