Keep the listener open until a leaver's notice has spread

Ruled out: requests cut on standing connections (none). Change: the drain lasts at least 3 s longer than the address lifetime.

--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -61,6 +61,7 @@
 __all__ = ["assemble", "run"]
 
 INCARNATION_BYTES = 8
+NOTICE_SPREAD_SECONDS = 3.0
 COLLECTOR_THRESHOLDS = (5_000, 20, 100)
 
 
@@ -148,7 +149,7 @@
         kernel,
         max(
             settings["shutdown.drain_seconds"],
-            settings["shutdown.address_lifetime_seconds"],
+            settings["shutdown.address_lifetime_seconds"] + NOTICE_SPREAD_SECONDS,
         ),
         settings["shutdown.spread_reconnects"],
     )
