One loop for the least loaded candidate; one name for the notice of units

Cause: the balancer's choice of two repeated the loop of the choice of any, and owners and entitlements each had the topic of the notice that joins them. Change: the choice of two draws its pair and calls the choice of any; the topic stands with the limits' messages. Draws, checks and order are as before.

--- a/trefoilpin/balancers.py
+++ b/trefoilpin/balancers.py
@@ -152,16 +152,10 @@
 
     def pick_two(group, excluded):
         """Return the less loaded of two random candidates with room, or None."""
-        best = None
-        for _ in range(2 if group else 0):
-            item = group[int(rng.random() * len(group))]
-            if item.upstream.id in excluded:
-                continue
-            if not caps.may_start(item.cap, load(item), now()):
-                continue
-            if best is None or load(item) < load(best):
-                best = item
-        return best
+        drawn = [
+            group[int(rng.random() * len(group))] for _ in range(2 if group else 0)
+        ]
+        return pick_any(drawn, excluded)
 
     def pick_any(group, excluded):
         """Return the least loaded candidate with room, or None."""
--- a/trefoilpin/entitlements.py
+++ b/trefoilpin/entitlements.py
@@ -24,6 +24,7 @@
     without_mark,
 )
 from trefoilpin.limit_messages import (
+    UNITS_TOPIC,
     HeldUnits,
     UnitsOffer,
     UnitsOfferReply,
@@ -35,7 +36,6 @@
 __all__ = ["EntitlementState", "create"]
 
 CANDIDATES_NAME = "limits/holders"
-UNITS_TOPIC = "units"
 READ_TOPIC = "ledger-read"
 STEP_SECONDS = 0.5
 UNITS_NOTICE_SECONDS = 15.0
--- a/trefoilpin/limit_messages.py
+++ b/trefoilpin/limit_messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "UNITS_TOPIC",
     "HeldUnits",
     "LentAccount",
     "LoanReply",
@@ -17,6 +18,8 @@
     "UnitsRequest",
 ]
 
+UNITS_TOPIC = "units"
+
 
 class Terms(NamedTuple):
     """How long each right lasts, in seconds.
--- a/trefoilpin/owners.py
+++ b/trefoilpin/owners.py
@@ -13,6 +13,7 @@
 
 from trefoilpin import events
 from trefoilpin.limit_messages import (
+    UNITS_TOPIC,
     LoanRequest,
     ReservationReply,
     ReturnedAccount,
@@ -31,7 +32,6 @@
 
 __all__ = ["create"]
 
-UNITS_TOPIC = "units"
 IDLE_SECONDS = 30.0
 MOVED_SECONDS = 2.0
 CALL_TIMEOUT_SECONDS = 0.3
