--- a/trefoilpin/daemons.py
+++ b/trefoilpin/daemons.py
@@ -218,7 +218,9 @@
     addresses.create(kernel, settings["shutdown.address_lifetime_seconds"])
     queues.create(kernel, eventlet.event.Event, settings["queues.max_waiting"])
     create_upstreams(kernel)
-    forwarders.create(kernel, settings["proxy.max_buffered_answer_bytes"])
+    forwarders.create(
+        kernel, forwarders.ForwarderBounds(settings["proxy.max_buffered_answer_bytes"])
+    )
     quarantines.create(kernel, settings["quarantine.seconds"])
     retries.create(
         kernel, settings["retries.share"], settings["retries.least_per_second"]
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -371,4 +371,193 @@
     "An upstream is leaving and gets no new work.",
 )
 
+# 7xx: the gateway over a store that others write.
+GATEWAY_ANSWERED = Event(
+    700,
+    "gateway_answered",
+    logging.INFO,
+    (
+        "request_id",
+        "route",
+        "account",
+        "pool",
+        "upstream",
+        "status",
+        "attempts",
+        "milliseconds",
+    ),
+    "An upstream's answer was given to the caller.",
+    sampled=True,
+)
+GATEWAY_REFUSED = Event(
+    701,
+    "gateway_refused",
+    logging.WARNING,
+    (
+        "request_id",
+        "route",
+        "account",
+        "reason",
+        "verdict",
+        "detail",
+        "retry_after",
+        "configuration_age",
+        "milliseconds",
+    ),
+    "The caller got a refusal or a failure of the gateway's own.",
+)
+ATTEMPT_ENDED = Event(
+    702,
+    "attempt_ended",
+    logging.INFO,
+    (
+        "request_id",
+        "pool",
+        "upstream",
+        "verdict",
+        "status",
+        "detail",
+        "milliseconds",
+        "number",
+    ),
+    "An upstream was asked, and this is what came of it.",
+    sampled=True,
+)
+REQUEST_WAITS = Event(
+    703,
+    "request_waits",
+    logging.INFO,
+    ("pool", "priority", "ahead", "expected"),
+    "Every upstream of the pool is at its limit, so a request waits for its turn.",
+    sampled=True,
+)
+SUSPECT_REFUSED = Event(
+    704,
+    "suspect_refused",
+    logging.WARNING,
+    ("fingerprint", "upstreams", "seconds"),
+    "A request broke several upstreams and is refused for a time.",
+)
+KNOWLEDGE_CHANGED = Event(
+    710,
+    "knowledge_changed",
+    logging.INFO,
+    ("kind", "revision", "age"),
+    "A newer document of the store is in force on this host.",
+)
+DOCUMENT_MALFORMED = Event(
+    711,
+    "document_malformed",
+    logging.ERROR,
+    ("kind", "revision", "detail"),
+    "A document can't be used; the one before stays in force.",
+)
+OBJECT_MALFORMED = Event(
+    712,
+    "object_malformed",
+    logging.WARNING,
+    ("kind", "object", "detail"),
+    "An object in the store is not of the expected form and is left out.",
+)
+STORE_LOST = Event(
+    713,
+    "store_lost",
+    logging.WARNING,
+    ("kind", "detail"),
+    "A read of the store failed; the last known content stays in force.",
+)
+STORE_REGAINED = Event(
+    714,
+    "store_regained",
+    logging.INFO,
+    ("kind", "age"),
+    "The store answers this host again.",
+)
+HISTORY_LOST = Event(
+    715,
+    "history_lost",
+    logging.INFO,
+    ("kind", "revision"),
+    "The store dropped the history that was watched, so everything is listed anew.",
+)
+FETCH_FAILED = Event(
+    716,
+    "fetch_failed",
+    logging.WARNING,
+    ("host", "kind", "detail"),
+    "A newer document could not be had from the host that told of it.",
+)
+MEMBER_FOUND = Event(
+    720,
+    "member_found",
+    logging.INFO,
+    ("host", "zone"),
+    "Another host was heard of for the first time.",
+)
+MEMBER_LOST = Event(
+    721,
+    "member_lost",
+    logging.INFO,
+    ("host", "zone"),
+    "A host was silent for so long that it is forgotten.",
+)
+SOUNDNESS_CHANGED = Event(
+    730,
+    "soundness_changed",
+    logging.INFO,
+    ("pool", "upstream", "unsound", "before", "outcome", "source"),
+    "An outcome moved an upstream across the line beyond which it gets no work while"
+    " sounder ones have room.",
+)
+ADDRESSES_GIVEN = Event(
+    740,
+    "addresses_given",
+    logging.INFO,
+    ("zone", "hosts", "lifetime"),
+    "A caller was told which hosts to use.",
+    sampled=True,
+)
+GATEWAY_STARTED = Event(
+    750,
+    "gateway_started",
+    logging.INFO,
+    ("host", "zone", "incarnation"),
+    "The host listens to callers; it is ready once it has a configuration.",
+)
+GATEWAY_STOPPING = Event(
+    751,
+    "gateway_stopping",
+    logging.INFO,
+    ("signal", "under_way", "connections"),
+    "A planned stop began.",
+)
+GATEWAY_STOPPED = Event(
+    752,
+    "gateway_stopped",
+    logging.INFO,
+    ("seconds", "under_way"),
+    "The planned stop ended; requests still under way were cut.",
+)
+SETTINGS_RELOADED = Event(
+    753,
+    "settings_reloaded",
+    logging.INFO,
+    ("changed",),
+    "The settings file was read again; these settings differ.",
+)
+SETTINGS_REFUSED = Event(
+    754,
+    "settings_refused",
+    logging.ERROR,
+    ("detail",),
+    "The settings file can't be used; the settings before stay in force.",
+)
+LINES_LEFT_OUT = Event(
+    760,
+    "lines_left_out",
+    logging.WARNING,
+    ("lines",),
+    "Routine lines beyond the bound on log volume were not written.",
+)
+
 CATALOGUE = tuple(value for value in globals().values() if isinstance(value, Event))
--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "UpstreamConnection",
+    "bound_silence",
     "close",
     "framing_fault",
     "has_surplus",
@@ -31,6 +32,10 @@
 METHODS_WITHOUT_BODY = frozenset(("DELETE", "GET", "HEAD", "OPTIONS"))
 CONTINUING = range(100, 200)
 SWITCHING_PROTOCOLS = 101
+KEEP_ALIVE_SECONDS = 1
+KEEP_ALIVE_PROBES = 2
+# Two retransmissions on a path of a few milliseconds, and no request's whole time.
+UNACKNOWLEDGED_MS = 2000
 
 
 class AnswerFile(NamedTuple):
@@ -62,6 +67,10 @@
         True once an answer on it named its request.
     idle_since : float
         Seconds of the kernel's clock.
+    max_idle : float or None
+        Seconds for which the upstream announced to keep it open while idle.
+    is_suspect : bool
+        True once an answer to another request came on it.
     """
 
     def __init__(self, address, library):
@@ -71,6 +80,17 @@
         self.reader = library.sock.makefile("rb")
         self.echoes = False
         self.idle_since = 0.0
+        self.max_idle = None
+        self.is_suspect = False
+
+
+def bound_silence(sock):
+    """Have a connection whose other side fell silent end by itself."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
 def open_connection(address, timeout):
@@ -85,6 +105,7 @@
     library = HTTPConnection(host.strip("[]"), int(port), timeout=timeout)
     library.connect()
     library.sock.settimeout(None)
+    bound_silence(library.sock)
     connection = UpstreamConnection(address, library)
     reader = connection.reader
     file = AnswerFile(
@@ -190,7 +211,7 @@
     return [(name.lower(), value) for name, value in response.headers.raw_items()]
 
 
-def framing_fault(response, fields):
+def framing_fault(response, fields, allows_unframed=False):
     """Return why the end of an answer can't be known, or None when it can.
 
     Parameters
@@ -198,6 +219,8 @@
     response : http.client.HTTPResponse
     fields : sequence of (str, str)
         Its headers, names in lower case.
+    allows_unframed : bool
+        True when an answer may end with its connection.
     """
     if response.status == SWITCHING_PROTOCOLS:
         return "the upstream switched protocols"
@@ -213,7 +236,7 @@
         return "the transfer encoding is unknown"
     if lengths and not min(lengths).isdecimal():
         return "the length is not a number"
-    if response.length is None and not response.chunked:
+    if response.length is None and not response.chunked and not allows_unframed:
         return "there is neither a length nor a final chunk"
     return None
 
@@ -234,6 +257,9 @@
     if response.chunked:
         body = response.read(max_buffered + 1)
         return body, response.isclosed()
+    if response.length is None:
+        body = response.read(max_buffered + 1)
+        return body, len(body) <= max_buffered
     if response.length <= max_buffered:
         return response.read(), True
     body = response.read(max_buffered)
--- a/trefoilpin/frontends.py
+++ b/trefoilpin/frontends.py
@@ -7,16 +7,20 @@
 import json
 import logging
 import math
-from http.client import responses
 from typing import Callable, NamedTuple
 
-from eventlet.wsgi import ChunkReadError
 from returns.result import Failure, Success
 
 from trefoilpin import codecs, events, listeners
 from trefoilpin.headers import drop_hop_by_hop, find_fault
 from trefoilpin.messages import CallerRequest
 from trefoilpin.verdicts import Reason, Refusal, Verdict
+from trefoilpin.wsgi_messages import (
+    BODYLESS_STATUSES,
+    read_body,
+    relay,
+    status_line,
+)
 
 __all__ = ["Frontends", "create", "create_application"]
 
@@ -24,7 +28,6 @@
 
 HOSTS_PATH = "/v1/hosts"
 HOSTS_METHODS = frozenset(("GET", "HEAD"))
-BODYLESS_STATUSES = frozenset((204, 304))
 
 INTERNAL = Refusal(
     Reason.INTERNAL, Verdict.MAY_HAVE_RUN, "a fault of the proxy ended the request"
@@ -48,11 +51,6 @@
     connections: Callable[[], int]
 
 
-def status_line(status):
-    """Return a status with its standard phrase."""
-    return f"{status} {responses.get(status, 'Unknown')}"
-
-
 def refuse(start_response, refusal, request_id):
     """Send a refusal as JSON."""
     body = json.dumps(codecs.encode_refusal(refusal, request_id)).encode() + b"\n"
@@ -85,15 +83,6 @@
     return relay(answer)
 
 
-def relay(answer):
-    """Yield an answer that was not buffered whole."""
-    try:
-        yield answer.body
-        yield from answer.rest
-    finally:
-        answer.rest.close()
-
-
 def give_hosts(start_response, outcome, request_id):
     """Send the answer of ``addresses``."""
     if isinstance(outcome, Failure):
@@ -115,32 +104,6 @@
     return [body]
 
 
-def read_body(environ, max_body):
-    """Return a request's body, or a ``Refusal``."""
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    chunked = "HTTP_TRANSFER_ENCODING" in environ
-    if length > max_body:
-        return too_large(max_body)
-    if not length and not chunked:
-        return b""
-    try:
-        body = environ["wsgi.input"].read(max_body + 1 if chunked else length)
-    except (OSError, ValueError, ChunkReadError):
-        detail = "the body ended early or is malformed"
-        return Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, detail)
-    if len(body) > max_body:
-        return too_large(max_body)
-    if not chunked and len(body) < length:
-        return Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, "the body ended early")
-    return body
-
-
-def too_large(max_body):
-    """Return the refusal of a body that is too large."""
-    detail = f"the body is larger than {max_body} bytes"
-    return Refusal(Reason.BODY_TOO_LARGE, Verdict.NOT_RUN, detail)
-
-
 def create_application(kernel, max_body):
     """Create the WSGI application for callers.
 
--- /dev/null
+++ b/trefoilpin/gateway/bulletin_codecs.py
@@ -0,0 +1,192 @@
+"""Bulletins and documents as bytes of thrift's binary protocol."""
+
+import ipaddress
+import struct
+
+from returns.result import Failure, Result, Success
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from trefoilpin.gateway.knowledge import Stamp
+from trefoilpin.gateway.messages import Bulletin, Document, MemberAge, OutcomeNote
+from trefoilpin.gateway.soundness import Outcome
+from trefoilpin.thrift_gen.bulletins.ttypes import (
+    BulletinStruct,
+    DocumentStruct,
+    StampStruct,
+)
+
+__all__ = ["decode", "decode_document", "encode", "encode_document"]
+
+MAX_STRING_BYTES = 65_536
+MAX_DOCUMENT_BYTES = 4_194_304
+MAX_ITEMS = 10_000
+# Address, number of the zone, flags, incarnation, age and configuration's age in
+# hundredths of a second, capacity and load in requests a second.
+MEMBER = struct.Struct("!4sBBQHHHH")
+HUNDREDTHS = 100
+LARGEST = 0xFFFF
+STOPPING, SERVING = 1, 2
+ZONE_SEPARATOR = b"\0"
+HEAD = struct.Struct("!H")
+MALFORMED = (
+    TProtocolException,
+    EOFError,
+    ValueError,
+    TypeError,
+    IndexError,
+    OverflowError,
+    struct.error,
+)
+
+
+def bounded(number, scale=1):
+    """Return a number as 16 bits."""
+    return min(int(max(number, 0.0) * scale), LARGEST)
+
+
+def pack_members(members):
+    """Return members as fixed rows after the names of their zones."""
+    zones = sorted({member.zone for member in members})
+    names = ZONE_SEPARATOR.join(zone.encode() for zone in zones)
+    parts = [HEAD.pack(len(names)), names]
+    for member in members:
+        flags = STOPPING * member.is_stopping | SERVING * member.is_serving
+        parts.append(
+            MEMBER.pack(
+                ipaddress.IPv4Address(member.address).packed,
+                zones.index(member.zone),
+                flags,
+                member.incarnation,
+                bounded(member.age, HUNDREDTHS),
+                bounded(member.knowledge_age, HUNDREDTHS),
+                bounded(member.capacity),
+                bounded(member.load),
+            )
+        )
+    return b"".join(parts)
+
+
+def unpack_members(data):
+    """Return the members that ``pack_members`` wrote."""
+    if not data:
+        return ()
+    (size,) = HEAD.unpack_from(data)
+    start = HEAD.size + size
+    zones = [part.decode() for part in data[HEAD.size : start].split(ZONE_SEPARATOR)]
+    members = []
+    for row in MEMBER.iter_unpack(data[start:]):
+        packed, zone, flags, incarnation, age, knowledge_age, capacity, load = row
+        members.append(
+            MemberAge(
+                ".".join(map(str, packed)),
+                zones[zone],
+                incarnation,
+                age / HUNDREDTHS,
+                float(capacity),
+                float(load),
+                bool(flags & STOPPING),
+                bool(flags & SERVING),
+                knowledge_age / HUNDREDTHS,
+            )
+        )
+    return tuple(members)
+
+
+def encode(bulletin):
+    """Return a bulletin as bytes."""
+    outcomes = bulletin.outcomes
+    message = BulletinStruct(
+        incarnation=bulletin.incarnation,
+        sequence=bulletin.sequence,
+        zone=bulletin.zone,
+        region=bulletin.region,
+        capacity=bulletin.capacity,
+        load=bulletin.load,
+        stopping=bulletin.is_stopping,
+        serving=bulletin.is_serving,
+        wants_reply=bulletin.wants_reply,
+        stamps=[StampStruct(*stamp) for stamp in bulletin.stamps],
+        members=pack_members(bulletin.members),
+        outcome_upstreams=[note.upstream for note in outcomes],
+        outcome_kinds=[int(note.outcome) for note in outcomes],
+        outcome_numbers=[note.number for note in outcomes],
+        flight_upstreams=list(bulletin.in_flight_by_upstream),
+        flight_counts=list(bulletin.in_flight_by_upstream.values()),
+        admitted_accounts=list(bulletin.admitted_by_account),
+        admitted_counts=list(bulletin.admitted_by_account.values()),
+        broken_fingerprints=[fingerprint for fingerprint, _ in bulletin.breaks],
+        broken_upstreams=[upstream for _, upstream in bulletin.breaks],
+    )
+    return write(message)
+
+
+def encode_document(document):
+    """Return a document as bytes."""
+    return write(DocumentStruct(*document))
+
+
+def write(message):
+    """Return a generated struct as bytes."""
+    transport = TMemoryBuffer()
+    message.write(TBinaryProtocolAccelerated(transport, fallback=False))
+    return transport.getvalue()
+
+
+def read(message, data, max_bytes):
+    """Fill a generated struct from bytes; raises one of ``MALFORMED``."""
+    protocol = TBinaryProtocolAccelerated(
+        TMemoryBuffer(data),
+        fallback=False,
+        string_length_limit=max_bytes,
+        container_length_limit=MAX_ITEMS,
+    )
+    message.read(protocol)
+    return message
+
+
+def decode(data) -> Result[Bulletin, str]:
+    """Return the bulletin that bytes hold, or what is wrong with them."""
+    try:
+        return Success(from_struct(read(BulletinStruct(), data, MAX_STRING_BYTES)))
+    except MALFORMED as error:
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def decode_document(data) -> Result[Document, str]:
+    """Return the document that bytes hold, or what is wrong with them."""
+    try:
+        found = read(DocumentStruct(), data, MAX_DOCUMENT_BYTES)
+        return Success(Document(found.revision, found.age, bytes(found.document)))
+    except MALFORMED as error:
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def from_struct(message):
+    """Return the bulletin that a struct holds."""
+    notes = []
+    for number, upstream, kind in zip(
+        message.outcome_numbers, message.outcome_upstreams, message.outcome_kinds
+    ):
+        notes.append(OutcomeNote(number, upstream, Outcome(kind)))
+    stamps = []
+    for stamp in message.stamps:
+        stamps.append(Stamp(stamp.kind, stamp.revision, stamp.digest, stamp.age))
+    return Bulletin(
+        message.incarnation,
+        message.sequence,
+        message.zone,
+        message.region,
+        message.capacity,
+        message.load,
+        message.stopping,
+        message.serving,
+        message.wants_reply,
+        tuple(stamps),
+        unpack_members(message.members),
+        tuple(notes),
+        dict(zip(message.flight_upstreams, message.flight_counts)),
+        dict(zip(message.admitted_accounts, message.admitted_counts)),
+        tuple(zip(message.broken_fingerprints, message.broken_upstreams)),
+    )
--- /dev/null
+++ b/trefoilpin/gateway/bulletins.py
@@ -0,0 +1,273 @@
+"""Exchange of bulletins: one task for each host that is told something.
+
+Who tells whom follows from the roles. Every host tells the relays of its zone that it
+lives; a relay tells the hosts of its zone and the other relays what it knows, at once
+when something changed; the hosts that send requests to upstreams tell each other
+outcomes, requests under way and admitted requests. Bulletins go by datagram, and
+anything in them may be lost: the next one holds it again.
+"""
+
+from typing import Callable, NamedTuple
+
+from trefoilpin import events
+from trefoilpin.gateway.knowledge import KINDS
+from trefoilpin.gateway.messages import Bulletin
+
+__all__ = ["Bulletins", "create"]
+
+STEWARD_SECONDS = 0.2
+ALIVE_SECONDS = 0.4
+MESH_SECONDS = 0.1
+# Outcomes of this time go out together.
+GATHER_SECONDS = 0.015
+SEED_SECONDS = 0.25
+MEMBERS_SECONDS = 1.0
+GOSSIP_SECONDS = 1.0
+# With more accounts than this, a bulletin holds those that were admitted lately.
+MAX_ACCOUNTS = 100
+FETCH_PAUSE_SECONDS = 0.1
+
+
+class Bulletins(NamedTuple):
+    """``bulletins``: what hosts tell each other.
+
+    ``receive(address, bulletin)`` takes one, ``wake()`` has all go out at once,
+    ``rank()`` is this host's place in the order of those that read the store, and
+    ``sender_count()`` the number of hosts that send requests to upstreams.
+    """
+
+    receive: Callable
+    wake: Callable
+    wake_mesh: Callable
+    rank: Callable
+    sender_count: Callable
+
+
+class Peer:
+    """A host that is told something, and the task that does it."""
+
+    def __init__(self, address, create_event):
+        self.address = address
+        self.is_meshed = False
+        self.is_told = True
+        self.news = create_event()
+        self.members_at = float("-inf")
+
+
+class BulletinState:
+    """Peers by address, and roles as last computed."""
+
+    def __init__(self):
+        self.peer_by_address: dict[str, Peer] = {}
+        self.sequence = 0
+        self.rank = 0
+        self.sender_count = 1
+        self.is_relay = False
+        self.seeded_at = float("-inf")
+        self.gossiped_at = float("-inf")
+        self.fetching: set[str] = set()
+        self.admitted_before: dict[str, int] = {}
+
+
+def create(kernel, terms, create_event, send, fetch):
+    """Create the service ``bulletins``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    terms : tuple
+        Function that gives the IP numbers of hosts to ask first, and the least number
+        of hosts that are taken to send requests.
+    create_event : callable
+        Makes an event with ``wait(timeout)``, ``send()`` and ``ready()``.
+    send : callable
+        ``send(address, bulletin)`` puts a datagram on its way.
+    fetch : callable
+        ``fetch(address, kind)`` gives a ``Result`` with revision, age and document.
+
+    Returns
+    -------
+    Bulletins
+    """
+    seeds, planned_senders = terms
+    state = BulletinState()
+    now, sleep = kernel.clock.now, kernel.clock.sleep
+    emit = kernel.find("events").emit
+    knowledge = kernel.find("knowledge")
+    members = kernel.find("members")
+    upstreams = kernel.find("upstreams")
+    rates = kernel.find("rates")
+    suspects = kernel.find("suspects")
+    queues = kernel.find("queues")
+    own = members.own
+
+    def compose(with_members, is_meshed, wants_reply=False):
+        state.sequence += 1
+        return Bulletin(
+            own.incarnation,
+            state.sequence,
+            own.zone,
+            own.region,
+            own.capacity,
+            members.load(),
+            members.is_stopping(),
+            members.is_serving(),
+            wants_reply,
+            tuple(knowledge.stamp(kind) for kind in KINDS),
+            tuple(members.describe()) if with_members else (),
+            upstreams.notes() if is_meshed else (),
+            upstreams.flights() if is_meshed else {},
+            admitted() if is_meshed else {},
+            suspects.notes(),
+        )
+
+    def admitted():
+        counts = rates.admitted()
+        if len(counts) <= MAX_ACCOUNTS:
+            return counts
+        changed = {}
+        for account, count in counts.items():
+            if state.admitted_before.get(account) != count:
+                changed[account] = count
+        return changed
+
+    def receive(address, bulletin):
+        if address == own.address:
+            return
+        is_new = members.hear(address, bulletin)
+        for told in bulletin.members:
+            members.learn(told)
+        for stamp in bulletin.stamps:
+            if knowledge.confirm(stamp) and stamp.kind not in state.fetching:
+                state.fetching.add(stamp.kind)
+                kernel.spawn(fetch_document, address, stamp.kind)
+        suspects.learn(bulletin.breaks)
+        if bulletin.is_serving or bulletin.in_flight_by_upstream:
+            host = (address, bulletin.incarnation)
+            upstreams.learn_outcomes(*host, bulletin.outcomes)
+            upstreams.learn_flights(address, bulletin.in_flight_by_upstream)
+            rates.learn(*host, bulletin.admitted_by_account)
+            queues.wake()
+        if is_new or bulletin.wants_reply:
+            send(address, compose(True, False))
+
+    def fetch_document(address, kind):
+        """Get a newer document from the host that told of it."""
+        try:
+            outcome = fetch(address, kind)
+            if not outcome.value_or(None):
+                detail = str(outcome.failure())
+                emit(events.FETCH_FAILED, host=address, kind=kind, detail=detail)
+                sleep(FETCH_PAUSE_SECONDS)
+                return
+            revision, age, document = outcome.unwrap()
+            knowledge.offer(kind, revision, document, age)
+        finally:
+            state.fetching.discard(kind)
+
+    def serve_peer(peer):
+        """Tell one host what is new, until it needs no telling."""
+        while peer.is_told:
+            period = MESH_SECONDS if peer.is_meshed else ALIVE_SECONDS
+            peer.news.wait(period * (0.8 + 0.4 * kernel.rng.random()))
+            if peer.news.ready():
+                peer.news = create_event()
+                sleep(GATHER_SECONDS)
+            with_members = state.is_relay and now() - peer.members_at > MEMBERS_SECONDS
+            if with_members:
+                peer.members_at = now()
+            send(peer.address, compose(with_members, peer.is_meshed))
+
+    def steward():
+        """Work out the roles and who has to be told."""
+        live = members.live()
+        zones = sorted({member.zone for member in live})
+        relays_by_zone = {zone: members.relays(zone) for zone in zones}
+        relays = {host.address for rows in relays_by_zone.values() for host in rows}
+        meshed = {member.address for member in members.meshed()}
+        state.is_relay = own.address in relays
+        state.rank = find_rank(live, zones, relays_by_zone)
+        state.sender_count = max(len(meshed), planned_senders)
+        targets = {host.address for host in relays_by_zone.get(own.zone, ())}
+        if state.is_relay:
+            targets |= relays
+            targets |= {host.address for host in live if host.zone == own.zone}
+        in_mesh = own.address in meshed
+        if in_mesh:
+            targets |= meshed
+        targets.discard(own.address)
+        keep_peers(targets, meshed if in_mesh else frozenset())
+        find_fleet(live)
+        if len(rates.admitted()) > MAX_ACCOUNTS:
+            state.admitted_before = dict(rates.admitted())
+
+    def find_rank(live, zones, relays_by_zone):
+        order = []
+        for place in range(1, max(map(len, relays_by_zone.values()), default=0) + 1):
+            for zone in zones:
+                rows = relays_by_zone[zone]
+                if place <= len(rows):
+                    order.append(rows[-place].address)
+        if own.address in order:
+            return order.index(own.address)
+        rest = sorted(host.address for host in live if host.address not in order)
+        return len(order) + (rest.index(own.address) if own.address in rest else 0)
+
+    def keep_peers(targets, meshed):
+        for address in targets:
+            peer = state.peer_by_address.get(address)
+            if peer is None:
+                peer = state.peer_by_address[address] = Peer(address, create_event)
+                peer.is_meshed = address in meshed
+                kernel.spawn(serve_peer, peer)
+            peer.is_meshed = address in meshed
+        for address in list(state.peer_by_address):
+            if address not in targets:
+                state.peer_by_address.pop(address).is_told = False
+
+    def find_fleet(live):
+        """Ask the seeds while alone, and one random host now and then."""
+        if len(live) == 1 and now() - state.seeded_at > SEED_SECONDS:
+            state.seeded_at = now()
+            for address in seeds():
+                if address != own.address:
+                    send(address, compose(True, False, wants_reply=True))
+        if now() - state.gossiped_at < GOSSIP_SECONDS:
+            return
+        state.gossiped_at = now()
+        # Silent hosts are asked too: one that restarted may know nobody.
+        others = [host.address for host in members.describe()]
+        others.remove(own.address)
+        if others:
+            send(kernel.rng.choice(others), compose(True, False))
+
+    def steward_forever():
+        while True:
+            steward()
+            upstreams.watch()
+            queues.wake()
+            members.tick(STEWARD_SECONDS)
+            sleep(STEWARD_SECONDS)
+
+    def wake():
+        for peer in state.peer_by_address.values():
+            if not peer.news.ready():
+                peer.news.send()
+
+    def wake_mesh():
+        for peer in state.peer_by_address.values():
+            if peer.is_meshed and not peer.news.ready():
+                peer.news.send()
+
+    for kind in KINDS:
+        knowledge.subscribe(kind, lambda value: wake() if state.is_relay else None)
+    upstreams.on_news(wake_mesh)
+    service = Bulletins(
+        receive,
+        wake,
+        wake_mesh,
+        lambda: state.rank,
+        lambda: state.sender_count,
+    )
+    kernel.register("bulletins", service, lambda: kernel.spawn(steward_forever))
+    return service
--- /dev/null
+++ b/trefoilpin/gateway/daemons.py
@@ -0,0 +1,273 @@
+"""One host of the gateway: its services put together in order, and its life."""
+
+import gc
+import logging
+import signal
+from typing import Any, Callable, NamedTuple
+
+import eventlet
+import eventlet.event
+
+from trefoilpin import clocks, events, forwarders, logs, metrics, retries
+from trefoilpin.dialects import Dialect
+from trefoilpin.gateway import (
+    bulletins,
+    directories,
+    documents,
+    frontends,
+    knowledge,
+    members,
+    proxies,
+    queues,
+    rates,
+    readers,
+    routing,
+    stops,
+    suspects,
+    transports,
+    upstreams,
+)
+from trefoilpin.kernel import create_kernel
+
+__all__ = ["Adapter", "GatewaySettings", "assemble", "run"]
+
+MAX_BUFFERED_BYTES = 1_048_576
+# A path between hosts and upstreams takes milliseconds; a lost first packet is sent
+# again after a second only, and another upstream is asked sooner.
+CONNECT_SECONDS = 0.3
+MAX_IDLE_SECONDS = 9.0
+MAX_IDLE_NON_IDEMPOTENT_SECONDS = 4.0
+# Part of the fleet's retry budget that is used; the rest covers late counts.
+USED_BUDGET = 0.75
+COLLECTOR_THRESHOLDS = (5_000, 20, 100)
+MAX_ROUTINE_LINES_PER_SECOND = 200
+
+
+class GatewaySettings(NamedTuple):
+    """What a deployment tells one host.
+
+    Attributes
+    ----------
+    name : str
+    own : OwnHost
+    addresses : frontends.Addresses
+    peer_port, control_port : int
+        The same on every host.
+    seeds : tuple of str
+        IP numbers of hosts to ask first.
+    zones : tuple of str
+    is_first_start : bool
+        True only when the whole system starts for the first time.
+    key_seconds : float
+        Age of the configuration from which keys are not trusted.
+    grace : float
+        Seconds between the signal to stop and the kill.
+    retry_share, retry_slack, retry_window : float
+        Retries allowed for each request, and beyond that in a window of seconds.
+    """
+
+    name: str
+    own: members.OwnHost
+    addresses: frontends.Addresses
+    peer_port: int
+    control_port: int
+    seeds: tuple[str, ...]
+    zones: tuple[str, ...]
+    is_first_start: bool
+    key_seconds: float
+    grace: float
+    retry_share: float
+    retry_slack: float
+    retry_window: float
+
+
+class Adapter(NamedTuple):
+    """What speaks a platform's words.
+
+    Attributes
+    ----------
+    load_settings : callable
+        Gives a ``Result`` with ``GatewaySettings``.
+    create_store : callable
+        ``create_store(kernel)`` registers the service ``store``.
+    trim : callable
+        See ``readers.create``.
+    decode_by_kind : callable
+        ``decode_by_kind(emit)`` gives the functions that ``knowledge`` decodes with.
+    dialect : Dialect
+    account_header, expected_header : str
+    encode_addresses : callable
+    """
+
+    load_settings: Callable
+    create_store: Callable
+    trim: Callable
+    decode_by_kind: Callable
+    dialect: Dialect
+    account_header: str
+    expected_header: str
+    encode_addresses: Callable
+
+
+def assemble(settings, adapter, kernel=None, write_log=None):
+    """Create every service of one host.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    adapter : Adapter
+    kernel : Kernel, optional
+    write_log : callable, optional
+
+    Returns
+    -------
+    Kernel
+        Not started yet.
+    """
+    if kernel is None:
+        kernel = create_kernel(clocks.system_clock(eventlet.sleep), eventlet.spawn)
+    emit = logs.create(
+        kernel,
+        "json",
+        write=write_log or logs.write_standard_output,
+        max_routine=MAX_ROUTINE_LINES_PER_SECOND,
+    ).emit
+    metrics.create(kernel)
+    adapter.create_store(kernel)
+    known = knowledge.create(kernel, adapter.decode_by_kind(emit))
+    create_decisions(kernel, settings, known)
+    peer_tasks = create_exchange(kernel, settings, adapter)
+    create_request_path(kernel, settings, adapter)
+    kernel.register("peer_tasks", peer_tasks, peer_tasks)
+    return kernel
+
+
+def create_decisions(kernel, settings, known):
+    """Create what decides on hosts, rates and upstreams."""
+    planned = len(settings.zones) * members.CALLER_HOSTS_PER_ZONE
+    fleet = members.create(
+        kernel, settings.own, lambda: known.age(knowledge.CONFIGURATION)
+    )
+    rate_terms = rates.RateTerms(settings.is_first_start, planned)
+    rates.create(kernel, rate_terms, fleet.reached)
+    suspects.create(kernel)
+    queues.create(kernel, eventlet.event.Event)
+    retries.create(
+        kernel,
+        settings.retry_share * USED_BUDGET,
+        settings.retry_slack * USED_BUDGET / settings.retry_window / planned,
+        max(settings.retry_slack * USED_BUDGET / planned, 1.0),
+    )
+    upstreams.create(
+        kernel,
+        settings.own.zone,
+        lambda: kernel.find("bulletins").sender_count(),
+    )
+
+
+def create_exchange(kernel, settings, adapter):
+    """Create what reads the store and talks to the other hosts."""
+    send, receive_forever = transports.open_datagrams(
+        kernel, settings.own.address, settings.peer_port
+    )
+    planned = len(settings.zones) * members.CALLER_HOSTS_PER_ZONE
+    exchange = bulletins.create(
+        kernel,
+        (lambda: settings.seeds, planned),
+        eventlet.event.Event,
+        send,
+        transports.create_fetch(settings.control_port),
+    )
+    codec = (documents.encode_objects, documents.decode_objects)
+    readers.create(kernel, codec, adapter.trim, exchange.rank)
+    return lambda: kernel.spawn(receive_forever, exchange.receive)
+
+
+def create_request_path(kernel, settings, adapter):
+    """Create what takes requests from callers to upstreams."""
+    routing.create(kernel)
+    bounds = forwarders.ForwarderBounds(
+        MAX_BUFFERED_BYTES,
+        CONNECT_SECONDS,
+        MAX_IDLE_SECONDS,
+        MAX_IDLE_NON_IDEMPOTENT_SECONDS,
+    )
+    forwarders.create(kernel, bounds, adapter.dialect)
+    terms = proxies.ProxyTerms(
+        settings.key_seconds, adapter.account_header, adapter.expected_header
+    )
+    proxies.create(kernel, terms)
+    directories.create(kernel)
+    frontends.create(
+        kernel, settings.addresses, adapter.dialect, adapter.encode_addresses
+    )
+    stops.create(kernel, settings.grace)
+
+
+def collect_rarely():
+    """Keep the garbage collector from pausing requests."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
+def run(adapter):
+    """Run one host until it is told to stop.
+
+    Parameters
+    ----------
+    adapter : Adapter
+
+    Raises
+    ------
+    SystemExit
+        When the settings can't be used.
+    """
+    logging.basicConfig(level=logging.INFO)
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
+    loaded = adapter.load_settings()
+    settings: Any = loaded.value_or(None)
+    if settings is None:
+        raise SystemExit(f"trefoilpin: {loaded.failure()}")
+    kernel = assemble(settings, adapter)
+    emit = kernel.find("events").emit
+    stopping = eventlet.event.Event()
+    signals = []
+
+    def request_stop(number, frame):
+        if not signals:
+            eventlet.spawn_after(0, stopping.send)
+        signals.append(signal.Signals(number).name)
+
+    def request_reload(number, frame):
+        eventlet.spawn_after(0, reload_settings, adapter, settings, emit)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, request_stop)
+    signal.signal(signal.SIGHUP, request_reload)
+    kernel.start()
+    collect_rarely()
+    own = settings.own
+    emit(
+        events.GATEWAY_STARTED,
+        host=settings.name,
+        zone=own.zone,
+        incarnation=own.incarnation,
+    )
+    stopping.wait()
+    kernel.find("stops").stop(signals[0])
+    kernel.find("events").flush()
+
+
+def reload_settings(adapter, settings, emit):
+    """Read the settings file again and tell what differs."""
+    loaded = adapter.load_settings()
+    fresh = loaded.value_or(None)
+    if fresh is None:
+        emit(events.SETTINGS_REFUSED, detail=str(loaded.failure()))
+        return
+    changed = []
+    for name, before, after in zip(settings._fields, settings, fresh):
+        if name != "own" and before != after:
+            changed.append(name)
+    emit(events.SETTINGS_RELOADED, changed=",".join(changed) or None)
--- /dev/null
+++ b/trefoilpin/gateway/frontends.py
@@ -0,0 +1,278 @@
+"""HTTP between the gateway and callers, other hosts and whoever looks at its health.
+
+Requests become ``Arrival``s and answers and refusals become HTTP; the decisions are made
+in ``proxies`` and ``directories``.
+"""
+
+import json
+import logging
+from typing import Callable, NamedTuple
+from urllib.parse import parse_qs
+
+from returns.result import Failure, Success
+
+from trefoilpin import codecs, events, listeners
+from trefoilpin.gateway.bulletin_codecs import encode_document
+from trefoilpin.gateway.knowledge import CONFIGURATION, KINDS
+from trefoilpin.gateway.messages import Document
+from trefoilpin.gateway.proxies import Arrival
+from trefoilpin.headers import drop_hop_by_hop, find_fault
+from trefoilpin.keys import read_key, strip
+from trefoilpin.messages import CallerRequest
+from trefoilpin.verdicts import Reason, Refusal, Verdict
+from trefoilpin.wsgi_messages import (
+    BODYLESS_STATUSES,
+    read_body,
+    relay,
+    status_line,
+)
+
+__all__ = ["Addresses", "Frontends", "create"]
+
+logger = logging.getLogger(__name__)
+
+MAX_CONNECTIONS = 3000
+# The configuration bounds idle connections; a sweep closes them by that bound.
+SOCKET_IDLE_SECONDS = 60.0
+IDLE_MARGIN_SECONDS = 1.0
+SWEEP_SECONDS = 1.0
+MILLISECONDS = 1000.0
+DOCUMENTS_PATH = "/documents/"
+METRICS_PATH = "/metrics"
+
+INTERNAL = Refusal(
+    Reason.INTERNAL, Verdict.MAY_HAVE_RUN, "a fault of the gateway ended the request"
+)
+
+
+class Addresses(NamedTuple):
+    """Where this host listens, as ``ip:port``; None for what it does not serve."""
+
+    callers: str | None
+    readiness: str | None
+    directory: str | None
+    control: str | None
+
+
+class Frontends(NamedTuple):
+    """``frontends``: the listeners.
+
+    ``retire(is_due)`` ends connections of callers without a request for whose
+    ``ConnectionState`` ``is_due`` is True; ``connections()`` counts them; ``close()``
+    stops accepting and returns when the requests under way were answered.
+    """
+
+    retire: Callable
+    connections: Callable[[], int]
+    close: Callable[[], None]
+
+
+def read_patience(value):
+    """Return the seconds that a caller waits, or None when it does not say."""
+    try:
+        milliseconds = float(value)
+    except (TypeError, ValueError):
+        return None
+    return max(milliseconds, 0.0) / MILLISECONDS
+
+
+def send_refusal(start_response, refusal, request_id, id_header):
+    """Send a refusal as JSON."""
+    body = json.dumps(codecs.encode_refusal(refusal, request_id)).encode() + b"\n"
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        (id_header, request_id),
+    ]
+    if refusal.retry_after is not None and refusal.verdict is Verdict.NOT_RUN:
+        headers.append(("Retry-After", f"{refusal.retry_after:.2f}"))
+    start_response(status_line(refusal.reason.value.status), headers)
+    return [body]
+
+
+def send_answer(start_response, answer, method):
+    """Send an upstream's answer as it came."""
+    keeps_length = answer.rest is not None or method == "HEAD" or answer.status == 304
+    headers = []
+    for header in answer.headers:
+        if header[0] != "content-length" or keeps_length:
+            headers.append(header)
+    if not keeps_length and answer.status not in BODYLESS_STATUSES:
+        headers.append(("content-length", str(len(answer.body))))
+    start_response(status_line(answer.status), headers)
+    if answer.rest is None:
+        return [answer.body]
+    return relay(answer)
+
+
+def send_text(start_response, status, body, content_type="text/plain"):
+    """Send a small body."""
+    headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    start_response(status_line(status), headers)
+    return [body]
+
+
+def create(kernel, addresses, dialect, encode_addresses):
+    """Create the listeners and register them as ``frontends``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    addresses : Addresses
+    dialect : Dialect
+    encode_addresses : callable
+        ``encode_addresses(answer)`` gives the body of an address answer, and
+        ``ip:port`` of callers' listeners are derived by it from IP numbers.
+
+    Returns
+    -------
+    Frontends
+    """
+    now = kernel.clock.now
+    emit = kernel.find("events").emit
+    knowledge = kernel.find("knowledge")
+    members = kernel.find("members")
+    proxies = kernel.find("proxies")
+    directories = kernel.find("directories")
+    metrics = kernel.find("metrics")
+    open_listeners = []
+
+    def limits():
+        return knowledge.value(CONFIGURATION).limits
+
+    def decode(environ, headers, body, request_id):
+        connection = environ[listeners.CONNECTION]
+        request = CallerRequest(
+            request_id=request_id,
+            method=environ["REQUEST_METHOD"],
+            host=environ.get("HTTP_HOST", "").partition(":")[0].lower(),
+            path=environ["RAW_PATH_INFO"],
+            query=environ.get("QUERY_STRING", ""),
+            headers=drop_hop_by_hop(headers),
+            body=body,
+            peer=environ["REMOTE_ADDR"],
+            arrived_at=now(),
+            caller_gone=lambda: listeners.is_gone(connection.sock),
+        )
+        key = read_key(request)
+        patience = read_patience(request.header(dialect.deadline))
+        return Arrival(request._replace(headers=strip(request.headers)), key, patience)
+
+    def refuse_malformed(environ, start_response, refusal, request_id):
+        connection = environ[listeners.CONNECTION]
+        connection.lingers = True
+        listeners.end_after_answer(connection)
+        peer = environ["REMOTE_ADDR"]
+        emit(events.REQUEST_MALFORMED, peer=peer, detail=refusal.detail)
+        return send_refusal(start_response, refusal, request_id, dialect.request_id)
+
+    def serve_callers(environ, start_response):
+        connection = environ[listeners.CONNECTION]
+        headers = [(name.lower(), value) for name, value in environ["headers_raw"]]
+        request_id = dict(headers).get(dialect.request_id, "")
+        protocol = connection.protocol
+        fault = find_fault(
+            protocol.command, protocol.path, headers, protocol.headers.defects
+        )
+        body = fault or read_body(environ, limits().max_body_bytes)
+        if isinstance(body, Refusal):
+            return refuse_malformed(environ, start_response, body, request_id)
+        arrival = decode(environ, headers, body, request_id)
+        outcome = handle(arrival)
+        if members.is_stopping():
+            listeners.end_after_answer(connection)
+        if isinstance(outcome, Failure):
+            refusal = outcome.failure()
+            return send_refusal(
+                start_response, refusal, request_id, dialect.request_id
+            )
+        answer = outcome.unwrap()
+        if answer.rest is not None:
+            environ["eventlet.minimum_write_chunk_size"] = 1
+        return send_answer(start_response, answer, arrival.request.method)
+
+    def handle(arrival):
+        try:
+            return proxies.handle(arrival)
+        except Exception as error:
+            request_id = arrival.request.request_id
+            logger.exception("request %s failed", request_id)
+            detail = f"{type(error).__name__}: {error}"
+            emit(events.REQUEST_FAILED, request_id=request_id, detail=detail)
+            return Failure(INTERNAL)
+
+    def serve_readiness(environ, start_response):
+        is_ready = knowledge.stamp(CONFIGURATION).revision and not members.is_stopping()
+        if is_ready:
+            return send_text(start_response, 200, b"ready\n")
+        return send_text(start_response, 503, b"not ready\n")
+
+    def serve_directory(environ, start_response):
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        zone = query.get("zone", [members.own.zone])[0]
+        outcome = directories.answer(zone)
+        if isinstance(outcome, Success):
+            body = encode_addresses(outcome.unwrap())
+            return send_text(start_response, 200, body, "application/json")
+        return send_refusal(start_response, outcome.failure(), "", dialect.request_id)
+
+    def serve_control(environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == METRICS_PATH:
+            return send_text(start_response, 200, metrics.render().encode())
+        kind = path.removeprefix(DOCUMENTS_PATH)
+        if kind not in KINDS:
+            return send_text(start_response, 404, b"no such page\n")
+        stamp = knowledge.stamp(kind)
+        document = Document(stamp.revision, stamp.age, knowledge.document(kind))
+        body = encode_document(document)
+        return send_text(start_response, 200, body, "application/octet-stream")
+
+    def report(peer, detail):
+        emit(events.REQUEST_MALFORMED, peer=peer, detail=detail)
+
+    def open_listener(address, application):
+        if address is None:
+            return
+        listener = listeners.listen(address)
+        open_listeners.append(listener)
+        bounds = (MAX_CONNECTIONS, SOCKET_IDLE_SECONDS)
+        kernel.spawn(
+            listeners.serve,
+            listener,
+            application,
+            bounds,
+            kernel.clock,
+            kernel.rng,
+            report,
+        )
+
+    def start():
+        open_listener(addresses.control, serve_control)
+        open_listener(addresses.callers, serve_callers)
+        open_listener(addresses.readiness, serve_readiness)
+        open_listener(addresses.directory, serve_directory)
+        kernel.spawn(sweep_forever)
+
+    def sweep_forever():
+        while True:
+            kernel.clock.sleep(SWEEP_SECONDS)
+            oldest = now() - limits().idle_seconds - IDLE_MARGIN_SECONDS
+            retire(lambda connection: connection.idle_since < oldest)
+
+    def retire(is_due):
+        for listener in open_listeners:
+            for connection in list(listener.connections):
+                if is_due(connection):
+                    listeners.retire(connection)
+
+    def connections():
+        return sum(len(listener.connections) for listener in open_listeners)
+
+    def close():
+        while open_listeners:
+            listeners.close(open_listeners.pop())
+
+    service = Frontends(retire, connections, close)
+    kernel.register("frontends", service, start)
+    return service
--- /dev/null
+++ b/trefoilpin/gateway/members.py
@@ -0,0 +1,295 @@
+"""The other hosts: who runs, who gets callers, who reads the store.
+
+A host is known by its IP number. Ages are upper bounds that travel with each message, so
+no clocks need to agree. All roles follow from the view alone: hosts of a zone are
+ranked by what they bear; callers are sent to the first few, and the last few, which have
+the least to do, read the store and tell their zone.
+"""
+
+import zlib
+from typing import Callable, NamedTuple
+
+from trefoilpin import events
+from trefoilpin.gateway.messages import MemberAge
+
+__all__ = ["Members", "OwnHost", "create"]
+
+# Four bulletins in a row must be lost before a host counts as gone.
+LIVE_SECONDS = 1.8
+FORGET_SECONDS = 30.0
+# Lateness of a datagram that its age does not hold.
+TRANSIT_SECONDS = 0.02
+# A host whose configuration is older is not named to callers.
+FRESH_SECONDS = 2.8
+CALLER_HOSTS_PER_ZONE = 3
+RELAYS_PER_ZONE = 2
+# Hosts get callers until this share of what they bear covers the zone's requests.
+PLANNED_UTILISATION = 0.4
+# After this time without word a host that served holds its share of the rates no more.
+LOST_SECONDS = 12.0
+
+
+class OwnHost(NamedTuple):
+    """This start of the daemon.
+
+    Attributes
+    ----------
+    address : str
+        IP number.
+    zone, region : str
+    incarnation : int
+        Unix milliseconds.
+    capacity : float
+        Requests a second that the host bears.
+    """
+
+    address: str
+    zone: str
+    region: str
+    incarnation: int
+    capacity: float
+
+
+class Members(NamedTuple):
+    """``members``: the fleet as this host sees it.
+
+    ``hear(address, bulletin)`` takes what a host said of itself, ``learn(member)`` what
+    another said of it. ``live()`` gives the hosts that run, this one included.
+    ``caller_hosts(zone)`` are those that callers of a zone should use, ``relays(zone)``
+    those that read the store for a zone, ``meshed()`` all that send requests to
+    upstreams, with ``reached()`` the share of them that was heard directly.
+    ``describe()`` gives all of them with their ages. ``is_stopping`` and
+    ``stop()`` tell of this host's own end; ``note_request()`` counts a request here and
+    ``tick(seconds)`` turns the count into a load.
+    """
+
+    own: OwnHost
+    hear: Callable
+    learn: Callable
+    live: Callable
+    caller_hosts: Callable
+    relays: Callable
+    meshed: Callable
+    reached: Callable
+    describe: Callable
+    is_stopping: Callable[[], bool]
+    stop: Callable[[], None]
+    note_request: Callable[[], None]
+    tick: Callable[[float], None]
+    load: Callable[[], float]
+    is_serving: Callable[[], bool]
+
+
+class Member:
+    """Another host.
+
+    Attributes
+    ----------
+    told : MemberAge
+    heard_at : float
+        When the host is known to have run, by anyone.
+    direct_at : float
+        When a message of its own last came here.
+    """
+
+    def __init__(self, told, heard_at):
+        self.told = told
+        self.heard_at = heard_at
+        self.direct_at = float("-inf")
+
+
+class MemberState:
+    """The view, and this host's own load."""
+
+    def __init__(self):
+        self.member_by_address: dict[str, Member] = {}
+        self.is_stopping = False
+        self.requests = 0
+        self.load = 0.0
+        self.last_request_at = float("-inf")
+
+
+def rank_key(member):
+    """Return the order of hosts in their zone: what they bear, then a fixed number."""
+    return -member.capacity, zlib.crc32(member.address.encode()), member.address
+
+
+def create(kernel, own, fresh_age):
+    """Create the service ``members``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    own : OwnHost
+    fresh_age : callable
+        Age in seconds of this host's configuration.
+
+    Returns
+    -------
+    Members
+    """
+    state = MemberState()
+    now = kernel.clock.now
+    emit = kernel.find("events").emit
+    serving_seconds = 3.0
+
+    def describe_own():
+        return MemberAge(
+            own.address,
+            own.zone,
+            own.incarnation,
+            0.0,
+            own.capacity,
+            state.load,
+            state.is_stopping,
+            is_serving(),
+            fresh_age(),
+        )
+
+    def is_serving():
+        return now() - state.last_request_at < serving_seconds
+
+    def hear(address, bulletin):
+        stamp_age = float("inf")
+        for stamp in bulletin.stamps:
+            if stamp.kind == "configuration":
+                stamp_age = stamp.age
+        told = MemberAge(
+            address,
+            bulletin.zone,
+            bulletin.incarnation,
+            0.0,
+            bulletin.capacity,
+            bulletin.load,
+            bulletin.is_stopping,
+            bulletin.is_serving,
+            stamp_age,
+        )
+        is_new = address not in state.member_by_address
+        member = take(told)
+        if member is not None:
+            member.direct_at = now()
+        return is_new
+
+    def learn(told):
+        if told.address != own.address:
+            take(told)
+
+    def take(told):
+        heard_at = now() - told.age - TRANSIT_SECONDS
+        member = state.member_by_address.get(told.address)
+        if member is None:
+            if told.age > LIVE_SECONDS:
+                return None
+            member = state.member_by_address[told.address] = Member(told, heard_at)
+            emit(events.MEMBER_FOUND, host=told.address, zone=told.zone)
+            return member
+        if told.incarnation < member.told.incarnation:
+            return None
+        if told.incarnation > member.told.incarnation or heard_at > member.heard_at:
+            member.told = told
+            member.heard_at = heard_at
+        return member
+
+    def age(member):
+        return now() - member.heard_at
+
+    def live():
+        found = [describe_own()]
+        for member in state.member_by_address.values():
+            if age(member) < LIVE_SECONDS:
+                found.append(member.told)
+        return found
+
+    def ranked(zone):
+        usable = []
+        for member in live():
+            if member.zone == zone and not member.is_stopping:
+                usable.append(member)
+        return sorted(usable, key=rank_key)
+
+    def caller_hosts(zone):
+        found = []
+        demand = sum(member.load for member in live() if member.zone == zone)
+        borne = 0.0
+        for member in ranked(zone):
+            if member.knowledge_age > FRESH_SECONDS:
+                continue
+            covered = borne * PLANNED_UTILISATION >= demand
+            if len(found) >= CALLER_HOSTS_PER_ZONE and covered:
+                break
+            found.append(member)
+            borne += member.capacity
+        return found
+
+    def relays(zone):
+        return ranked(zone)[-RELAYS_PER_ZONE:]
+
+    def zones():
+        return sorted({member.zone for member in live()})
+
+    def meshed():
+        by_address = {}
+        for zone in zones():
+            for member in caller_hosts(zone):
+                by_address[member.address] = member
+        for member in live():
+            if member.is_serving:
+                by_address[member.address] = member
+        return list(by_address.values())
+
+    def reached():
+        """Return how many hosts that serve were heard, and how many there are."""
+        heard, total = 1, 1
+        for member in state.member_by_address.values():
+            told = member.told
+            quiet = now() - member.direct_at
+            if not told.is_serving or told.is_stopping or age(member) > LOST_SECONDS:
+                continue
+            total += 1
+            heard += quiet < LIVE_SECONDS
+        return heard, total
+
+    def describe():
+        found = [describe_own()]
+        for address, member in list(state.member_by_address.items()):
+            known_for = age(member)
+            if known_for > FORGET_SECONDS:
+                del state.member_by_address[address]
+                emit(events.MEMBER_LOST, host=address, zone=member.told.zone)
+                continue
+            found.append(member.told._replace(age=known_for))
+        return found
+
+    def stop():
+        state.is_stopping = True
+
+    def note_request():
+        state.requests += 1
+        state.last_request_at = now()
+
+    def tick(seconds):
+        rate = state.requests / seconds
+        state.requests = 0
+        weight = min(seconds / 2.0, 1.0)
+        state.load += (rate - state.load) * weight
+
+    service = Members(
+        own,
+        hear,
+        learn,
+        live,
+        caller_hosts,
+        relays,
+        meshed,
+        reached,
+        describe,
+        lambda: state.is_stopping,
+        stop,
+        note_request,
+        tick,
+        lambda: state.load,
+        is_serving,
+    )
+    kernel.register("members", service)
+    return service
--- /dev/null
+++ b/trefoilpin/gateway/messages.py
@@ -0,0 +1,108 @@
+"""What hosts tell each other, free of any codec."""
+
+from typing import NamedTuple
+
+from trefoilpin.gateway.knowledge import Stamp
+from trefoilpin.gateway.soundness import Outcome
+
+__all__ = ["Bulletin", "Document", "MemberAge", "OutcomeNote"]
+
+
+class MemberAge(NamedTuple):
+    """What one host knows of another.
+
+    Attributes
+    ----------
+    address : str
+        IP number.
+    zone : str
+    incarnation : int
+        Unix milliseconds of the daemon's start.
+    age : float
+        Seconds since the host is known to have run, an upper bound.
+    capacity : float
+        Requests a second that the host bears.
+    load : float
+        Requests a second that it gets.
+    is_stopping, is_serving : bool
+    knowledge_age : float
+        Age in seconds of the host's configuration.
+    """
+
+    address: str
+    zone: str
+    incarnation: int
+    age: float
+    capacity: float
+    load: float
+    is_stopping: bool
+    is_serving: bool
+    knowledge_age: float
+
+
+class OutcomeNote(NamedTuple):
+    """An outcome that tells something of an upstream.
+
+    Attributes
+    ----------
+    number : int
+        Counts the notes of one host, so that a repeated one is taken once.
+    upstream : str
+    outcome : Outcome
+    """
+
+    number: int
+    upstream: str
+    outcome: Outcome
+
+
+class Document(NamedTuple):
+    """One section's document as a host holds it, with its age in seconds."""
+
+    revision: int
+    age: float
+    document: bytes
+
+
+class Bulletin(NamedTuple):
+    """What a host sends to another in one datagram.
+
+    Everything in it may be lost, repeated or late: counts are totals since the start
+    of the sender, and outcomes are numbered.
+
+    Attributes
+    ----------
+    incarnation, sequence : int
+    zone, region : str
+    capacity, load : float
+        Requests a second.
+    is_stopping, is_serving : bool
+        Whether the host ends, and whether callers use it.
+    wants_reply : bool
+        True when the sender doesn't know the fleet yet.
+    stamps : tuple of Stamp
+    members : tuple of MemberAge
+    outcomes : tuple of OutcomeNote
+    in_flight_by_upstream : dict
+        All upstreams with requests of the sender under way; None when left out.
+    admitted_by_account : dict
+        Requests admitted since the sender's start.
+    breaks : tuple of (int, str)
+        Fingerprint of a request and the upstream whose connection broke under it.
+    """
+
+    incarnation: int
+    sequence: int
+    zone: str
+    region: str
+    capacity: float
+    load: float
+    is_stopping: bool
+    is_serving: bool
+    wants_reply: bool
+    stamps: tuple[Stamp, ...]
+    members: tuple[MemberAge, ...]
+    outcomes: tuple[OutcomeNote, ...]
+    in_flight_by_upstream: dict[str, int]
+    admitted_by_account: dict[str, int]
+    breaks: tuple[tuple[int, str], ...]
--- /dev/null
+++ b/trefoilpin/gateway/placements.py
@@ -0,0 +1,116 @@
+"""Choice of an upstream by what a request is expected to lose there.
+
+The loss has three parts, each in shares of the request's worth: the probability that
+the upstream is unsound, the lateness that its load brings, and the price of bytes that
+leave the availability zone. The load pattern it answers: pools at a quarter to all of
+their capacity where three in ten upstreams fail most requests for a few seconds.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["Candidate", "Need", "choose", "loss"]
+
+# A request and its answer between zones cost about this share of its worth.
+CROSS_ZONE_LOSS = 0.05
+# Loss when every slot but one is taken: upstreams slow down when nearly full.
+FULL_LOSS = 0.12
+# Requests beyond the slots wait there for about one service time each.
+QUEUED_LOSS = 0.35
+# Losses closer than this are equal, so that hosts don't all pick the same upstream.
+TIE_LOSS = 0.03
+# Share of requests that may be repeated which try an upstream that is not known well.
+EXPLORING_SHARE = 0.2
+EXPLORED_FROM = 0.08
+EXPLORED_TO = 0.45
+
+
+class Candidate(NamedTuple):
+    """An upstream that may get a request now.
+
+    Attributes
+    ----------
+    id : str
+    unsound : float
+        Probability.
+    load : float
+        Requests under way there from the whole fleet, as known, over its slots.
+    is_near : bool
+        True in the host's own availability zone.
+    slowness : float
+        Time that it takes, relative to its pool's usual.
+    """
+
+    id: str
+    unsound: float
+    load: float
+    is_near: bool
+    slowness: float = 1.0
+
+
+class Need(NamedTuple):
+    """What a request asks of the choice.
+
+    Attributes
+    ----------
+    is_idempotent : bool
+        True when a failure may be repaired by another attempt.
+    can_retry : bool
+        True when another attempt is allowed after this one.
+    is_urgent : bool
+        True for the most urgent rank, which takes the surest upstream.
+    """
+
+    is_idempotent: bool
+    can_retry: bool
+    is_urgent: bool
+
+
+def loss(candidate, need):
+    """Return the expected loss of a request at an upstream, in shares of its worth."""
+    failure = candidate.unsound
+    if need.is_idempotent and need.can_retry:
+        # The second attempt is late more often than it fails.
+        failure *= 0.5
+    lateness = FULL_LOSS * min(candidate.load, 1.0) ** 2
+    lateness += QUEUED_LOSS * max(candidate.load - 1.0, 0.0)
+    lateness += 0.1 * max(candidate.slowness - 1.5, 0.0)
+    distance = 0.0 if candidate.is_near else CROSS_ZONE_LOSS
+    return failure + lateness + distance
+
+
+def choose(candidates, need, rng):
+    """Return the candidate with the least expected loss, or None when there is none.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+    need : Need
+    rng : random.Random
+
+    Returns
+    -------
+    Candidate or None
+    """
+    if need.is_idempotent and need.can_retry and rng.random() < EXPLORING_SHARE:
+        explored = find_unknown(candidates, rng)
+        if explored is not None:
+            return explored
+    best = None
+    least = float("inf")
+    for candidate in candidates:
+        expected = loss(candidate, need) + rng.random() * TIE_LOSS
+        if expected < least:
+            best, least = candidate, expected
+    return best
+
+
+def find_unknown(candidates, rng):
+    """Return an upstream near enough whose state an outcome would tell, or None."""
+    unknown = []
+    for candidate in candidates:
+        if not EXPLORED_FROM <= candidate.unsound <= EXPLORED_TO:
+            continue
+        if candidate.load < 0.7:
+            unknown.append(candidate)
+    near = [candidate for candidate in unknown if candidate.is_near]
+    return rng.choice(near or unknown) if unknown else None
--- /dev/null
+++ b/trefoilpin/gateway/queues.py
@@ -0,0 +1,210 @@
+"""Waiting for a saturated pool: the most urgent first, and only what can be served.
+
+The load pattern it answers: bursts, and pools that lost much of their capacity. A
+request waits only while the pool's pace lets it be served before its deadline; one that
+can't is refused at once, with the time after which the queue should have passed. Among
+requests of one rank, those that can still meet their target time go first.
+"""
+
+import heapq
+from typing import Callable, NamedTuple
+
+from returns.result import Failure
+
+from trefoilpin import events
+from trefoilpin.verdicts import Reason, Refusal, Verdict
+
+__all__ = ["Queues", "Wait", "create", "expected_wait"]
+
+RETRY_SECONDS = 0.1
+# Until some requests were served the pool is taken to serve this many a second here.
+INITIAL_PACE = 20.0
+PACE_WEIGHT = 0.05
+LEAST_RETRY_AFTER = 0.1
+MOST_RETRY_AFTER = 2.0
+
+
+class Wait(NamedTuple):
+    """A request that asks for a turn.
+
+    Attributes
+    ----------
+    priority : int
+        0 is the most urgent.
+    deadline : float
+        Seconds of the clock until when it must be answered.
+    target : float
+        Seconds of the clock until when an answer is on time.
+    usual : float
+        Seconds that such requests usually take.
+    """
+
+    priority: int
+    deadline: float
+    target: float
+    usual: float
+
+
+class Queues(NamedTuple):
+    """``queues``: turns at saturated pools.
+
+    ``enter(pool, wait, choose, is_gone)`` gives what ``choose`` gives once it isn't
+    saturated, or a ``Refusal``. ``released(pool)`` tells that a request ended.
+    ``wake()`` has the first of each queue look again. ``waiting()`` counts.
+    """
+
+    enter: Callable
+    released: Callable
+    wake: Callable
+    waiting: Callable
+
+
+class Waiter:
+    """A request in a queue."""
+
+    def __init__(self, event):
+        self.event = event
+        self.is_waiting = True
+
+
+class PoolQueue:
+    """Requests that wait for one pool, and the pool's pace at this host."""
+
+    def __init__(self, now):
+        self.heap = []
+        self.waiting = 0
+        self.count_by_priority: dict[int, int] = {}
+        self.gap = 1 / INITIAL_PACE
+        self.released_at = now
+
+
+def expected_wait(ahead, gap):
+    """Return the seconds until a request behind ``ahead`` others has its turn."""
+    return (ahead + 1) * gap
+
+
+def is_saturated(outcome):
+    """Tell whether a choice failed only because every upstream is at its limit."""
+    if not isinstance(outcome, Failure):
+        return False
+    return outcome.failure().reason is Reason.OVERLOADED
+
+
+def refuse(detail, seconds):
+    """Return the refusal of a request that gets no turn in time."""
+    wait = min(max(seconds, LEAST_RETRY_AFTER), MOST_RETRY_AFTER)
+    return Failure(Refusal(Reason.OVERLOADED, Verdict.NOT_RUN, detail, wait))
+
+
+def create(kernel, create_event):
+    """Create the service ``queues``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    create_event : callable
+        Makes an event with ``wait(timeout)`` and ``send()``.
+
+    Returns
+    -------
+    Queues
+    """
+    queue_by_pool: dict[str, PoolQueue] = {}
+    now = kernel.clock.now
+    emit = kernel.find("events").emit
+    sequence = iter(range(1 << 62))
+
+    def enter(pool, wait, choose, is_gone):
+        queue = queue_by_pool.get(pool)
+        if queue is None:
+            queue = queue_by_pool[pool] = PoolQueue(now())
+        if not queue.waiting:
+            outcome = choose()
+            if not is_saturated(outcome):
+                return outcome
+        ahead = count_ahead(queue, wait.priority)
+        seconds = expected_wait(ahead, queue.gap)
+        if now() + seconds + wait.usual > wait.deadline:
+            return refuse("the pool is full for longer than the request has", seconds)
+        emit(
+            events.REQUEST_WAITS,
+            pool=pool,
+            priority=wait.priority,
+            ahead=ahead,
+            expected=round(seconds, 3),
+        )
+        return wait_for_turn(queue, wait, choose, is_gone)
+
+    def count_ahead(queue, priority):
+        ahead = 0
+        for rank, count in queue.count_by_priority.items():
+            if rank <= priority:
+                ahead += count
+        return ahead
+
+    def wait_for_turn(queue, wait, choose, is_gone):
+        waiter = join(queue, wait)
+        latest = wait.deadline - wait.usual
+        try:
+            while now() < latest:
+                waiter.event.wait(min(RETRY_SECONDS, max(latest - now(), 0.001)))
+                if is_gone():
+                    return refuse("the caller left while waiting", 0.0)
+                if waiter.event.ready():
+                    waiter.event = create_event()
+                if first(queue) is not waiter:
+                    continue
+                outcome = choose()
+                if not is_saturated(outcome):
+                    return outcome
+            return refuse("no upstream came free in time", queue.gap * queue.waiting)
+        finally:
+            leave(queue, wait, waiter)
+            wake_first(queue)
+
+    def join(queue, wait):
+        waiter = Waiter(create_event())
+        is_late = now() + wait.usual > wait.target
+        key = (wait.priority, is_late, next(sequence))
+        heapq.heappush(queue.heap, (key, waiter))
+        queue.waiting += 1
+        count = queue.count_by_priority.get(wait.priority, 0)
+        queue.count_by_priority[wait.priority] = count + 1
+        return waiter
+
+    def leave(queue, wait, waiter):
+        waiter.is_waiting = False
+        queue.waiting -= 1
+        queue.count_by_priority[wait.priority] -= 1
+
+    def first(queue):
+        """Return the request whose turn is next, or None."""
+        while queue.heap and not queue.heap[0][1].is_waiting:
+            heapq.heappop(queue.heap)
+        return queue.heap[0][1] if queue.heap else None
+
+    def wake_first(queue):
+        waiter = first(queue)
+        if waiter is not None and not waiter.event.ready():
+            waiter.event.send()
+
+    def released(pool):
+        queue = queue_by_pool.get(pool)
+        if queue is None:
+            return
+        if queue.waiting:
+            gap = min(now() - queue.released_at, 1.0)
+            queue.gap += (gap - queue.gap) * PACE_WEIGHT
+        queue.released_at = now()
+        wake_first(queue)
+
+    def wake():
+        for queue in queue_by_pool.values():
+            wake_first(queue)
+
+    def waiting():
+        return sum(queue.waiting for queue in queue_by_pool.values())
+
+    service = Queues(enter, released, wake, waiting)
+    kernel.register("queues", service)
+    return service
--- /dev/null
+++ b/trefoilpin/gateway/readers.py
@@ -0,0 +1,233 @@
+"""Reading the store: which host does it, how often, and what an outage means.
+
+One host reads each kind by watching it, and tells the others. A host whose knowledge
+ages beyond a bound reads by itself, the sooner the higher it stands in the order of
+readers. So the number of calls does not grow with the fleet, and no message has to
+arrive for a dead reader to be replaced.
+"""
+
+from typing import Callable, NamedTuple
+
+from returns.result import Failure
+
+from trefoilpin import events
+from trefoilpin.gateway.knowledge import (
+    CONFIGURATION,
+    KINDS,
+    UPSTREAMS,
+    ZONES_OUT,
+    digest,
+)
+
+__all__ = ["LAPSE_SECONDS", "OUTAGE_SECONDS", "ReadTerms", "create"]
+
+# Upstreams whose entries lapsed in an outage write them anew within this time.
+LAPSE_SECONDS = 2.2
+# An older view than this saw an outage in which entries may have lapsed.
+OUTAGE_SECONDS = 2.5
+FIRST_PAUSE_SECONDS = 0.2
+MOST_PAUSE_SECONDS = 1.6
+IDLE_SECONDS = 0.1
+# By this time after the start the other hosts are known, so that not all read.
+SETTLE_SECONDS = 0.7
+MOST_RANK = 12
+
+
+class ReadTerms(NamedTuple):
+    """How one kind is read.
+
+    Attributes
+    ----------
+    wait : float
+        Seconds for which the store holds a watch without changes.
+    pause : float
+        Seconds between a change and the next watch, so that changes come together.
+    take_over : float
+        Age in seconds from which the next host in order reads too.
+    rank_seconds : float
+        Added to it for each further place in the order.
+    """
+
+    wait: float
+    pause: float
+    take_over: float
+    rank_seconds: float
+
+
+# The bounds are 2 s for configuration and draining upstreams and 5 s for zones; each
+# age below leaves the time of one call and one bulletin.
+TERMS_BY_KIND = {
+    CONFIGURATION: ReadTerms(1.0, 0.05, 1.45, 0.1),
+    UPSTREAMS: ReadTerms(1.0, 0.35, 1.6, 0.1),
+    ZONES_OUT: ReadTerms(1.5, 0.05, 2.4, 0.2),
+}
+
+
+class ReaderState:
+    """What this host's own reading has come to."""
+
+    def __init__(self):
+        self.failures_by_kind = dict.fromkeys(KINDS, 0)
+        self.paused_until_by_kind = dict.fromkeys(KINDS, 0.0)
+        self.held_until_by_name: dict[str, float] = {}
+        self.hold_until = float("-inf")
+        self.objects_by_kind: dict[str, tuple[int, dict]] = {}
+        self.is_reachable = True
+
+
+class Readers(NamedTuple):
+    """``readers``: ``step(kind)`` reads once if it is this host's turn, and tells."""
+
+    step: Callable[[str], bool]
+
+
+def create(kernel, codec, trim, rank):
+    """Create the service ``readers``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    codec : tuple of callable
+        Encodes objects by name as a document, and decodes one to a ``Result``.
+    trim : callable
+        ``trim(kind, content)`` leaves out of an object what only tells that its writer
+        lives; None for an object that can't be used.
+    rank : callable
+        This host's place in the order of readers, from 0.
+
+    Returns
+    -------
+    Readers
+    """
+    encode, decode = codec
+    state = ReaderState()
+    now, sleep = kernel.clock.now, kernel.clock.sleep
+    emit = kernel.find("events").emit
+    store = kernel.find("store")
+    knowledge = kernel.find("knowledge")
+
+    started_at = now()
+
+    def is_due(kind):
+        running = now() - started_at
+        if running < SETTLE_SECONDS or now() < state.paused_until_by_kind[kind]:
+            return False
+        place = rank()
+        if place == 0:
+            return True
+        terms = TERMS_BY_KIND[kind]
+        late = min(place, MOST_RANK) * terms.rank_seconds
+        return min(knowledge.age(kind), running) > terms.take_over + late
+
+    def objects(kind):
+        """Return the objects of the document held now."""
+        stamp = knowledge.stamp(kind)
+        known_digest, held = state.objects_by_kind.get(kind, (None, {}))
+        if known_digest != stamp.digest:
+            held = decode(knowledge.document(kind)).value_or({})
+            state.objects_by_kind[kind] = (stamp.digest, held)
+        return held
+
+    def step(kind):
+        if not is_due(kind):
+            return False
+        revision = knowledge.stamp(kind).revision
+        age_before = knowledge.age(kind)
+        before = dict(objects(kind))
+        started = now()
+        if revision:
+            wait = TERMS_BY_KIND[kind].wait
+            outcome = store.watch(kind, revision, wait)
+            if isinstance(outcome, Failure) and outcome.failure().is_compacted:
+                emit(events.HISTORY_LOST, kind=kind, revision=revision)
+                revision = 0
+        if not revision:
+            outcome = store.list_all(kind)
+        if isinstance(outcome, Failure):
+            note_failure(kind, outcome.failure())
+            return True
+        note_success(kind)
+        found = outcome.unwrap()
+        if kind == UPSTREAMS and before and age_before > OUTAGE_SECONDS:
+            state.hold_until = now() + LAPSE_SECONDS
+        if not revision:
+            take_listing(kind, found, before, started)
+        else:
+            take_changes(kind, found, before, started)
+        return True
+
+    def take_listing(kind, listing, before, started):
+        after = {}
+        for name, content in listing.content_by_name.items():
+            kept = trim(kind, content)
+            if kept is not None:
+                after[name] = kept
+        offer(kind, hold_lapsed(kind, before, after), listing.revision, started)
+
+    def take_changes(kind, changes, before, started):
+        after = dict(before)
+        for change in changes.changes:
+            kept = None if change.content is None else trim(kind, change.content)
+            if kept is None:
+                after.pop(change.name, None)
+            else:
+                after[change.name] = kept
+        # Without a change the store waited the whole time before it answered.
+        waited = 0.0 if changes.changes else TERMS_BY_KIND[kind].wait
+        seen = min(started + waited, now())
+        offer(kind, hold_lapsed(kind, before, after), changes.revision, seen)
+        if changes.changes:
+            pause(kind, TERMS_BY_KIND[kind].pause)
+
+    def hold_lapsed(kind, before, after):
+        """Keep upstreams for a while whose entries may just have lapsed."""
+        if kind != UPSTREAMS:
+            return after
+        for name, content in before.items():
+            if name in after:
+                state.held_until_by_name.pop(name, None)
+                continue
+            if now() >= state.hold_until and name not in state.held_until_by_name:
+                continue
+            until = state.held_until_by_name.setdefault(name, state.hold_until)
+            if now() < until:
+                after[name] = content
+            else:
+                del state.held_until_by_name[name]
+        return after
+
+    def offer(kind, objects_by_name, revision, seen):
+        document = encode(objects_by_name)
+        state.objects_by_kind[kind] = (digest(document), objects_by_name)
+        knowledge.offer(kind, revision, document, now() - seen)
+
+    def note_failure(kind, failure):
+        state.failures_by_kind[kind] += 1
+        doubled = FIRST_PAUSE_SECONDS * 2 ** min(state.failures_by_kind[kind] - 1, 5)
+        pause(kind, min(doubled, MOST_PAUSE_SECONDS))
+        if state.is_reachable:
+            state.is_reachable = False
+            emit(events.STORE_LOST, kind=kind, detail=failure.detail)
+
+    def note_success(kind):
+        state.failures_by_kind[kind] = 0
+        if not state.is_reachable:
+            state.is_reachable = True
+            emit(events.STORE_REGAINED, kind=kind, age=round(knowledge.age(kind), 3))
+
+    def pause(kind, seconds):
+        jitter = 0.75 + 0.5 * kernel.rng.random()
+        state.paused_until_by_kind[kind] = now() + seconds * jitter
+
+    def read_forever(kind):
+        while True:
+            if not step(kind):
+                sleep(IDLE_SECONDS * (0.75 + 0.5 * kernel.rng.random()))
+
+    def start():
+        for kind in KINDS:
+            kernel.spawn(read_forever, kind)
+
+    service = Readers(step)
+    kernel.register("readers", service, start)
+    return service
--- /dev/null
+++ b/trefoilpin/gateway/records.py
@@ -0,0 +1,155 @@
+"""What the store tells: routes, accounts, pools and upstreams."""
+
+from typing import NamedTuple
+
+__all__ = [
+    "Account",
+    "CallerLimits",
+    "Configuration",
+    "Pool",
+    "Route",
+    "Share",
+    "Upstream",
+    "EMPTY_CONFIGURATION",
+]
+
+
+class Share(NamedTuple):
+    """Part of a route's requests that goes to one pool.
+
+    Attributes
+    ----------
+    pool : str
+    weight : float
+        Relative to the other shares of the route.
+    """
+
+    pool: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Requests of one host name and path prefix.
+
+    Attributes
+    ----------
+    id, host, prefix : str
+    shares : tuple of Share
+    idempotent : bool
+        True when a request may run more than once.
+    timeout : float
+        Seconds until the caller gets its final answer.
+    target : float
+        Seconds within which an answer is on time.
+    max_attempts : int
+        Upstreams that one request may be sent to.
+    priority : int
+        0 is the most urgent.
+    is_open : bool
+        True when no key is needed.
+    """
+
+    id: str
+    host: str
+    prefix: str
+    shares: tuple[Share, ...]
+    idempotent: bool
+    timeout: float
+    target: float
+    max_attempts: int
+    priority: int
+    is_open: bool
+
+
+class Account(NamedTuple):
+    """A client account.
+
+    Attributes
+    ----------
+    id : str
+    rate : float
+        Requests a second over the whole fleet; 0 for no limit.
+    burst : float
+        Requests that may come at once over the whole fleet.
+    priority : int or None
+        Goes before the priority of the route.
+    """
+
+    id: str
+    rate: float
+    burst: float
+    priority: int | None
+
+
+class Pool(NamedTuple):
+    """Upstreams that serve the same requests.
+
+    Attributes
+    ----------
+    id : str
+    max_connections : int
+        Connections that one upstream bears from the whole fleet.
+    cold_rate : float
+        Requests a second that one cold upstream bears from the whole fleet.
+    """
+
+    id: str
+    max_connections: int
+    cold_rate: float
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, in bytes, and how slowly, in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class Configuration(NamedTuple):
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    version : str
+    routes_by_prefix_by_host : dict
+    account_by_key : dict
+    pool_by_id : dict
+    limits : CallerLimits
+    """
+
+    version: str
+    routes_by_prefix_by_host: dict[str, dict[str, Route]]
+    account_by_key: dict[str, Account]
+    pool_by_id: dict[str, Pool]
+    limits: CallerLimits
+
+
+EMPTY_CONFIGURATION = Configuration("", {}, {}, {}, CallerLimits())
+
+
+class Upstream(NamedTuple):
+    """One start of one upstream endpoint.
+
+    Attributes
+    ----------
+    id : str
+    born : int
+        Unix milliseconds of its start; another start under the same id differs.
+    pool, address, zone : str
+    slots : int
+        Requests it runs at the same time.
+    draining : bool
+    cold_remaining : float
+        Seconds for which it takes its cold rate only, when the entry was written.
+    """
+
+    id: str
+    born: int
+    pool: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool
+    cold_remaining: float
--- /dev/null
+++ b/trefoilpin/gateway/routing.py
@@ -0,0 +1,82 @@
+"""The route of a request, the pool it goes to, and the account of its key."""
+
+from typing import Callable, NamedTuple
+
+from trefoilpin.gateway.knowledge import CONFIGURATION
+from trefoilpin.routes import prefixes
+
+__all__ = ["Routing", "create"]
+
+
+class Routing(NamedTuple):
+    """``routing``: look-ups in the configuration in force.
+
+    ``match(host, path)`` gives a ``Route`` or None, ``account(key)`` an ``Account`` or
+    None, and ``pool(route)`` the pool that the next request of a route goes to.
+    """
+
+    match: Callable
+    account: Callable
+    pool: Callable
+
+
+def create(kernel):
+    """Create the service ``routing``.
+
+    Requests are dealt to a route's pools by smooth weighted round robin, so that every
+    pool has its share over a few requests already.
+
+    Parameters
+    ----------
+    kernel : Kernel
+
+    Returns
+    -------
+    Routing
+    """
+    knowledge = kernel.find("knowledge")
+    credit_by_pool_by_route: dict[str, dict[str, float]] = {}
+
+    def match(host, path):
+        configuration = knowledge.value(CONFIGURATION)
+        route_by_prefix = configuration.routes_by_prefix_by_host.get(host)
+        if not route_by_prefix:
+            return None
+        for prefix in prefixes(path):
+            route = route_by_prefix.get(prefix)
+            if route is not None:
+                return route
+        return None
+
+    def account(key):
+        return knowledge.value(CONFIGURATION).account_by_key.get(key)
+
+    def pool(route):
+        if len(route.shares) == 1:
+            return route.shares[0].pool
+        credits = credit_by_pool_by_route.get(route.id)
+        if credits is None or credits.keys() != {share.pool for share in route.shares}:
+            credits = start_credits(route)
+            credit_by_pool_by_route[route.id] = credits
+        total = 0.0
+        for share in route.shares:
+            credits[share.pool] += share.weight
+            total += share.weight
+        chosen = max(credits, key=credits.get)
+        credits[chosen] -= total
+        return chosen
+
+    def start_credits(route):
+        """Start anywhere in the round, so that hosts don't begin alike."""
+        credits = {}
+        for share in route.shares:
+            credits[share.pool] = kernel.rng.random() * share.weight
+        return credits
+
+    def forget(configuration):
+        credit_by_pool_by_route.clear()
+
+    knowledge.subscribe(CONFIGURATION, forget)
+    service = Routing(match, account, pool)
+    kernel.register("routing", service)
+    return service
--- /dev/null
+++ b/trefoilpin/gateway/stops.py
@@ -0,0 +1,89 @@
+"""Planned stop of a host that cuts no request.
+
+The host is not ready and out of the address answers at once, but goes on serving those
+that still have its address, ending each connection after its answer. Connections that
+stay idle end one by one. When callers have had time for a new answer, further requests
+are refused as not run, and the host ends with the last one under way.
+"""
+
+from typing import Callable, NamedTuple
+
+from trefoilpin import events
+
+__all__ = ["Stops", "create"]
+
+# Answers to callers are kept for 2 s; some keep them longer and are refused after.
+SERVING_SECONDS = 3.0
+RETIRE_FROM_SECONDS = 0.5
+QUIET_SECONDS = 0.3
+STEP_SECONDS = 0.05
+# Part of the time before the process is killed that requests under way may use.
+USED_GRACE = 0.93
+LEAVE_SECONDS = 0.1
+
+
+class Stops(NamedTuple):
+    """``stops``: ``stop(signal_name)`` returns once the daemon may exit."""
+
+    stop: Callable[[str], None]
+
+
+def create(kernel, grace):
+    """Create the service ``stops``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    grace : float
+        Seconds after the signal at which the process is killed.
+
+    Returns
+    -------
+    Stops
+    """
+    now, sleep = kernel.clock.now, kernel.clock.sleep
+    emit = kernel.find("events").emit
+    members = kernel.find("members")
+    bulletins = kernel.find("bulletins")
+    proxies = kernel.find("proxies")
+    frontends = kernel.find("frontends")
+
+    def stop(signal_name):
+        began_at = now()
+        members.stop()
+        bulletins.wake()
+        emit(
+            events.GATEWAY_STOPPING,
+            signal=signal_name,
+            under_way=proxies.under_way(),
+            connections=frontends.connections(),
+        )
+        serving = min(SERVING_SECONDS, grace / 2)
+        while now() < began_at + serving:
+            retire_some(now() - began_at, serving)
+            sleep(STEP_SECONDS)
+        proxies.close()
+        while proxies.under_way() and now() < began_at + grace * USED_GRACE:
+            sleep(STEP_SECONDS)
+        sleep(LEAVE_SECONDS)
+        emit(
+            events.GATEWAY_STOPPED,
+            seconds=round(now() - began_at, 3),
+            under_way=proxies.under_way(),
+        )
+
+    def retire_some(elapsed, serving):
+        """End the connections whose place in the drain has come and that are quiet."""
+        if elapsed < RETIRE_FROM_SECONDS:
+            return
+        quiet_since = now() - QUIET_SECONDS
+
+        def is_due(connection):
+            is_quiet = connection.idle_since < quiet_since
+            return is_quiet and connection.share * serving < elapsed
+
+        frontends.retire(is_due)
+
+    service = Stops(stop)
+    kernel.register("stops", service)
+    return service
--- /dev/null
+++ b/trefoilpin/gateway/suspects.py
@@ -0,0 +1,131 @@
+"""Requests that crash each upstream which runs them.
+
+A request counts against its fingerprint when the connection under it broke without an
+answer. One that broke several upstreams and was never answered since is refused by
+every host for a while; a whole answer clears it.
+"""
+
+import hashlib
+from typing import Callable, NamedTuple
+
+from trefoilpin import events
+from trefoilpin.verdicts import Reason, Refusal, Verdict
+
+__all__ = ["Suspects", "create", "fingerprint"]
+
+# Fewer could be upstreams that reset connections of any request.
+UPSTREAMS_TO_REFUSE = 3
+REFUSED_SECONDS = 60.0
+BREAK_SECONDS = 20.0
+MAX_FINGERPRINTS = 5_000
+MAX_NOTES = 32
+NOTE_SECONDS = 0.5
+SEPARATOR = "\0"
+FINGERPRINT_BYTES = 8
+
+
+class Suspects(NamedTuple):
+    """``suspects``: requests that break upstreams.
+
+    ``check(fingerprint)`` gives a ``Refusal`` or None. ``broke(fingerprint, upstream)``
+    tells that a connection broke, ``answered(fingerprint)`` that one was answered
+    whole. ``learn(breaks)`` takes other hosts' breaks and ``notes()`` gives those of
+    this host that are new.
+    """
+
+    check: Callable
+    broke: Callable
+    answered: Callable
+    learn: Callable
+    notes: Callable
+
+
+class Suspect:
+    """Upstreams that broke under one request, and until when it is refused."""
+
+    def __init__(self):
+        self.broken_at_by_upstream: dict[str, float] = {}
+        self.refused_until = float("-inf")
+
+
+def fingerprint(account, request):
+    """Return a number of a request's caller, method, path, query and body."""
+    name = account.id if account is not None else ""
+    parts = (name, request.method, request.host, request.path, request.query)
+    text = SEPARATOR.join(parts).encode() + request.body
+    digest = hashlib.blake2b(text, digest_size=FINGERPRINT_BYTES).digest()
+    return int.from_bytes(digest) >> 1
+
+
+def create(kernel):
+    """Create the service ``suspects``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+
+    Returns
+    -------
+    Suspects
+    """
+    suspect_by_fingerprint: dict[int, Suspect] = {}
+    own_breaks: list[tuple[float, int, str]] = []
+    now = kernel.clock.now
+    emit = kernel.find("events").emit
+
+    def check(number):
+        suspect = suspect_by_fingerprint.get(number)
+        if suspect is None or now() >= suspect.refused_until:
+            return None
+        wait = suspect.refused_until - now()
+        detail = "this request broke every upstream that ran it"
+        return Refusal(Reason.SUSPECT, Verdict.NOT_RUN, detail, wait)
+
+    def broke(number, upstream):
+        own_breaks.append((now(), number, upstream))
+        del own_breaks[:-MAX_NOTES]
+        count(number, upstream)
+
+    def learn(breaks):
+        for number, upstream in breaks:
+            count(number, upstream)
+
+    def count(number, upstream):
+        if len(suspect_by_fingerprint) >= MAX_FINGERPRINTS:
+            sweep()
+        suspect = suspect_by_fingerprint.setdefault(number, Suspect())
+        broken = suspect.broken_at_by_upstream
+        if upstream not in broken:
+            broken[upstream] = now()
+        recent = [at for at in broken.values() if now() - at < BREAK_SECONDS]
+        if len(recent) < UPSTREAMS_TO_REFUSE or now() < suspect.refused_until:
+            return
+        suspect.refused_until = now() + REFUSED_SECONDS
+        emit(
+            events.SUSPECT_REFUSED,
+            fingerprint=f"{number:016x}",
+            upstreams=",".join(sorted(broken)),
+            seconds=REFUSED_SECONDS,
+        )
+
+    def sweep():
+        for number, suspect in list(suspect_by_fingerprint.items()):
+            times = suspect.broken_at_by_upstream.values()
+            if now() >= suspect.refused_until and now() - max(times) > BREAK_SECONDS:
+                del suspect_by_fingerprint[number]
+
+    def answered(number):
+        suspect = suspect_by_fingerprint.get(number)
+        if suspect is not None and now() >= suspect.refused_until:
+            del suspect_by_fingerprint[number]
+
+    def notes():
+        found = []
+        for at, number, upstream in own_breaks:
+            if now() - at < NOTE_SECONDS:
+                found.append((number, upstream))
+        return tuple(found)
+
+    service = Suspects(check, broke, answered, learn, notes)
+    kernel.register("suspects", service)
+    return service
--- /dev/null
+++ b/trefoilpin/idl/bulletins.thrift
@@ -0,0 +1,37 @@
+// What hosts tell each other in datagrams, over a store that others write.
+
+struct StampStruct {
+  1: string kind
+  2: i64 revision
+  3: i64 digest
+  4: double age
+}
+
+struct BulletinStruct {
+  1: i64 incarnation
+  2: i64 sequence
+  3: string zone
+  4: string region
+  5: double capacity
+  6: double load
+  7: bool stopping
+  8: bool serving
+  9: bool wants_reply
+  10: list<StampStruct> stamps
+  11: binary members
+  12: list<string> outcome_upstreams
+  13: list<byte> outcome_kinds
+  14: list<i64> outcome_numbers
+  15: list<string> flight_upstreams
+  16: list<i32> flight_counts
+  17: list<string> admitted_accounts
+  18: list<i64> admitted_counts
+  19: list<i64> broken_fingerprints
+  20: list<string> broken_upstreams
+}
+
+struct DocumentStruct {
+  1: i64 revision
+  2: double age
+  3: binary document
+}
--- a/trefoilpin/logs.py
+++ b/trefoilpin/logs.py
@@ -6,20 +6,26 @@
 
 import json
 import logging
+import os
 import re
 import sys
 from collections import deque
 
 import eventlet
 import eventlet.event
+import eventlet.patcher
 
+from trefoilpin import events
 from trefoilpin.services import Events
 
-__all__ = ["create"]
+__all__ = ["create", "write_standard_output"]
 
 logger = logging.getLogger(__name__)
 
-MAX_WAITING_LINES = 100_000
+MAX_WAITING_LINES = 20_000
+# Bytes that a pipe that can be written at all takes without blocking (POSIX PIPE_BUF).
+PIPE_BYTES = 4096
+FULL_PIPE_SECONDS = 0.05
 FLUSH_SECONDS = 0.05
 LINES_AT_ONCE = 4
 NEEDS_QUOTES = re.compile(r'[\s"=]')
@@ -33,6 +39,21 @@
         self.dropped = 0
         self.seen_by_number: dict[int, int] = {}
         self.has_lines = eventlet.event.Event()
+        self.second = 0
+        self.routine = 0
+        self.left_out = 0
+
+
+def write_standard_output(text):
+    """Write text without ever blocking the process on a reader that is slow."""
+    select = eventlet.patcher.original("select")
+    poll = select.poll()
+    poll.register(sys.stdout.fileno(), select.POLLOUT)
+    data = text.encode()
+    for start in range(0, len(data), PIPE_BYTES):
+        while not poll.poll(0):
+            eventlet.sleep(FULL_PIPE_SECONDS)
+        os.write(sys.stdout.fileno(), data[start : start + PIPE_BYTES])
 
 
 def format_text(when, event, fields):
@@ -55,7 +76,7 @@
     return json.dumps(text)
 
 
-def create(kernel, log_format="text", sample=1, write=None):
+def create(kernel, log_format="text", sample=1, write=None, max_routine=None):
     """Create the service ``events``.
 
     Parameters
@@ -66,6 +87,9 @@
         One in this many lines of a sampled event is written.
     write : callable, optional
         ``write(text)`` takes finished lines; standard error by default.
+    max_routine : int, optional
+        Lines of sampled events that are written in a second; how many more there were
+        is told.
 
     Returns
     -------
@@ -84,6 +108,8 @@
             state.seen_by_number[event.number] = seen + 1
             if seen % sample:
                 return
+        if event.sampled and max_routine is not None and is_over_bound():
+            return
         if len(state.waiting) >= MAX_WAITING_LINES:
             state.dropped += 1
             return
@@ -91,6 +117,20 @@
         if not state.has_lines.ready():
             state.has_lines.send()
 
+    def is_over_bound():
+        """Count a routine line; True when its second has had enough of them."""
+        second = int(wall())
+        if second != state.second:
+            left_out, state.left_out = state.left_out, 0
+            state.second, state.routine = second, 0
+            if left_out:
+                emit(events.LINES_LEFT_OUT, lines=left_out)
+        state.routine += 1
+        if state.routine <= max_routine:
+            return False
+        state.left_out += 1
+        return True
+
     def write_some(count):
         """Write up to a number of lines, so that requests wait for few at a time."""
         lines = []
--- a/trefoilpin/retries.py
+++ b/trefoilpin/retries.py
@@ -40,7 +40,7 @@
     return now + (deadline - now) * FIRST_ATTEMPT_SHARE
 
 
-def create(kernel, share, least_per_second):
+def create(kernel, share, least_per_second, max_balance=MAX_BALANCE):
     """Create the service ``retries``.
 
     Parameters
@@ -50,6 +50,8 @@
         Retries allowed for each request.
     least_per_second : float
         Retries a second allowed however few requests come.
+    max_balance : float
+        Retries that can be saved up.
 
     Returns
     -------
@@ -61,13 +63,13 @@
     def balance(pool):
         elapsed = now() - state.counted_at_by_pool.get(pool, now())
         state.counted_at_by_pool[pool] = now()
-        held = state.balance_by_pool.get(pool, least_per_second)
-        held = min(MAX_BALANCE, held + elapsed * least_per_second)
+        held = state.balance_by_pool.get(pool, min(max_balance, least_per_second))
+        held = min(max_balance, held + elapsed * least_per_second)
         state.balance_by_pool[pool] = held
         return held
 
     def deposit(pool):
-        state.balance_by_pool[pool] = min(MAX_BALANCE, balance(pool) + share)
+        state.balance_by_pool[pool] = min(max_balance, balance(pool) + share)
 
     def withdraw(pool):
         held = balance(pool)
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -74,7 +74,9 @@
         clocks.system_clock(eventlet.sleep), lambda *task: None, random.Random(1)
     )
     kernel.register("events", Events(lambda event, **fields: None, lambda: None))
-    exchange = forwarders.create(kernel, MAX_BUFFERED).exchange
+    exchange = forwarders.create(
+        kernel, forwarders.ForwarderBounds(MAX_BUFFERED)
+    ).exchange
     address = f"127.0.0.1:{listener.getsockname()[1]}"
 
     def call(method="GET", body=b"", seconds=1.0, headers=(), gone=lambda: False):
@@ -101,7 +103,9 @@
     listener.close()
     kernel = create_kernel(clocks.system_clock(eventlet.sleep), lambda *task: None)
     kernel.register("events", Events(lambda event, **fields: None, lambda: None))
-    exchange = forwarders.create(kernel, MAX_BUFFERED).exchange
+    exchange = forwarders.create(
+        kernel, forwarders.ForwarderBounds(MAX_BUFFERED)
+    ).exchange
     request = CallerRequest("r", "POST", "", "/", "", (), b"", "", 0.0, None)
     target = Upstream("u", f"127.0.0.1:{port}", "a", 1)
     attempt = exchange(target, request, clocks.boot_seconds() + 1, False)
--- /dev/null
+++ b/trefoilpin/thrift_gen/bulletins/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/trefoilpin/verdicts.py
+++ b/trefoilpin/verdicts.py
@@ -41,6 +41,7 @@
     ISSUER_UNREACHABLE = ReasonFields("issuer_unreachable", 503, True)
     RATE_EXCEEDED = ReasonFields("rate_exceeded", 429, True)
     QUARANTINED = ReasonFields("quarantined", 422, False)
+    SUSPECT = ReasonFields("suspect", 503, True)
     OVERLOADED = ReasonFields("overloaded", 503, True)
     NO_UPSTREAM = ReasonFields("no_upstream", 503, True)
     NOT_CURRENT = ReasonFields("not_current", 503, True)
