Bulletins: thin between zones, mesh of hosts that carry load

Change: a host serves from 3 requests a second; hosts of other zones hear bad outcomes, admitted counts and their own upstreams' load, each 0.4 s; two hosts a zone get callers.

--- a/trefoilpin/gateway/bulletin_codecs.py
+++ b/trefoilpin/gateway/bulletin_codecs.py
@@ -43,7 +43,7 @@
 
 def bounded(number, scale=1):
     """Return a number as 16 bits."""
-    return min(int(max(number, 0.0) * scale), LARGEST)
+    return int(min(max(number, 0.0) * scale, LARGEST))
 
 
 def pack_members(members):
@@ -107,6 +107,7 @@
         stopping=bulletin.is_stopping,
         serving=bulletin.is_serving,
         wants_reply=bulletin.wants_reply,
+        knowledge_age=bulletin.knowledge_age,
         stamps=[StampStruct(*stamp) for stamp in bulletin.stamps],
         members=pack_members(bulletin.members),
         outcome_upstreams=[note.upstream for note in outcomes],
@@ -183,6 +184,7 @@
         message.stopping,
         message.serving,
         message.wants_reply,
+        message.knowledge_age,
         tuple(stamps),
         unpack_members(message.members),
         tuple(notes),
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -10,14 +10,18 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
-from trefoilpin.gateway.knowledge import KINDS
+from trefoilpin.gateway.knowledge import CONFIGURATION, KINDS
+from trefoilpin.gateway.loops import repeat
 from trefoilpin.gateway.messages import Bulletin
 
 __all__ = ["Bulletins", "create"]
 
 STEWARD_SECONDS = 0.2
 ALIVE_SECONDS = 0.4
-MESH_SECONDS = 0.1
+# Between hosts of one zone, where bytes cost nothing; those of another zone hear less,
+# and less often.
+NEAR_SECONDS = 0.1
+FAR_SECONDS = 0.4
 # Outcomes of this time go out together.
 GATHER_SECONDS = 0.015
 SEED_SECONDS = 0.25
@@ -38,7 +42,6 @@
 
     receive: Callable
     wake: Callable
-    wake_mesh: Callable
     rank: Callable
     sender_count: Callable
 
@@ -46,9 +49,11 @@
 class Peer:
     """A host that is told something, and the task that does it."""
 
-    def __init__(self, address, create_event):
-        self.address = address
+    def __init__(self, host, create_event):
+        self.address = host.address
+        self.zone = host.zone
         self.is_meshed = False
+        self.hears_store = False
         self.is_told = True
         self.news = create_event()
         self.members_at = float("-inf")
@@ -101,24 +106,42 @@
     queues = kernel.find("queues")
     own = members.own
 
-    def compose(with_members, is_meshed, wants_reply=False):
+    def compose(with_stamps=True, with_members=False, wants_reply=False):
+        """Return a bulletin on this host and, if asked for, on what it knows."""
         state.sequence += 1
+        stamps = tuple(knowledge.stamp(kind) for kind in KINDS) if with_stamps else ()
         return Bulletin(
-            own.incarnation,
-            state.sequence,
-            own.zone,
-            own.region,
-            own.capacity,
-            members.load(),
-            members.is_stopping(),
-            members.is_serving(),
-            wants_reply,
-            tuple(knowledge.stamp(kind) for kind in KINDS),
-            tuple(members.describe()) if with_members else (),
-            upstreams.notes() if is_meshed else (),
-            upstreams.flights() if is_meshed else {},
-            admitted() if is_meshed else {},
-            suspects.notes(),
+            incarnation=own.incarnation,
+            sequence=state.sequence,
+            zone=own.zone,
+            region=own.region,
+            capacity=own.capacity,
+            load=members.load(),
+            is_stopping=members.is_stopping(),
+            is_serving=members.is_serving(),
+            wants_reply=wants_reply,
+            knowledge_age=knowledge.age(CONFIGURATION),
+            stamps=stamps,
+            members=tuple(members.describe()) if with_members else (),
+            outcomes=(),
+            in_flight_by_upstream={},
+            admitted_by_account={},
+            breaks=suspects.notes(),
+        )
+
+    def compose_for(peer):
+        """Return what one host has to hear."""
+        with_members = state.is_relay and now() - peer.members_at > MEMBERS_SECONDS
+        if with_members:
+            peer.members_at = now()
+        bulletin = compose(peer.hears_store, with_members)
+        if not peer.is_meshed:
+            return bulletin
+        is_near = peer.zone == own.zone
+        return bulletin._replace(
+            outcomes=upstreams.notes(is_near),
+            in_flight_by_upstream=upstreams.flights(None if is_near else peer.zone),
+            admitted_by_account=admitted(),
         )
 
     def admitted():
@@ -149,7 +172,7 @@
             rates.learn(*host, bulletin.admitted_by_account)
             queues.wake()
         if is_new or bulletin.wants_reply:
-            send(address, compose(True, False))
+            send(address, compose(with_members=True))
 
     def fetch_document(address, kind):
         """Get a newer document from the host that told of it."""
@@ -165,18 +188,19 @@
         finally:
             state.fetching.discard(kind)
 
+    def period(peer):
+        if not peer.is_meshed:
+            return ALIVE_SECONDS
+        return NEAR_SECONDS if peer.zone == own.zone else FAR_SECONDS
+
     def serve_peer(peer):
         """Tell one host what is new, until it needs no telling."""
         while peer.is_told:
-            period = MESH_SECONDS if peer.is_meshed else ALIVE_SECONDS
-            peer.news.wait(period * (0.8 + 0.4 * kernel.rng.random()))
+            peer.news.wait(period(peer) * (0.8 + 0.4 * kernel.rng.random()))
             if peer.news.ready():
                 peer.news = create_event()
                 sleep(GATHER_SECONDS)
-            with_members = state.is_relay and now() - peer.members_at > MEMBERS_SECONDS
-            if with_members:
-                peer.members_at = now()
-            send(peer.address, compose(with_members, peer.is_meshed))
+            send(peer.address, compose_for(peer))
 
     def steward():
         """Work out the roles and who has to be told."""
@@ -188,7 +212,8 @@
         state.is_relay = own.address in relays
         state.rank = find_rank(live, zones, relays_by_zone)
         state.sender_count = max(len(meshed), planned_senders)
-        targets = {host.address for host in relays_by_zone.get(own.zone, ())}
+        near_relays = {host.address for host in relays_by_zone.get(own.zone, ())}
+        targets = set(near_relays)
         if state.is_relay:
             targets |= relays
             targets |= {host.address for host in live if host.zone == own.zone}
@@ -196,7 +221,11 @@
         if in_mesh:
             targets |= meshed
         targets.discard(own.address)
-        keep_peers(targets, meshed if in_mesh else frozenset())
+        keep_peers([host for host in live if host.address in targets])
+        for peer in state.peer_by_address.values():
+            peer.is_meshed = in_mesh and peer.address in meshed
+            is_near = peer.zone == own.zone
+            peer.hears_store = state.is_relay and (is_near or peer.address in relays)
         find_fleet(live)
         if len(rates.admitted()) > MAX_ACCOUNTS:
             state.admitted_before = dict(rates.admitted())
@@ -213,16 +242,17 @@
         rest = sorted(host.address for host in live if host.address not in order)
         return len(order) + (rest.index(own.address) if own.address in rest else 0)
 
-    def keep_peers(targets, meshed):
-        for address in targets:
-            peer = state.peer_by_address.get(address)
-            if peer is None:
-                peer = state.peer_by_address[address] = Peer(address, create_event)
-                peer.is_meshed = address in meshed
-                kernel.spawn(serve_peer, peer)
-            peer.is_meshed = address in meshed
+    def keep_peers(hosts):
+        """Have one task for each host that is told something, and no other."""
+        for host in hosts:
+            if host.address in state.peer_by_address:
+                continue
+            peer = Peer(host, create_event)
+            state.peer_by_address[host.address] = peer
+            kernel.spawn(serve_peer, peer)
+        told = {host.address for host in hosts}
         for address in list(state.peer_by_address):
-            if address not in targets:
+            if address not in told:
                 state.peer_by_address.pop(address).is_told = False
 
     def find_fleet(live):
@@ -231,7 +261,7 @@
             state.seeded_at = now()
             for address in seeds():
                 if address != own.address:
-                    send(address, compose(True, False, wants_reply=True))
+                    send(address, compose(wants_reply=True))
         if now() - state.gossiped_at < GOSSIP_SECONDS:
             return
         state.gossiped_at = now()
@@ -239,35 +269,36 @@
         others = [host.address for host in members.describe()]
         others.remove(own.address)
         if others:
-            send(kernel.rng.choice(others), compose(True, False))
+            send(kernel.rng.choice(others), compose(with_members=state.is_relay))
 
-    def steward_forever():
-        while True:
-            steward()
-            upstreams.watch()
-            queues.wake()
-            members.tick(STEWARD_SECONDS)
-            sleep(STEWARD_SECONDS)
+    def step():
+        steward()
+        upstreams.watch()
+        queues.wake()
+        members.tick(STEWARD_SECONDS)
+
+    def start():
+        kernel.spawn(repeat, sleep, lambda: STEWARD_SECONDS, step)
 
     def wake():
         for peer in state.peer_by_address.values():
             if not peer.news.ready():
                 peer.news.send()
 
-    def wake_mesh():
+    def wake_near():
         for peer in state.peer_by_address.values():
-            if peer.is_meshed and not peer.news.ready():
+            is_near = peer.is_meshed and peer.zone == own.zone
+            if is_near and not peer.news.ready():
                 peer.news.send()
 
     for kind in KINDS:
         knowledge.subscribe(kind, lambda value: wake() if state.is_relay else None)
-    upstreams.on_news(wake_mesh)
+    upstreams.on_news(wake_near)
     service = Bulletins(
         receive,
         wake,
-        wake_mesh,
         lambda: state.rank,
         lambda: state.sender_count,
     )
-    kernel.register("bulletins", service, lambda: kernel.spawn(steward_forever))
+    kernel.register("bulletins", service, start)
     return service
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -14,6 +14,7 @@
 from trefoilpin import codecs, events, listeners
 from trefoilpin.gateway.bulletin_codecs import encode_document
 from trefoilpin.gateway.knowledge import CONFIGURATION, KINDS
+from trefoilpin.gateway.loops import repeat
 from trefoilpin.gateway.messages import Document
 from trefoilpin.gateway.proxies import Arrival
 from trefoilpin.headers import drop_hop_by_hop, find_fault
@@ -252,13 +253,11 @@
         open_listener(addresses.callers, serve_callers)
         open_listener(addresses.readiness, serve_readiness)
         open_listener(addresses.directory, serve_directory)
-        kernel.spawn(sweep_forever)
+        kernel.spawn(repeat, kernel.clock.sleep, lambda: SWEEP_SECONDS, sweep)
 
-    def sweep_forever():
-        while True:
-            kernel.clock.sleep(SWEEP_SECONDS)
-            oldest = now() - limits().idle_seconds - IDLE_MARGIN_SECONDS
-            retire(lambda connection: connection.idle_since < oldest)
+    def sweep():
+        oldest = now() - limits().idle_seconds - IDLE_MARGIN_SECONDS
+        retire(lambda connection: connection.idle_since < oldest)
 
     def retire(is_due):
         for listener in open_listeners:
--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -21,12 +21,14 @@
 TRANSIT_SECONDS = 0.02
 # A host whose configuration is older is not named to callers.
 FRESH_SECONDS = 2.8
-CALLER_HOSTS_PER_ZONE = 3
+CALLER_HOSTS_PER_ZONE = 2
 RELAYS_PER_ZONE = 2
 # Hosts get callers until this share of what they bear covers the zone's requests.
 PLANNED_UTILISATION = 0.4
 # After this time without word a host that served holds its share of the rates no more.
 LOST_SECONDS = 12.0
+# Fewer requests a second come to hosts that no caller is sent to.
+SERVING_LOAD = 3.0
 
 
 class OwnHost(NamedTuple):
@@ -106,7 +108,6 @@
         self.is_stopping = False
         self.requests = 0
         self.load = 0.0
-        self.last_request_at = float("-inf")
 
 
 def rank_key(member):
@@ -131,8 +132,6 @@
     state = MemberState()
     now = kernel.clock.now
     emit = kernel.find("events").emit
-    serving_seconds = 3.0
-
     def describe_own():
         return MemberAge(
             own.address,
@@ -147,13 +146,9 @@
         )
 
     def is_serving():
-        return now() - state.last_request_at < serving_seconds
+        return state.load >= SERVING_LOAD
 
     def hear(address, bulletin):
-        stamp_age = float("inf")
-        for stamp in bulletin.stamps:
-            if stamp.kind == "configuration":
-                stamp_age = stamp.age
         told = MemberAge(
             address,
             bulletin.zone,
@@ -163,7 +158,7 @@
             bulletin.load,
             bulletin.is_stopping,
             bulletin.is_serving,
-            stamp_age,
+            bulletin.knowledge_age,
         )
         is_new = address not in state.member_by_address
         member = take(told)
@@ -266,7 +261,6 @@
 
     def note_request():
         state.requests += 1
-        state.last_request_at = now()
 
     def tick(seconds):
         rate = state.requests / seconds
--- a/trefoilpin/gateway/messages.py
+++ b/trefoilpin/gateway/messages.py
@@ -80,11 +80,13 @@
         Whether the host ends, and whether callers use it.
     wants_reply : bool
         True when the sender doesn't know the fleet yet.
+    knowledge_age : float
+        Age in seconds of the sender's configuration.
     stamps : tuple of Stamp
     members : tuple of MemberAge
     outcomes : tuple of OutcomeNote
     in_flight_by_upstream : dict
-        All upstreams with requests of the sender under way; None when left out.
+        Requests of the sender under way; those in a far zone hear of their own.
     admitted_by_account : dict
         Requests admitted since the sender's start.
     breaks : tuple of (int, str)
@@ -100,6 +102,7 @@
     is_stopping: bool
     is_serving: bool
     wants_reply: bool
+    knowledge_age: float
     stamps: tuple[Stamp, ...]
     members: tuple[MemberAge, ...]
     outcomes: tuple[OutcomeNote, ...]
--- a/trefoilpin/gateway/readers.py
+++ b/trefoilpin/gateway/readers.py
@@ -18,6 +18,7 @@
     ZONES_OUT,
     digest,
 )
+from trefoilpin.gateway.loops import repeat
 
 __all__ = ["LAPSE_SECONDS", "OUTAGE_SECONDS", "ReadTerms", "create"]
 
@@ -219,14 +220,12 @@
         jitter = 0.75 + 0.5 * kernel.rng.random()
         state.paused_until_by_kind[kind] = now() + seconds * jitter
 
-    def read_forever(kind):
-        while True:
-            if not step(kind):
-                sleep(IDLE_SECONDS * (0.75 + 0.5 * kernel.rng.random()))
+    def pause_between():
+        return IDLE_SECONDS * (0.75 + 0.5 * kernel.rng.random())
 
     def start():
         for kind in KINDS:
-            kernel.spawn(read_forever, kind)
+            kernel.spawn(repeat, sleep, pause_between, step, kind)
 
     service = Readers(step)
     kernel.register("readers", service, start)
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -36,7 +36,11 @@
 # Good outcomes are told to others only when they say something.
 TOLD_UNSOUND = 0.06
 TOLD_SECONDS = 0.15
-NOTE_SECONDS = 0.5
+# A good outcome is told at once where an upstream was doubted.
+URGENT_UNSOUND = 0.3
+# A note goes out several times, as a datagram may be lost.
+NEAR_NOTE_SECONDS = 0.3
+FAR_NOTE_SECONDS = 1.0
 MAX_NOTES = 60
 # Counts of a host that fell silent are dropped after this time.
 FLIGHT_SECONDS = 1.5
@@ -318,8 +322,9 @@
         told = OutcomeNote(state.note_number, standing.upstream.id, outcome)
         state.notes.append((now(), told))
         del state.notes[:-MAX_NOTES]
-        for function in state.news:
-            function()
+        if outcome is not Outcome.GOOD or before > URGENT_UNSOUND:
+            for function in state.news:
+                function()
 
     def judge_standing(standing, before, outcome, source):
         standing.unsound = soundness.update(before, outcome)
@@ -367,13 +372,21 @@
             if now() - heard_at > FLIGHT_SECONDS:
                 drop_flights(host)
 
-    def notes():
-        return tuple(told for at, told in state.notes if now() - at < NOTE_SECONDS)
+    def notes(is_near):
+        """Return outcomes of late; hosts of other zones hear of bad ones only."""
+        found = []
+        for at, told in state.notes:
+            if now() - at > (NEAR_NOTE_SECONDS if is_near else FAR_NOTE_SECONDS):
+                continue
+            if is_near or told.outcome is not Outcome.GOOD:
+                found.append(told)
+        return tuple(found)
 
-    def flights():
+    def flights(zone):
+        """Return requests of this host under way, at upstreams of one zone or all."""
         found = {}
         for standing in state.standing_by_id.values():
-            if standing.own > 0:
+            if standing.own and zone in (None, standing.upstream.zone):
                 found[standing.upstream.id] = standing.own
         return found
 
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -28,6 +28,7 @@
   18: list<i64> admitted_counts
   19: list<i64> broken_fingerprints
   20: list<string> broken_upstreams
+  21: double knowledge_age
 }
 
 struct DocumentStruct {
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -129,11 +129,12 @@
      - admitted_counts
      - broken_fingerprints
      - broken_upstreams
+     - knowledge_age
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -154,6 +155,7 @@
         self.admitted_counts = admitted_counts
         self.broken_fingerprints = broken_fingerprints
         self.broken_upstreams = broken_upstreams
+        self.knowledge_age = knowledge_age
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -315,6 +317,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.DOUBLE:
+                    self.knowledge_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -435,6 +442,10 @@
                 oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.knowledge_age is not None:
+            oprot.writeFieldBegin('knowledge_age', TType.DOUBLE, 21)
+            oprot.writeDouble(self.knowledge_age)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -561,6 +572,7 @@
     (18, TType.LIST, 'admitted_counts', (TType.I64, None, False), None, ),  # 18
     (19, TType.LIST, 'broken_fingerprints', (TType.I64, None, False), None, ),  # 19
     (20, TType.LIST, 'broken_upstreams', (TType.STRING, 'UTF8', False), None, ),  # 20
+    (21, TType.DOUBLE, 'knowledge_age', None, None, ),  # 21
 )
 all_structs.append(DocumentStruct)
 DocumentStruct.thrift_spec = (
