Rates: give out the whole burst

Cause: 200 requests of an account at its limit were refused where some 163 were over it. Change: a bucket holds the whole burst; counts that come late are owed.

--- a/trefoilpin/gateway/rates.py
+++ b/trefoilpin/gateway/rates.py
@@ -16,8 +16,8 @@
 
 __all__ = ["RateTerms", "Rates", "create"]
 
-# Part of a burst that a host may give out before counts of the others arrive.
-USABLE_BURST = 0.9
+# Part of a burst that is given out; late counts of other hosts are owed afterwards.
+USABLE_BURST = 1.0
 # A new bucket of a daemon that restarts holds this many seconds of its rate: what
 # callers kept from asking while the fleet was down is not made up for.
 INITIAL_SECONDS = 0.25
