--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(BIN)/python -m bench.measure $(NAME)
 
 format: .venv/ready
-	$(BIN)/isort trefoilpin bench
-	$(BIN)/black --quiet trefoilpin bench
+	$(BIN)/isort trefoilpin bench platform
+	$(BIN)/black --quiet trefoilpin bench platform
 
 lint: .venv/ready
-	$(BIN)/black --check --quiet trefoilpin bench
-	$(BIN)/isort --check-only --quiet trefoilpin bench
-	$(BIN)/flake8 trefoilpin bench
+	$(BIN)/black --check --quiet trefoilpin bench platform
+	$(BIN)/isort --check-only --quiet trefoilpin bench platform
+	$(BIN)/flake8 trefoilpin bench platform
 
 # Needs the thrift compiler; the generated code is committed.
 generate:
--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -23,6 +23,7 @@
     "read_body",
     "read_fields",
     "read_head",
+    "read_next_head",
     "read_rest",
     "wait_for_answer",
     "write_request",
@@ -206,6 +207,19 @@
     return response
 
 
+def read_next_head(connection, method):
+    """Read the head of another answer, behind one that was not asked for.
+
+    Raises
+    ------
+    OSError, http.client.HTTPException
+        When there is none.
+    """
+    response = connection.library.response_class(connection.sock, method=method)
+    response.begin()
+    return response
+
+
 def read_fields(response):
     """Return the headers of an answer in order, names in lower case."""
     return [(name.lower(), value) for name, value in response.headers.raw_items()]
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -230,8 +230,8 @@
 
     def read_own_head(connection, sending):
         """Read the head of the answer, past whole answers to earlier requests."""
+        response = exchanges.read_head(connection)
         for _ in range(MAX_STRAY_ANSWERS):
-            response = exchanges.read_head(connection)
             fields = exchanges.read_fields(response)
             echoed = dict(fields).get(dialect.request_id)
             is_stray = echoed not in (None, sending.request.request_id)
@@ -243,7 +243,8 @@
                 return response
             report_dropped(sending, "skipped an answer to another request")
             connection.is_suspect = True
-        return exchanges.read_head(connection)
+            response = exchanges.read_next_head(connection, sending.request.method)
+        return response
 
     def identity_fault(connection, sending, response, value_by_name):
         """Return why an answer may not be the one to this request."""
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -37,13 +37,16 @@
 
     ``receive(address, bulletin)`` takes one, ``wake()`` has all go out at once,
     ``rank()`` is this host's place in the order of those that read the store, and
-    ``sender_count()`` the number of hosts that send requests to upstreams.
+    ``sender_count()`` the number of hosts that send requests to upstreams. ``step()``
+    works out the roles and ``tell_all()`` tells every host now; the tasks call both.
     """
 
     receive: Callable
     wake: Callable
     rank: Callable
     sender_count: Callable
+    step: Callable[[], None]
+    tell_all: Callable[[], None]
 
 
 class Peer:
@@ -200,7 +203,14 @@
             if peer.news.ready():
                 peer.news = create_event()
                 sleep(GATHER_SECONDS)
-            send(peer.address, compose_for(peer))
+            tell(peer)
+
+    def tell(peer):
+        send(peer.address, compose_for(peer))
+
+    def tell_all():
+        for peer in list(state.peer_by_address.values()):
+            tell(peer)
 
     def steward():
         """Work out the roles and who has to be told."""
@@ -299,6 +309,8 @@
         wake,
         lambda: state.rank,
         lambda: state.sender_count,
+        step,
+        tell_all,
     )
     kernel.register("bulletins", service, start)
     return service
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -1,7 +1,7 @@
 """HTTP between the gateway and callers, other hosts and whoever looks at its health.
 
-Requests become ``Arrival``s and answers and refusals become HTTP; the decisions are made
-in ``proxies`` and ``directories``.
+Requests become ``Arrival``s and answers and refusals become HTTP; the decisions are
+made in ``proxies`` and ``directories``.
 """
 
 import json
--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -1,9 +1,9 @@
 """The other hosts: who runs, who gets callers, who reads the store.
 
-A host is known by its IP number. Ages are upper bounds that travel with each message, so
-no clocks need to agree. All roles follow from the view alone: hosts of a zone are
-ranked by what they bear; callers are sent to the first few, and the last few, which have
-the least to do, read the store and tell their zone.
+A host is known by its IP number. Ages are upper bounds that travel with each message,
+so no clocks need to agree. All roles follow from the view alone: hosts of a zone are
+ranked by what they bear; callers are sent to the first few, and the last few, which
+have the least to do, read the store and tell their zone.
 """
 
 import zlib
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -2,7 +2,8 @@
 
 What is known of each: the probability that it is unsound, the requests under way there
 from the whole fleet, whether it is draining, cold, in a zone that is out, or out of
-this host's reach. Identity is id and birth: another start under the same id begins anew.
+this host's reach. Identity is id and birth: another start under the same id begins
+anew.
 """
 
 from http import HTTPStatus
--- a/trefoilpin/tests/gateway/hosts.py
+++ b/trefoilpin/tests/gateway/hosts.py
@@ -56,9 +56,12 @@
     return [fields for found, fields in lines if found is event]
 
 
-def create_knowledge(kernel):
-    """Create ``knowledge`` whose documents are values set by ``VALUES``."""
-    values = {}
+def create_knowledge(kernel, values=None):
+    """Create ``knowledge`` and a function that puts a value into it.
+
+    Hosts that share ``values`` can read each other's documents.
+    """
+    values = {} if values is None else values
 
     def decode(document):
         return Success(values[document])
