--- /dev/null
+++ b/trefoilpin/tests/gateway/test_members.py
@@ -0,0 +1,71 @@
+"""Roles that follow from the view, with hosts of unequal size."""
+
+from trefoilpin.gateway import members
+from trefoilpin.gateway.messages import MemberAge
+from trefoilpin.tests.gateway.hosts import create_host
+
+
+def create(own_zone="a"):
+    kernel, clock, _ = create_host()
+    own = members.OwnHost("10.0.0.100", own_zone, "r", 1, 10.0)
+    return members.create(kernel, own, lambda: 0.1), clock
+
+
+def told(number, zone="a", capacity=100.0, **fields):
+    row = MemberAge(f"10.0.0.{number}", zone, 5, 0.0, capacity, 0.0, False, False, 0.1)
+    return row._replace(**fields)
+
+
+def addresses(hosts):
+    return [host.address for host in hosts]
+
+
+def test_callers_go_to_the_hosts_that_bear_most_and_relays_are_the_others():
+    service, _ = create()
+    for number, capacity in ((1, 50.0), (2, 500.0), (3, 300.0), (4, 20.0)):
+        service.learn(told(number, capacity=capacity))
+    assert addresses(service.caller_hosts("a")) == ["10.0.0.2", "10.0.0.3"]
+    assert addresses(service.relays("a")) == ["10.0.0.4", "10.0.0.100"]
+
+
+def test_more_hosts_get_callers_as_the_load_of_the_zone_grows():
+    service, _ = create()
+    for number in range(1, 7):
+        service.learn(told(number, load=60.0))
+    assert len(service.caller_hosts("a")) == 7
+
+
+def test_hosts_that_stop_fall_silent_or_know_little_get_no_callers():
+    service, clock = create()
+    service.learn(told(1))
+    service.learn(told(2, is_stopping=True))
+    service.learn(told(3, knowledge_age=members.FRESH_SECONDS + 1))
+    service.learn(told(4))
+    assert set(addresses(service.caller_hosts("a"))) == {"10.0.0.1", "10.0.0.4"}
+    clock.time += members.LIVE_SECONDS
+    service.learn(told(4))
+    assert addresses(service.caller_hosts("a")) == ["10.0.0.4", "10.0.0.100"]
+
+
+def test_what_others_say_is_as_old_as_they_say():
+    service, clock = create()
+    service.learn(told(1, age=members.LIVE_SECONDS - 0.5))
+    assert "10.0.0.1" in addresses(service.live())
+    clock.time += 0.6
+    assert "10.0.0.1" not in addresses(service.live())
+
+
+def test_a_message_of_an_earlier_start_changes_nothing():
+    service, _ = create()
+    service.learn(told(1, incarnation=9))
+    service.learn(told(1, incarnation=8, is_stopping=True))
+    assert "10.0.0.1" in addresses(service.caller_hosts("a"))
+
+
+def test_silent_hosts_are_remembered_for_a_while_and_then_forgotten():
+    service, clock = create()
+    service.learn(told(1))
+    clock.time += members.FORGET_SECONDS - 1
+    assert len(service.describe()) == 2
+    clock.time += 2
+    assert len(service.describe()) == 1
