--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -78,6 +78,7 @@
         self.address = address
         self.library = library
         self.sock = library.sock
+        self.sock.recv_into = create_strict_recv_into(self.sock)
         self.reader = library.sock.makefile("rb")
         self.echoes = False
         self.idle_since = 0.0
@@ -94,6 +95,28 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
+def create_strict_recv_into(sock):
+    """Return a socket's ``recv_into`` that raises on a reset.
+
+    Eventlet's own takes a reset for the end of the stream, and so for the end of an
+    answer that has no length.
+    """
+
+    def recv_into(buffer, size=0, flags=0):
+        while True:
+            try:
+                return sock.fd.recv_into(buffer, size, flags)
+            except BlockingIOError:
+                timeout = sock.gettimeout()
+                if timeout == 0:
+                    raise
+            eventlet.hubs.trampoline(
+                sock.fd, read=True, timeout=timeout, timeout_exc=TimeoutError
+            )
+
+    return recv_into
+
+
 def open_connection(address, timeout):
     """Open a connection to ``ip:port`` within ``timeout`` seconds.
 
