--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -15,7 +15,7 @@
 from trefoilpin import dialects, events, exchanges
 from trefoilpin.headers import drop_hop_by_hop
 from trefoilpin.messages import Answer, Attempt
-from trefoilpin.services import Forwarders
+from trefoilpin.request_services import Forwarders
 from trefoilpin.verdicts import Reason, Verdict
 
 __all__ = ["ForwarderBounds", "create"]
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -77,6 +77,28 @@
         self.admitted_before: dict[str, int] = {}
 
 
+def find_rank(address, live, relays_by_zone):
+    """Return a host's place in the order of those that read the store, from 0.
+
+    The relays come first, zone by zone, so that the first two are in different zones;
+    then all other hosts.
+
+    Parameters
+    ----------
+    address : str
+    live : sequence of MemberAge
+    relays_by_zone : dict
+    """
+    order = []
+    most = max(map(len, relays_by_zone.values()), default=0)
+    for place in range(1, most + 1):
+        for _, rows in sorted(relays_by_zone.items()):
+            if place <= len(rows):
+                order.append(rows[-place].address)
+    order.extend(sorted({host.address for host in live} - set(order)))
+    return order.index(address)
+
+
 def create(kernel, terms, create_event, send, fetch):
     """Create the service ``bulletins``.
 
@@ -220,14 +242,13 @@
         relays = {host.address for rows in relays_by_zone.values() for host in rows}
         meshed = {member.address for member in members.meshed()}
         state.is_relay = own.address in relays
-        state.rank = find_rank(live, zones, relays_by_zone)
+        state.rank = find_rank(own.address, live, relays_by_zone)
         state.sender_count = max(len(meshed), planned_senders)
-        near_relays = {host.address for host in relays_by_zone.get(own.zone, ())}
-        targets = set(near_relays)
+        in_mesh = own.address in meshed
+        targets = {host.address for host in relays_by_zone.get(own.zone, ())}
         if state.is_relay:
             targets |= relays
             targets |= {host.address for host in live if host.zone == own.zone}
-        in_mesh = own.address in meshed
         if in_mesh:
             targets |= meshed
         targets.discard(own.address)
@@ -240,18 +261,6 @@
         if len(rates.admitted()) > MAX_ACCOUNTS:
             state.admitted_before = dict(rates.admitted())
 
-    def find_rank(live, zones, relays_by_zone):
-        order = []
-        for place in range(1, max(map(len, relays_by_zone.values()), default=0) + 1):
-            for zone in zones:
-                rows = relays_by_zone[zone]
-                if place <= len(rows):
-                    order.append(rows[-place].address)
-        if own.address in order:
-            return order.index(own.address)
-        rest = sorted(host.address for host in live if host.address not in order)
-        return len(order) + (rest.index(own.address) if own.address in rest else 0)
-
     def keep_peers(hosts):
         """Have one task for each host that is told something, and no other."""
         for host in hosts:
--- a/trefoilpin/gateway/readers.py
+++ b/trefoilpin/gateway/readers.py
@@ -29,8 +29,8 @@
 FIRST_PAUSE_SECONDS = 0.2
 MOST_PAUSE_SECONDS = 1.6
 IDLE_SECONDS = 0.1
-# By this time after the start the other hosts are known, so that not all read.
-SETTLE_SECONDS = 0.7
+# By this time after the start most other hosts are known, so that not all read.
+SETTLE_SECONDS = 0.3
 MOST_RANK = 12
 
 
--- /dev/null
+++ b/trefoilpin/gateway/standings.py
@@ -0,0 +1,123 @@
+"""What is known of one start of an upstream, and what an attempt tells of it."""
+
+from trefoilpin.gateway import soundness
+from trefoilpin.gateway.soundness import Outcome
+from trefoilpin.verdicts import Reason, Verdict
+
+__all__ = [
+    "COLD_BURST",
+    "Flight",
+    "LEAST_SLOW_SECONDS",
+    "SLOW_FACTOR",
+    "Standing",
+    "has_room",
+    "is_misdirected",
+    "judge",
+    "unsound",
+]
+
+# Requests beyond its slots that one upstream may be given: it queues a few.
+EXTRA_REQUESTS = 1
+# A request this many times longer under way than usual counts as slow.
+SLOW_FACTOR = 4.0
+LEAST_SLOW_SECONDS = 0.3
+COLD_BURST = 1.5
+# HTTP status of an upstream that the request was not meant for.
+MISDIRECTED = 421
+
+
+class Standing:
+    """What is known of one start of an upstream.
+
+    Attributes
+    ----------
+    unsound : float
+        Probability at ``judged_at``.
+    own, others : int
+        Requests under way from this host and from the others.
+    cold_until, avoided_until, full_until : float
+    """
+
+    def __init__(self, upstream, now):
+        self.upstream = upstream
+        self.unsound = soundness.STATIONARY
+        self.judged_at = now
+        self.told_at = float("-inf")
+        self.own = 0
+        self.others = 0
+        self.slowness = 1.0
+        self.cold_until = now + upstream.cold_remaining
+        self.cold_tokens = 1.0
+        self.cold_filled_at = now
+        self.avoided_until = float("-inf")
+        self.failed_connects = 0
+        self.full_until = float("-inf")
+
+
+class Flight:
+    """A request under way at an upstream."""
+
+    def __init__(self, standing, started_at, usual):
+        self.standing = standing
+        self.started_at = started_at
+        self.usual = usual
+        self.is_slow = False
+
+
+def unsound(standing, now):
+    """Return the probability that an upstream is in a spell of failures."""
+    return soundness.drift(standing.unsound, now - standing.judged_at)
+
+
+def has_room(standing, now, cold_share):
+    """Tell whether an upstream can be given another request.
+
+    Parameters
+    ----------
+    standing : Standing
+    now : float
+    cold_share : float
+        Requests a second that this host may send it while it is cold.
+    """
+    if now < max(standing.avoided_until, standing.full_until):
+        return False
+    under_way = standing.own + standing.others
+    if under_way >= standing.upstream.slots + EXTRA_REQUESTS:
+        return False
+    return now >= standing.cold_until or has_cold_token(standing, now, cold_share)
+
+
+def has_cold_token(standing, now, cold_share):
+    """Fill the bucket of a cold upstream and tell whether it holds a token."""
+    elapsed = now - standing.cold_filled_at
+    standing.cold_filled_at = now
+    filled = standing.cold_tokens + elapsed * cold_share
+    standing.cold_tokens = min(filled, COLD_BURST)
+    return standing.cold_tokens >= 1.0
+
+
+def judge(attempt, usual):
+    """Return what an attempt tells of its upstream, or None when it tells nothing.
+
+    Parameters
+    ----------
+    attempt : Attempt
+    usual : float
+        Seconds that requests of the route usually take.
+    """
+    if attempt.reason is Reason.CALLER_GONE or attempt.detail == "interrupted":
+        return None
+    if attempt.shed:
+        return Outcome.SHED
+    if attempt.answer is None:
+        return None if attempt.verdict is Verdict.NOT_RUN else Outcome.FAILED
+    if attempt.answer.status >= 500:
+        return Outcome.FAILED
+    if attempt.seconds > max(usual * SLOW_FACTOR, LEAST_SLOW_SECONDS):
+        return Outcome.SLOW
+    return Outcome.GOOD
+
+
+def is_misdirected(attempt):
+    """Tell whether another upstream answered at the address."""
+    return attempt.shed and attempt.answer.status == MISDIRECTED
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Success
 
 from trefoilpin import events
-from trefoilpin.gateway import placements, soundness
+from trefoilpin.gateway import placements, soundness, standings
 from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.messages import OutcomeNote
 from trefoilpin.gateway.soundness import Outcome
@@ -22,16 +22,10 @@
 
 # Beyond this probability an upstream gets work only when no sounder one is in the pool.
 ACCEPTED_UNSOUND = 0.5
-# Requests beyond its slots that one upstream may be given: it queues a few.
-EXTRA_REQUESTS = 1
 FIRST_BACKOFF_SECONDS = 0.3
 MOST_BACKOFF_SECONDS = 2.0
 # An upstream that shed is full for about this part of a request's time.
 SHED_SECONDS = 0.06
-# A request this many times longer under way than usual counts as slow.
-SLOW_FACTOR = 4.0
-LEAST_SLOW_SECONDS = 0.3
-LATENCY_WEIGHT = 0.05
 SLOWNESS_WEIGHT = 0.25
 # Good outcomes are told to others only when they say something.
 TOLD_UNSOUND = 0.06
@@ -44,9 +38,6 @@
 MAX_NOTES = 60
 # Counts of a host that fell silent are dropped after this time.
 FLIGHT_SECONDS = 1.5
-COLD_BURST = 1.5
-# HTTP status of an upstream that the request was not meant for.
-MISDIRECTED = 421
 RETRY_SECONDS = 0.2
 
 SATURATED = Failure(
@@ -90,51 +81,13 @@
     find: Callable
 
 
-class Standing:
-    """What is known of one start of an upstream.
-
-    Attributes
-    ----------
-    unsound : float
-        Probability at ``judged_at``.
-    own, others : int
-        Requests under way from this host and from the others.
-    cold_until, avoided_until, full_until : float
-    """
-
-    def __init__(self, upstream, now):
-        self.upstream = upstream
-        self.unsound = soundness.STATIONARY
-        self.judged_at = now
-        self.told_at = float("-inf")
-        self.own = 0
-        self.others = 0
-        self.slowness = 1.0
-        self.cold_until = now + upstream.cold_remaining
-        self.cold_tokens = 1.0
-        self.cold_filled_at = now
-        self.avoided_until = float("-inf")
-        self.failed_connects = 0
-        self.full_until = float("-inf")
-
-
-class Flight:
-    """A request under way at an upstream."""
-
-    def __init__(self, standing, started_at, usual):
-        self.standing = standing
-        self.started_at = started_at
-        self.usual = usual
-        self.is_slow = False
-
-
 class UpstreamState:
     """Standings by pool, requests under way, and what to tell others."""
 
     def __init__(self):
-        self.standings_by_pool: dict[str, dict[str, Standing]] = {}
-        self.standing_by_id: dict[str, Standing] = {}
-        self.flight_by_number: dict[int, Flight] = {}
+        self.standings_by_pool: dict[str, dict[str, standings.Standing]] = {}
+        self.standing_by_id: dict[str, standings.Standing] = {}
+        self.flight_by_number: dict[int, standings.Flight] = {}
         self.flights_by_host: dict[str, tuple[float, dict[str, int]]] = {}
         self.notes: list[tuple[float, OutcomeNote]] = []
         self.last_note_by_host: dict[tuple[str, int], int] = {}
@@ -143,33 +96,6 @@
         self.news = []
 
 
-def judge(attempt, usual):
-    """Return what an attempt tells of its upstream, or None when it tells nothing.
-
-    Parameters
-    ----------
-    attempt : Attempt
-    usual : float
-        Seconds that requests of the route usually take.
-    """
-    if attempt.reason is Reason.CALLER_GONE or attempt.detail == "interrupted":
-        return None
-    if attempt.shed:
-        return Outcome.SHED
-    if attempt.answer is None:
-        return None if attempt.verdict is Verdict.NOT_RUN else Outcome.FAILED
-    if attempt.answer.status >= 500:
-        return Outcome.FAILED
-    if attempt.seconds > max(usual * SLOW_FACTOR, LEAST_SLOW_SECONDS):
-        return Outcome.SLOW
-    return Outcome.GOOD
-
-
-def is_misdirected(attempt):
-    """Tell whether another upstream answered at the address."""
-    return attempt.shed and attempt.answer.status == MISDIRECTED
-
-
 def create(kernel, own_zone, sender_count):
     """Create the service ``upstreams``.
 
@@ -197,7 +123,7 @@
         for upstream in upstream_by_id.values():
             standing = state.standing_by_id.get(upstream.id)
             if standing is None or standing.upstream.born != upstream.born:
-                standing = Standing(upstream, now())
+                standing = standings.Standing(upstream, now())
             elif upstream.cold_remaining != standing.upstream.cold_remaining:
                 standing.cold_until = now() + upstream.cold_remaining
             if upstream.draining and not standing.upstream.draining:
@@ -214,26 +140,15 @@
         state.standing_by_id = standing_by_id
 
     def unsound(standing):
-        return soundness.drift(standing.unsound, now() - standing.judged_at)
+        return standings.unsound(standing, now())
 
     def is_usable(standing, zones_out):
         upstream = standing.upstream
         return not upstream.draining and upstream.zone not in zones_out
 
     def has_room(standing, cold_rate):
-        if now() < max(standing.avoided_until, standing.full_until):
-            return False
-        under_way = standing.own + standing.others
-        if under_way >= standing.upstream.slots + EXTRA_REQUESTS:
-            return False
-        return now() >= standing.cold_until or has_cold_token(standing, cold_rate)
-
-    def has_cold_token(standing, cold_rate):
         share = cold_rate / max(sender_count(), 1)
-        elapsed = now() - standing.cold_filled_at
-        standing.cold_filled_at = now()
-        standing.cold_tokens = min(standing.cold_tokens + elapsed * share, COLD_BURST)
-        return standing.cold_tokens >= 1.0
+        return standings.has_room(standing, now(), share)
 
     def describe(standing):
         upstream = standing.upstream
@@ -272,7 +187,7 @@
         if now() < standing.cold_until:
             standing.cold_tokens -= 1.0
         state.number += 1
-        state.flight_by_number[state.number] = Flight(standing, now(), usual)
+        state.flight_by_number[state.number] = standings.Flight(standing, now(), usual)
         return Choice(standing.upstream, pool_id, state.number)
 
     def release(choice, attempt, usual):
@@ -282,11 +197,11 @@
         if attempt is None:
             return
         is_unreached = attempt.verdict is Verdict.NOT_RUN and not attempt.shed
-        if is_unreached or is_misdirected(attempt):
+        if is_unreached or standings.is_misdirected(attempt):
             avoid(standing)
             return
         standing.failed_connects = 0
-        outcome = judge(attempt, usual)
+        outcome = standings.judge(attempt, usual)
         if outcome is None:
             return
         if outcome is Outcome.SHED:
@@ -395,7 +310,9 @@
     def watch():
         """Count requests that are under way for far too long as slow, once each."""
         for flight in list(state.flight_by_number.values()):
-            limit = max(flight.usual * SLOW_FACTOR, LEAST_SLOW_SECONDS)
+            limit = max(
+                flight.usual * standings.SLOW_FACTOR, standings.LEAST_SLOW_SECONDS
+            )
             if flight.is_slow or flight.usual <= 0:
                 continue
             if now() - flight.started_at > limit:
--- a/trefoilpin/logs.py
+++ b/trefoilpin/logs.py
@@ -16,7 +16,7 @@
 import eventlet.patcher
 
 from trefoilpin import events
-from trefoilpin.services import Events
+from trefoilpin.configuration_services import Events
 
 __all__ = ["create", "write_standard_output"]
 
--- a/trefoilpin/retries.py
+++ b/trefoilpin/retries.py
@@ -4,7 +4,7 @@
 Finagle library, described in its user guide, "Retries".
 """
 
-from trefoilpin.services import Retries
+from trefoilpin.request_services import Retries
 from trefoilpin.verdicts import Reason, Verdict
 
 __all__ = ["attempt_deadline", "create", "may_send_again"]
--- a/trefoilpin/tests/gateway/test_readers.py
+++ b/trefoilpin/tests/gateway/test_readers.py
@@ -47,7 +47,7 @@
         return content if isinstance(content, dict) else None
 
     service = readers.create(kernel, codec, trim, lambda: place[0])
-    clock.time += readers.SETTLE_SECONDS
+    clock.time += readers.SETTLE_SECONDS + 0.01
     return service, known, script, clock, place, lines
 
 
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -3,7 +3,7 @@
 import pytest
 from returns.result import Failure, Success
 
-from trefoilpin.gateway import upstreams
+from trefoilpin.gateway import standings, upstreams
 from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.messages import OutcomeNote
 from trefoilpin.gateway.placements import Need
@@ -101,7 +101,7 @@
             sent += 1
             service.release(outcome.unwrap(), GOOD, USUAL)
     share = configuration().pool_by_id["p"].cold_rate / 2
-    assert sent <= share * 2.0 + upstreams.COLD_BURST + 1
+    assert sent <= share * 2.0 + standings.COLD_BURST + 1
     assert sent >= share * 2.0 * 0.8
 
 
