Small documents go along with bulletins; hosts are named while the store is away for all

Change: a relay sends documents of up to 6,000 bytes to the hosts of its zone, a seed to a host that starts; with the whole fleet equally stale the hosts that run are named.

--- a/trefoilpin/gateway/bulletin_codecs.py
+++ b/trefoilpin/gateway/bulletin_codecs.py
@@ -117,6 +117,7 @@
         flight_counts=list(bulletin.in_flight_by_upstream.values()),
         admitted_accounts=list(bulletin.admitted_by_account),
         admitted_counts=list(bulletin.admitted_by_account.values()),
+        documents=[DocumentStruct(*document) for document in bulletin.documents],
         broken_fingerprints=[fingerprint for fingerprint, _ in bulletin.breaks],
         broken_upstreams=[upstream for _, upstream in bulletin.breaks],
     )
@@ -158,12 +159,16 @@
 def decode_document(data) -> Result[Document, str]:
     """Return the document that bytes hold, or what is wrong with them."""
     try:
-        found = read(DocumentStruct(), data, MAX_DOCUMENT_BYTES)
-        return Success(Document(found.revision, found.age, bytes(found.document)))
+        return Success(to_document(read(DocumentStruct(), data, MAX_DOCUMENT_BYTES)))
     except MALFORMED as error:
         return Failure(f"{type(error).__name__}: {error}")
 
 
+def to_document(found):
+    """Return the document that a struct holds."""
+    return Document(found.kind, found.revision, found.age, bytes(found.document))
+
+
 def from_struct(message):
     """Return the bulletin that a struct holds."""
     notes = []
@@ -190,5 +195,6 @@
         tuple(notes),
         dict(zip(message.flight_upstreams, message.flight_counts)),
         dict(zip(message.admitted_accounts, message.admitted_counts)),
+        tuple(to_document(found) for found in message.documents),
         tuple(zip(message.broken_fingerprints, message.broken_upstreams)),
     )
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -12,7 +12,7 @@
 from trefoilpin import events
 from trefoilpin.gateway.knowledge import CONFIGURATION, KINDS
 from trefoilpin.gateway.loops import repeat
-from trefoilpin.gateway.messages import Bulletin
+from trefoilpin.gateway.messages import Bulletin, Document
 
 __all__ = ["Bulletins", "create"]
 
@@ -30,6 +30,8 @@
 # With more accounts than this, a bulletin holds those that were admitted lately.
 MAX_ACCOUNTS = 100
 FETCH_PAUSE_SECONDS = 0.1
+# Documents up to this size go along within a zone; larger ones are fetched.
+MAX_SENT_BYTES = 6_000
 
 
 class Bulletins(NamedTuple):
@@ -60,6 +62,7 @@
         self.is_told = True
         self.news = create_event()
         self.members_at = float("-inf")
+        self.sent_digest_by_kind: dict[str, int] = {}
 
 
 class BulletinState:
@@ -113,7 +116,7 @@
     send : callable
         ``send(address, bulletin)`` puts a datagram on its way.
     fetch : callable
-        ``fetch(address, kind)`` gives a ``Result`` with revision, age and document.
+        ``fetch(address, kind)`` gives a ``Result`` with a ``Document``.
 
     Returns
     -------
@@ -151,6 +154,7 @@
             outcomes=(),
             in_flight_by_upstream={},
             admitted_by_account={},
+            documents=(),
             breaks=suspects.notes(),
         )
 
@@ -160,6 +164,8 @@
         if with_members:
             peer.members_at = now()
         bulletin = compose(peer.hears_store, with_members)
+        if peer.hears_store and peer.zone == own.zone:
+            bulletin = bulletin._replace(documents=documents_for(peer))
         if not peer.is_meshed:
             return bulletin
         is_near = peer.zone == own.zone
@@ -169,6 +175,30 @@
             admitted_by_account=admitted(),
         )
 
+    def documents_for(peer):
+        """Return the small documents that this host did not send to a peer yet."""
+        found = []
+        for kind in KINDS:
+            stamp = knowledge.stamp(kind)
+            if stamp.digest == peer.sent_digest_by_kind.get(kind):
+                continue
+            peer.sent_digest_by_kind[kind] = stamp.digest
+            found.extend(small_document(kind, stamp))
+        return tuple(found)
+
+    def small_document(kind, stamp):
+        document = knowledge.document(kind)
+        if not stamp.revision or len(document) > MAX_SENT_BYTES:
+            return ()
+        return (Document(kind, stamp.revision, stamp.age, document),)
+
+    def introduce():
+        """Return a bulletin for a host that may know nothing yet."""
+        found = []
+        for kind in KINDS:
+            found.extend(small_document(kind, knowledge.stamp(kind)))
+        return compose(with_members=True)._replace(documents=tuple(found))
+
     def admitted():
         counts = rates.admitted()
         if len(counts) <= MAX_ACCOUNTS:
@@ -185,6 +215,9 @@
         is_new = members.hear(address, bulletin)
         for told in bulletin.members:
             members.learn(told)
+        for document in bulletin.documents:
+            if document.kind in KINDS:
+                take_document(document)
         for stamp in bulletin.stamps:
             if knowledge.confirm(stamp) and stamp.kind not in state.fetching:
                 state.fetching.add(stamp.kind)
@@ -196,7 +229,9 @@
             upstreams.learn_flights(address, bulletin.in_flight_by_upstream)
             rates.learn(*host, bulletin.admitted_by_account)
             queues.wake()
-        if is_new or bulletin.wants_reply:
+        if bulletin.wants_reply:
+            send(address, introduce())
+        elif is_new:
             send(address, compose(with_members=True))
 
     def fetch_document(address, kind):
@@ -208,11 +243,13 @@
                 emit(events.FETCH_FAILED, host=address, kind=kind, detail=detail)
                 sleep(FETCH_PAUSE_SECONDS)
                 return
-            revision, age, document = outcome.unwrap()
-            knowledge.offer(kind, revision, document, age)
+            take_document(outcome.unwrap())
         finally:
             state.fetching.discard(kind)
 
+    def take_document(found):
+        knowledge.offer(found.kind, found.revision, found.document, found.age)
+
     def period(peer):
         if not peer.is_meshed:
             return ALIVE_SECONDS
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -223,7 +223,8 @@
         if kind not in KINDS:
             return send_text(start_response, 404, b"no such page\n")
         stamp = knowledge.stamp(kind)
-        document = Document(stamp.revision, stamp.age, knowledge.document(kind))
+        held = knowledge.document(kind)
+        document = Document(kind, stamp.revision, stamp.age, held)
         body = encode_document(document)
         return send_text(start_response, 200, body, "application/octet-stream")
 
--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -29,6 +29,8 @@
 LOST_SECONDS = 12.0
 # Fewer requests a second come to hosts that no caller is sent to.
 SERVING_LOAD = 3.0
+# The load follows a change within about this time.
+LOAD_SECONDS = 2.0
 
 
 class OwnHost(NamedTuple):
@@ -204,12 +206,19 @@
                 usable.append(member)
         return sorted(usable, key=rank_key)
 
+    def is_store_away():
+        """Tell whether nobody has fresh knowledge though most of the fleet is heard."""
+        heard = live()
+        if any(member.knowledge_age <= FRESH_SECONDS for member in heard):
+            return False
+        return len(heard) * 2 > len(state.member_by_address) + 1
+
     def caller_hosts(zone):
         found = []
         demand = sum(member.load for member in live() if member.zone == zone)
         borne = 0.0
         for member in ranked(zone):
-            if member.knowledge_age > FRESH_SECONDS:
+            if member.knowledge_age > FRESH_SECONDS and not is_store_away():
                 continue
             covered = borne * PLANNED_UTILISATION >= demand
             if len(found) >= CALLER_HOSTS_PER_ZONE and covered:
@@ -266,7 +275,7 @@
     def tick(seconds):
         rate = state.requests / seconds
         state.requests = 0
-        weight = min(seconds / 2.0, 1.0)
+        weight = min(seconds / LOAD_SECONDS, 1.0)
         state.load += (rate - state.load) * weight
 
     service = Members(
--- a/trefoilpin/gateway/messages.py
+++ b/trefoilpin/gateway/messages.py
@@ -59,6 +59,7 @@
 class Document(NamedTuple):
     """One section's document as a host holds it, with its age in seconds."""
 
+    kind: str
     revision: int
     age: float
     document: bytes
@@ -89,6 +90,8 @@
         Requests of the sender under way; those in a far zone hear of their own.
     admitted_by_account : dict
         Requests admitted since the sender's start.
+    documents : tuple of Document
+        Small documents that the receiver may not have.
     breaks : tuple of (int, str)
         Fingerprint of a request and the upstream whose connection broke under it.
     """
@@ -108,4 +111,5 @@
     outcomes: tuple[OutcomeNote, ...]
     in_flight_by_upstream: dict[str, int]
     admitted_by_account: dict[str, int]
+    documents: tuple[Document, ...]
     breaks: tuple[tuple[int, str], ...]
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -7,6 +7,13 @@
   4: double age
 }
 
+struct DocumentStruct {
+  1: string kind
+  2: i64 revision
+  3: double age
+  4: binary document
+}
+
 struct BulletinStruct {
   1: i64 incarnation
   2: i64 sequence
@@ -29,10 +36,5 @@
   19: list<i64> broken_fingerprints
   20: list<string> broken_upstreams
   21: double knowledge_age
-}
-
-struct DocumentStruct {
-  1: i64 revision
-  2: double age
-  3: binary document
+  22: list<DocumentStruct> documents
 }
--- a/trefoilpin/tests/gateway/test_bulletins.py
+++ b/trefoilpin/tests/gateway/test_bulletins.py
@@ -83,7 +83,8 @@
             return Failure("unreachable")
         stamp = node.knowledge.stamp(kind)
         document = node.knowledge.document(kind)
-        return Success(Document(stamp.revision, stamp.age, document))
+        self.fleet.fetches += 1
+        return Success(Document(kind, stamp.revision, stamp.age, document))
 
 
 class Fleet:
@@ -96,6 +97,7 @@
         self.lost = lost
         self.rng = random.Random(5)
         self.cut = frozenset()
+        self.fetches = 0
 
     def start(self, number, zone, incarnation=1):
         node = Node(self, number, zone, incarnation)
@@ -157,6 +159,29 @@
         assert node.knowledge.age(CONFIGURATION) <= 1.7
 
 
+def test_small_documents_go_along_within_a_zone_and_are_not_fetched():
+    fleet = start_fleet()
+    reader = reader_of(fleet)
+    reader.put(CONFIGURATION, 7, "new")
+    fleet.run(1.0)
+    zone = reader.members.own.zone
+    assert fleet.fetches <= 2 * members.RELAYS_PER_ZONE
+    for node in fleet.nodes.values():
+        if node.members.own.zone == zone:
+            assert node.knowledge.value(CONFIGURATION) == "new"
+
+
+def test_a_host_that_starts_is_told_everything_by_a_seed():
+    fleet = start_fleet()
+    reader_of(fleet).put(CONFIGURATION, 7, "new")
+    fleet.run(1.0)
+    node = fleet.start(13, "a")
+    before = fleet.fetches
+    node.bulletins.step()
+    assert node.knowledge.value(CONFIGURATION) == "new"
+    assert fleet.fetches == before
+
+
 def test_ages_are_never_younger_than_the_reading():
     fleet = start_fleet()
     reader_of(fleet).put(CONFIGURATION, 7, "new")
--- a/trefoilpin/tests/gateway/test_members.py
+++ b/trefoilpin/tests/gateway/test_members.py
@@ -5,10 +5,10 @@
 from trefoilpin.tests.gateway.hosts import create_host
 
 
-def create(own_zone="a"):
+def create(own_zone="a", age=0.1):
     kernel, clock, _ = create_host()
     own = members.OwnHost("10.0.0.100", own_zone, "r", 1, 10.0)
-    return members.create(kernel, own, lambda: 0.1), clock
+    return members.create(kernel, own, lambda: age), clock
 
 
 def told(number, zone="a", capacity=100.0, **fields):
@@ -47,6 +47,15 @@
     assert addresses(service.caller_hosts("a")) == ["10.0.0.4", "10.0.0.100"]
 
 
+def test_with_the_store_away_for_all_the_hosts_that_run_are_still_named():
+    service, clock = create(age=9.0)
+    for number in (1, 2, 3):
+        service.learn(told(number, knowledge_age=5.0))
+    assert len(service.caller_hosts("a")) == 2
+    clock.time += members.LIVE_SECONDS
+    assert service.caller_hosts("a") == []
+
+
 def test_what_others_say_is_as_old_as_they_say():
     service, clock = create()
     service.learn(told(1, age=members.LIVE_SECONDS - 0.5))
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -106,6 +106,96 @@
         return not (self == other)
 
 
+class DocumentStruct(object):
+    """
+    Attributes:
+     - kind
+     - revision
+     - age
+     - document
+
+    """
+
+
+    def __init__(self, kind=None, revision=None, age=None, document=None,):
+        self.kind = kind
+        self.revision = revision
+        self.age = age
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DocumentStruct')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 4)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BulletinStruct(object):
     """
     Attributes:
@@ -130,11 +220,12 @@
      - broken_fingerprints
      - broken_upstreams
      - knowledge_age
+     - documents
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -156,6 +247,7 @@
         self.broken_fingerprints = broken_fingerprints
         self.broken_upstreams = broken_upstreams
         self.knowledge_age = knowledge_age
+        self.documents = documents
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -322,6 +414,17 @@
                     self.knowledge_age = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.documents = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = DocumentStruct()
+                        _elem65.read(iprot)
+                        self.documents.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -371,8 +474,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter60 in self.stamps:
-                iter60.write(oprot)
+            for iter66 in self.stamps:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -382,148 +485,76 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter61 in self.outcome_upstreams:
-                oprot.writeString(iter61.encode('utf-8') if sys.version_info[0] == 2 else iter61)
+            for iter67 in self.outcome_upstreams:
+                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter62 in self.outcome_kinds:
-                oprot.writeByte(iter62)
+            for iter68 in self.outcome_kinds:
+                oprot.writeByte(iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter63 in self.outcome_numbers:
-                oprot.writeI64(iter63)
+            for iter69 in self.outcome_numbers:
+                oprot.writeI64(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter64 in self.flight_upstreams:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter70 in self.flight_upstreams:
+                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter65 in self.flight_counts:
-                oprot.writeI32(iter65)
+            for iter71 in self.flight_counts:
+                oprot.writeI32(iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter66 in self.admitted_accounts:
-                oprot.writeString(iter66.encode('utf-8') if sys.version_info[0] == 2 else iter66)
+            for iter72 in self.admitted_accounts:
+                oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter67 in self.admitted_counts:
-                oprot.writeI64(iter67)
+            for iter73 in self.admitted_counts:
+                oprot.writeI64(iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter68 in self.broken_fingerprints:
-                oprot.writeI64(iter68)
+            for iter74 in self.broken_fingerprints:
+                oprot.writeI64(iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter69 in self.broken_upstreams:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter75 in self.broken_upstreams:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
             oprot.writeFieldBegin('knowledge_age', TType.DOUBLE, 21)
             oprot.writeDouble(self.knowledge_age)
             oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class DocumentStruct(object):
-    """
-    Attributes:
-     - revision
-     - age
-     - document
-
-    """
-
-
-    def __init__(self, revision=None, age=None, document=None,):
-        self.revision = revision
-        self.age = age
-        self.document = document
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.age = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.document = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('DocumentStruct')
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 1)
-            oprot.writeI64(self.revision)
-            oprot.writeFieldEnd()
-        if self.age is not None:
-            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
-            oprot.writeDouble(self.age)
-            oprot.writeFieldEnd()
-        if self.document is not None:
-            oprot.writeFieldBegin('document', TType.STRING, 3)
-            oprot.writeBinary(self.document)
+        if self.documents is not None:
+            oprot.writeFieldBegin('documents', TType.LIST, 22)
+            oprot.writeListBegin(TType.STRUCT, len(self.documents))
+            for iter76 in self.documents:
+                iter76.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -549,6 +580,14 @@
     (3, TType.I64, 'digest', None, None, ),  # 3
     (4, TType.DOUBLE, 'age', None, None, ),  # 4
 )
+all_structs.append(DocumentStruct)
+DocumentStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.DOUBLE, 'age', None, None, ),  # 3
+    (4, TType.STRING, 'document', 'BINARY', None, ),  # 4
+)
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
     None,  # 0
@@ -573,13 +612,7 @@
     (19, TType.LIST, 'broken_fingerprints', (TType.I64, None, False), None, ),  # 19
     (20, TType.LIST, 'broken_upstreams', (TType.STRING, 'UTF8', False), None, ),  # 20
     (21, TType.DOUBLE, 'knowledge_age', None, None, ),  # 21
-)
-all_structs.append(DocumentStruct)
-DocumentStruct.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'revision', None, None, ),  # 1
-    (2, TType.DOUBLE, 'age', None, None, ),  # 2
-    (3, TType.STRING, 'document', 'BINARY', None, ),  # 3
+    (22, TType.LIST, 'documents', (TType.STRUCT, [DocumentStruct, None], False), None, ),  # 22
 )
 fix_spec(all_structs)
 del all_structs
