Queues: give up when the pool stands still, on-time work before late work of its rank

Change: the pace counts the time since the last release; a waiting request whose turn would come too late is refused at once; late work goes behind its rank.

--- a/trefoilpin/gateway/queues.py
+++ b/trefoilpin/gateway/queues.py
@@ -2,8 +2,9 @@
 
 The load pattern it answers: bursts, and pools that lost much of their capacity. A
 request waits only while the pool's pace lets it be served before its deadline; one that
-can't is refused at once, with the time after which the queue should have passed. Among
-requests of one rank, those that can still meet their target time go first.
+can't, on arrival or later, is refused at once, with the time after which the queue
+should have passed. Among requests of one rank, those that can still meet their target
+time go first, so that a pool under twice its load still answers on time.
 """
 
 import heapq
@@ -60,11 +61,20 @@
 
 
 class Waiter:
-    """A request in a queue."""
+    """A request in a queue.
 
-    def __init__(self, event):
+    Attributes
+    ----------
+    behind : int
+        Number of turns given at this pool after which its own turn should come.
+    """
+
+    def __init__(self, event, wait, behind):
         self.event = event
+        self.wait = wait
+        self.behind = behind
         self.is_waiting = True
+        self.is_late = False
 
 
 class PoolQueue:
@@ -74,8 +84,10 @@
         self.heap = []
         self.waiting = 0
         self.count_by_priority: dict[int, int] = {}
+        self.turns = 0
         self.gap = 1 / INITIAL_PACE
         self.released_at = now
+        self.waiting_since = now
 
 
 def expected_wait(ahead, gap):
@@ -122,8 +134,10 @@
             outcome = choose()
             if not is_saturated(outcome):
                 return outcome
+        if not queue.waiting:
+            queue.waiting_since = now()
         ahead = count_ahead(queue, wait.priority)
-        seconds = expected_wait(ahead, queue.gap)
+        seconds = expected_wait(ahead, gap(queue))
         if now() + seconds + wait.usual > wait.deadline:
             return refuse("the pool is full for longer than the request has", seconds)
         emit(
@@ -133,7 +147,18 @@
             ahead=ahead,
             expected=round(seconds, 3),
         )
-        return wait_for_turn(queue, wait, choose, is_gone)
+        return wait_for_turn(queue, wait, ahead, choose, is_gone)
+
+    def gap(queue):
+        """Return the seconds between turns, as the pool serves or stands still now."""
+        still = now() - max(queue.released_at, queue.waiting_since)
+        return max(queue.gap, still)
+
+    def is_hopeless(queue, waiter):
+        """Tell whether a request's turn should come too late."""
+        ahead = max(waiter.behind - queue.turns, 0)
+        seconds = ahead * gap(queue)
+        return now() + seconds + waiter.wait.usual > waiter.wait.deadline
 
     def count_ahead(queue, priority):
         ahead = 0
@@ -142,8 +167,8 @@
                 ahead += count
         return ahead
 
-    def wait_for_turn(queue, wait, choose, is_gone):
-        waiter = join(queue, wait)
+    def wait_for_turn(queue, wait, ahead, choose, is_gone):
+        waiter = join(queue, wait, ahead)
         latest = wait.deadline - wait.usual
         try:
             while now() < latest:
@@ -153,20 +178,21 @@
                 if waiter.event.ready():
                     waiter.event = create_event()
                 if first(queue) is not waiter:
+                    if is_hopeless(queue, waiter):
+                        break
                     continue
                 outcome = choose()
                 if not is_saturated(outcome):
+                    queue.turns += 1
                     return outcome
-            return refuse("no upstream came free in time", queue.gap * queue.waiting)
+            return refuse("no upstream came free in time", gap(queue) * queue.waiting)
         finally:
             leave(queue, wait, waiter)
             wake_first(queue)
 
-    def join(queue, wait):
-        waiter = Waiter(create_event())
-        is_late = now() + wait.usual > wait.target
-        key = (wait.priority, is_late, next(sequence))
-        heapq.heappush(queue.heap, (key, waiter))
+    def join(queue, wait, ahead):
+        waiter = Waiter(create_event(), wait, queue.turns + ahead)
+        push(queue, waiter)
         queue.waiting += 1
         count = queue.count_by_priority.get(wait.priority, 0)
         queue.count_by_priority[wait.priority] = count + 1
@@ -177,11 +203,27 @@
         queue.waiting -= 1
         queue.count_by_priority[wait.priority] -= 1
 
+    def push(queue, waiter):
+        waiter.is_late = now() + waiter.wait.usual > waiter.wait.target
+        key = (waiter.wait.priority, waiter.is_late, next(sequence))
+        heapq.heappush(queue.heap, (key, waiter))
+
     def first(queue):
-        """Return the request whose turn is next, or None."""
-        while queue.heap and not queue.heap[0][1].is_waiting:
+        """Return the request whose turn is next, or None.
+
+        One that has become late goes behind those of its rank that have not.
+        """
+        while queue.heap:
+            waiter = queue.heap[0][1]
+            if not waiter.is_waiting:
+                heapq.heappop(queue.heap)
+                continue
+            if waiter.is_late or now() + waiter.wait.usual <= waiter.wait.target:
+                return waiter
             heapq.heappop(queue.heap)
-        return queue.heap[0][1] if queue.heap else None
+            push(queue, waiter)
+            waiter.behind = queue.turns + queue.count_by_priority[waiter.wait.priority]
+        return None
 
     def wake_first(queue):
         waiter = first(queue)
--- a/trefoilpin/tests/gateway/test_queues.py
+++ b/trefoilpin/tests/gateway/test_queues.py
@@ -116,3 +116,56 @@
     outcome = service.enter("p", wait, lambda: SATURATED, lambda: True)
     assert isinstance(outcome, Failure)
     assert service.waiting() == 0
+
+
+def test_twice_the_load_keeps_the_pool_on_time_and_refuses_the_rest_early(waiting):
+    """A pool of 100 requests a second gets 200 for a while, all of one rank."""
+    service, now = waiting
+    pool, rows, tasks = Pool(4), [], []
+    work, target, limit = 0.04, 0.25, 0.8
+
+    def run():
+        arrived = now()
+        wait = queues.Wait(1, arrived + limit, arrived + target, work)
+        outcome = service.enter("p", wait, pool.take, lambda: False)
+        held = now() - arrived
+        if isinstance(outcome, Failure):
+            rows.append(("refused", held))
+            return
+        eventlet.sleep(work)
+        pool.free += 1
+        service.released("p")
+        is_on_time = now() - arrived <= target
+        rows.append(("on time" if is_on_time else "late", held))
+
+    for _ in range(400):
+        tasks.append(eventlet.spawn(run))
+        eventlet.sleep(0.005)
+    seconds = 400 * 0.005
+    for task in tasks:
+        task.wait()
+    on_time = [held for name, held in rows if name == "on time"]
+    held = sorted(held for name, held in rows if name == "refused")
+    assert len(on_time) >= 0.75 * seconds / work * 4
+    assert held[len(held) // 2] <= limit / 2
+
+
+def test_a_pool_that_stopped_serving_turns_its_queue_away_early(waiting):
+    service, now = waiting
+    pool, served, tasks = Pool(2), [], []
+    for number in range(8):
+        tasks.append(spawn_request(service, now, pool, served, number, 1, 2.0, 0.02))
+    for task in tasks:
+        task.wait()
+    pool.free = 0
+    started = now()
+    waits = []
+
+    def run():
+        wait = queues.Wait(1, now() + 2.0, now() + 1.0, 0.02)
+        service.enter("p", wait, pool.take, lambda: False)
+        waits.append(now() - started)
+
+    for task in [eventlet.spawn(run) for _ in range(30)]:
+        task.wait()
+    assert sorted(waits)[15] <= 0.5
