--- /dev/null
+++ b/bench/gateway_slopes.py
@@ -0,0 +1,115 @@
+"""Bytes and processor time of what grows with the fleet, at three sizes.
+
+The slopes are carried to the planned size in ``docs/CAPACITY.md``.
+"""
+
+import time
+
+from bench.results import Result, finish
+from trefoilpin.fakes.gateways import (
+    configuration,
+    create_host,
+    create_knowledge,
+    table,
+    upstream,
+)
+from trefoilpin.gateway import bulletin_codecs, documents, upstreams
+from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS, Stamp
+from trefoilpin.gateway.messages import Bulletin, MemberAge
+from trefoilpin.gateway.placements import Need
+
+FLEETS = (40, 128, 460)
+POOLS = (6, 28, 112)
+ROUNDS = 200
+MICROSECONDS = 1_000_000
+USUAL_SECONDS = 0.2
+
+
+def time_of(function):
+    """Return the processor time of one call in microseconds."""
+    started = time.process_time()
+    for _ in range(ROUNDS):
+        function()
+    return (time.process_time() - started) / ROUNDS * MICROSECONDS
+
+
+def create_bulletin(members, flights):
+    """Return a bulletin on some members with requests at some upstreams."""
+    rows = []
+    for number in range(members):
+        address = f"10.{number // 250}.{number % 250}.7"
+        rows.append(
+            MemberAge(
+                address, f"z{number % 8}", 17 * 10**11, 0.3, 200.0, 9.0, 0, 1, 0.4
+            )
+        )
+    return Bulletin(
+        incarnation=17 * 10**11,
+        sequence=1,
+        zone="zone-a",
+        region="region",
+        capacity=200.0,
+        load=30.0,
+        is_stopping=False,
+        is_serving=True,
+        wants_reply=False,
+        knowledge_age=0.4,
+        stamps=tuple(Stamp(kind, 5, 6, 0.4) for kind in (CONFIGURATION, UPSTREAMS)),
+        members=tuple(rows),
+        outcomes=(),
+        in_flight_by_upstream={f"i-{n:08x}": 2 for n in range(flights)},
+        admitted_by_account={f"account{n}": 1000 for n in range(8)},
+        documents=(),
+        breaks=(),
+    )
+
+
+def measure_bulletins():
+    """Yield bytes and times of bulletins."""
+    for members in FLEETS:
+        bulletin = create_bulletin(members, 0)
+        data = bulletin_codecs.encode(bulletin)
+        name = f"gateway_slopes.view_of_{members}"
+        yield Result(f"{name}.bytes", len(data), "B")
+        encode = time_of(lambda: bulletin_codecs.encode(bulletin))
+        yield Result(f"{name}.encode", round(encode), "us")
+        decode = time_of(lambda: bulletin_codecs.decode(data))
+        yield Result(f"{name}.decode", round(decode), "us")
+    bulletin = create_bulletin(0, 12)
+    data = bulletin_codecs.encode(bulletin)
+    yield Result("gateway_slopes.mesh.bytes", len(data), "B")
+    both = time_of(lambda: bulletin_codecs.decode(bulletin_codecs.encode(bulletin)))
+    yield Result("gateway_slopes.mesh.encode_and_decode", round(both), "us")
+
+
+def measure_choices():
+    """Yield the time of a choice and the size of the document by upstreams."""
+    for count in POOLS:
+        kernel, _, _ = create_host()
+        _, put = create_knowledge(kernel)
+        service = upstreams.create(kernel, "a", lambda: 6)
+        put(CONFIGURATION, 1, configuration())
+        entries = [upstream(number, slots=6) for number in range(1, count + 1)]
+        put(UPSTREAMS, 1, table(*entries))
+        need = Need(False, False, False)
+
+        def choose():
+            choice = service.choose("p", frozenset(), need, USUAL_SECONDS).unwrap()
+            service.release(choice, None, USUAL_SECONDS)
+
+        name = f"gateway_slopes.pool_of_{count}"
+        yield Result(f"{name}.choose", round(time_of(choose)), "us")
+        objects = {
+            entry.id: dict(zip(entry._fields, map(str, entry))) for entry in entries
+        }
+        size = len(documents.encode_objects(objects))
+        yield Result(f"{name}.document", size, "B")
+
+
+def main():
+    """Report the slopes."""
+    finish([*measure_bulletins(), *measure_choices()])
+
+
+if __name__ == "__main__":
+    main()
--- a/trefoilpin/tests/gateway/test_bulletins.py
+++ b/trefoilpin/tests/gateway/test_bulletins.py
@@ -6,6 +6,12 @@
 from returns.result import Failure, Success
 
 from trefoilpin import metrics
+from trefoilpin.fakes.gateways import (
+    ACCOUNT,
+    ManualClock,
+    create_host,
+    create_knowledge,
+)
 from trefoilpin.gateway import (
     bulletin_codecs,
     bulletins,
@@ -18,12 +24,6 @@
 )
 from trefoilpin.gateway.knowledge import CONFIGURATION
 from trefoilpin.gateway.messages import Document
-from trefoilpin.tests.gateway.hosts import (
-    ACCOUNT,
-    ManualClock,
-    create_host,
-    create_knowledge,
-)
 
 STEP_SECONDS = 0.05
 
--- a/trefoilpin/tests/gateway/test_knowledge.py
+++ b/trefoilpin/tests/gateway/test_knowledge.py
@@ -1,8 +1,8 @@
 """Nothing reverts, and ages are upper bounds."""
 
 from trefoilpin import events
+from trefoilpin.fakes.gateways import create_host, create_knowledge, named
 from trefoilpin.gateway.knowledge import CONFIGURATION, Stamp, digest
-from trefoilpin.tests.gateway.hosts import create_host, create_knowledge, named
 
 
 def test_an_older_document_that_comes_late_changes_nothing():
--- a/trefoilpin/tests/gateway/test_members.py
+++ b/trefoilpin/tests/gateway/test_members.py
@@ -1,8 +1,8 @@
 """Roles that follow from the view, with hosts of unequal size."""
 
+from trefoilpin.fakes.gateways import create_host
 from trefoilpin.gateway import members
 from trefoilpin.gateway.messages import MemberAge
-from trefoilpin.tests.gateway.hosts import create_host
 
 
 def create(own_zone="a", age=0.1):
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -4,13 +4,7 @@
 from returns.result import Failure, Success
 
 from trefoilpin import metrics, retries
-from trefoilpin.gateway import members, proxies, rates, routing, suspects, upstreams
-from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS
-from trefoilpin.gateway.proxies import Arrival, ProxyTerms
-from trefoilpin.gateway.queues import Queues
-from trefoilpin.messages import Answer, Attempt, CallerRequest
-from trefoilpin.services import Forwarders
-from trefoilpin.tests.gateway.hosts import (
+from trefoilpin.fakes.gateways import (
     ACCOUNT,
     ROUTE,
     configuration,
@@ -19,6 +13,12 @@
     table,
     upstream,
 )
+from trefoilpin.gateway import members, proxies, rates, routing, suspects, upstreams
+from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS
+from trefoilpin.gateway.proxies import Arrival, ProxyTerms
+from trefoilpin.gateway.queues import Queues
+from trefoilpin.messages import Answer, Attempt, CallerRequest
+from trefoilpin.services import Forwarders
 from trefoilpin.verdicts import Reason, Verdict
 
 KEY_SECONDS = 4.25
--- a/trefoilpin/tests/gateway/test_rates.py
+++ b/trefoilpin/tests/gateway/test_rates.py
@@ -5,9 +5,9 @@
 import pytest
 from returns.result import Success
 
+from trefoilpin.fakes.gateways import create_host
 from trefoilpin.gateway import rates
 from trefoilpin.gateway.records import Account
-from trefoilpin.tests.gateway.hosts import create_host
 
 ACCOUNT = Account("acme", 50.0, 25.0, None)
 WINDOW_SECONDS = 5.0
--- a/trefoilpin/tests/gateway/test_readers.py
+++ b/trefoilpin/tests/gateway/test_readers.py
@@ -4,12 +4,12 @@
 from returns.result import Failure, Success
 
 from trefoilpin import events
+from trefoilpin.fakes.gateways import create_host, named
 from trefoilpin.gateway import documents
 from trefoilpin.gateway import knowledge as knowledge_module
 from trefoilpin.gateway import readers
 from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS
 from trefoilpin.gateway.stores import Change, Changes, Listing, Store, StoreFailure
-from trefoilpin.tests.gateway.hosts import create_host, named
 
 
 class Script:
--- a/trefoilpin/tests/gateway/test_stops.py
+++ b/trefoilpin/tests/gateway/test_stops.py
@@ -1,8 +1,8 @@
 """A planned stop serves on, then refuses, and waits for what is under way."""
 
 from trefoilpin import events
+from trefoilpin.fakes.gateways import create_host, named
 from trefoilpin.gateway import stops
-from trefoilpin.tests.gateway.hosts import create_host, named
 
 GRACE = 6.0
 
--- a/trefoilpin/tests/gateway/test_suspects.py
+++ b/trefoilpin/tests/gateway/test_suspects.py
@@ -1,8 +1,8 @@
 """Requests that crash upstreams, told apart from those that met a bad one."""
 
+from trefoilpin.fakes.gateways import ACCOUNT, create_host
 from trefoilpin.gateway import suspects
 from trefoilpin.messages import CallerRequest
-from trefoilpin.tests.gateway.hosts import ACCOUNT, create_host
 
 POISON = 7
 
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -3,19 +3,19 @@
 import pytest
 from returns.result import Failure, Success
 
-from trefoilpin.gateway import standings, upstreams
-from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS, ZONES_OUT
-from trefoilpin.gateway.messages import OutcomeNote
-from trefoilpin.gateway.placements import Need
-from trefoilpin.gateway.soundness import Outcome
-from trefoilpin.messages import Answer, Attempt
-from trefoilpin.tests.gateway.hosts import (
+from trefoilpin.fakes.gateways import (
     configuration,
     create_host,
     create_knowledge,
     table,
     upstream,
 )
+from trefoilpin.gateway import standings, upstreams
+from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS, ZONES_OUT
+from trefoilpin.gateway.messages import OutcomeNote
+from trefoilpin.gateway.placements import Need
+from trefoilpin.gateway.soundness import Outcome
+from trefoilpin.messages import Answer, Attempt
 from trefoilpin.verdicts import Reason, Verdict
 
 URGENT = Need(False, False, True)
