Read the store by lists alone: a watch that hears nothing proves nothing

The store was dropping its history. Tests of watches are replaced by tests of what they stood for: a list is as old as its call, a stale one changes nothing, and a change is known within its bound though the reader just died (2.0 s less two bulletins; the watch's takeover at 1.6 s and 0.1 s a rank missed it).

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -473,13 +473,6 @@
     ("kind", "age"),
     "The store answers this host again.",
 )
-HISTORY_LOST = Event(
-    715,
-    "history_lost",
-    logging.INFO,
-    ("kind", "revision"),
-    "The store dropped the history that was watched, so everything is listed anew.",
-)
 FETCH_FAILED = Event(
     716,
     "fetch_failed",
--- a/trefoilpin/gateway/readers.py
+++ b/trefoilpin/gateway/readers.py
@@ -1,9 +1,12 @@
 """Reading the store: which host does it, how often, and what an outage means.
 
-One host reads each kind by watching it, and tells the others. A host whose knowledge
+One host lists each kind at a fixed period and tells the others. A host whose knowledge
 ages beyond a bound reads by itself, the sooner the higher it stands in the order of
 readers. So the number of calls does not grow with the fleet, and no message has to
 arrive for a dead reader to be replaced.
+
+Watches are not used: a watch may hear nothing while changes are made, so its silence
+says nothing of the store's content, and bounds are kept by lists alone.
 """
 
 from typing import Callable, NamedTuple
@@ -39,28 +42,26 @@
 
     Attributes
     ----------
-    wait : float
-        Seconds for which the store holds a watch without changes.
-    pause : float
-        Seconds between a change and the next watch, so that changes come together.
+    period : float
+        Seconds between two lists of the reader.
     take_over : float
         Age in seconds from which the next host in order reads too.
     rank_seconds : float
         Added to it for each further place in the order.
     """
 
-    wait: float
-    pause: float
+    period: float
     take_over: float
     rank_seconds: float
 
 
-# The bounds are 2 s for configuration and draining upstreams and 5 s for zones; each
-# age below leaves the time of one call and one bulletin.
+# The bounds are 2 s for configuration and draining upstreams and 5 s for zones. While
+# the reader lives, a relay's knowledge is as old as the period and one bulletin (0.5 s);
+# a takeover has to leave the time of one call and two bulletins.
 TERMS_BY_KIND = {
-    CONFIGURATION: ReadTerms(1.0, 0.05, 1.45, 0.1),
-    UPSTREAMS: ReadTerms(1.0, 0.35, 1.6, 0.1),
-    ZONES_OUT: ReadTerms(1.5, 0.05, 2.4, 0.2),
+    CONFIGURATION: ReadTerms(0.6, 1.35, 0.05),
+    UPSTREAMS: ReadTerms(0.6, 1.35, 0.05),
+    ZONES_OUT: ReadTerms(1.4, 2.4, 0.2),
 }
 
 
@@ -132,29 +133,19 @@
     def step(kind):
         if not is_due(kind):
             return False
-        revision = knowledge.stamp(kind).revision
         age_before = knowledge.age(kind)
-        before = dict(objects(kind))
         started = now()
-        if revision:
-            wait = TERMS_BY_KIND[kind].wait
-            outcome = store.watch(kind, revision, wait)
-            if isinstance(outcome, Failure) and outcome.failure().is_compacted:
-                emit(events.HISTORY_LOST, kind=kind, revision=revision)
-                revision = 0
-        if not revision:
-            outcome = store.list_all(kind)
+        outcome = store.list_all(kind)
         if isinstance(outcome, Failure):
             note_failure(kind, outcome.failure())
             return True
         note_success(kind)
-        found = outcome.unwrap()
+        # What other hosts told during the call is known too.
+        before = objects(kind)
         if kind == UPSTREAMS and before and age_before > OUTAGE_SECONDS:
             state.hold_until = now() + LAPSE_SECONDS
-        if not revision:
-            take_listing(kind, found, before, started)
-        else:
-            take_changes(kind, found, before, started)
+        take_listing(kind, outcome.unwrap(), before, started)
+        pause(kind, TERMS_BY_KIND[kind].period - IDLE_SECONDS)
         return True
 
     def take_listing(kind, listing, before, started):
@@ -164,38 +155,16 @@
             if kept is not None:
                 after[name] = kept
         if kind == UPSTREAMS:
-            hold_lapsed(before, after, set(after))
+            hold_lapsed(before, after)
         offer(kind, after, listing.revision, started)
 
-    def take_changes(kind, changes, before, started):
-        after = dict(before)
-        written = set()
-        for change in changes.changes:
-            kept = None if change.content is None else trim(kind, change.content)
-            if kept is None:
-                after.pop(change.name, None)
-                written.discard(change.name)
-            else:
-                after[change.name] = kept
-                written.add(change.name)
-        if kind == UPSTREAMS:
-            hold_lapsed(before, after, written)
-        # Without a change the store waited the whole time before it answered.
-        waited = 0.0 if changes.changes else TERMS_BY_KIND[kind].wait
-        seen = min(started + waited, now())
-        offer(kind, after, changes.revision, seen)
-        if changes.changes:
-            pause(kind, TERMS_BY_KIND[kind].pause)
-
-    def hold_lapsed(before, after, written):
+    def hold_lapsed(before, after):
         """Keep upstreams for a while whose entries may have lapsed in an outage.
 
         Parameters
         ----------
         before, after : dict
             Objects as last known and as just read; ``after`` is changed.
-        written : set of str
-            Names that the store just showed.
         """
         held = state.held_until_by_name
         if now() < state.hold_until:
@@ -203,17 +172,15 @@
                 if name not in after:
                     held.setdefault(name, state.hold_until)
         for name, until in list(held.items()):
-            if name in written or now() >= until:
+            if name in after or now() >= until:
                 del held[name]
-                if name not in written:
-                    after.pop(name, None)
             elif name in before:
                 after[name] = before[name]
 
-    def offer(kind, objects_by_name, revision, seen):
+    def offer(kind, objects_by_name, revision, started):
         document = encode(objects_by_name)
         state.objects_by_kind[kind] = (digest(document), objects_by_name)
-        knowledge.offer(kind, revision, document, now() - seen)
+        knowledge.offer(kind, revision, document, now() - started)
 
     def note_failure(kind, failure):
         state.failures_by_kind[kind] += 1
--- a/trefoilpin/tests/gateway/test_readers.py
+++ b/trefoilpin/tests/gateway/test_readers.py
@@ -9,7 +9,11 @@
 from trefoilpin.gateway import knowledge as knowledge_module
 from trefoilpin.gateway import readers
 from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS
-from trefoilpin.gateway.stores import Change, Changes, Listing, Store, StoreFailure
+from trefoilpin.gateway.stores import Listing, Store, StoreFailure
+
+# A draining upstream, and a version of the configuration, must be known by then.
+BOUND_SECONDS = 2.0
+BULLETIN_SECONDS = 0.1
 
 
 class Script:
@@ -31,12 +35,7 @@
         answer = script.answers.pop(0)
         return answer(clock) if callable(answer) else answer
 
-    store = Store(
-        lambda kind: call("list", kind),
-        lambda kind, revision, seconds: call("watch", kind, revision),
-        None,
-        None,
-    )
+    store = Store(call)
     kernel.register("store", store)
     decode_by_kind = dict.fromkeys(knowledge_module.KINDS, documents.decode_objects)
     known = knowledge_module.create(kernel, decode_by_kind)
@@ -55,45 +54,45 @@
     return Success(Listing(objects, revision))
 
 
-def changes(revision, *rows):
-    return Success(Changes(tuple(Change(*row) for row in rows), revision))
+def test_a_list_is_as_old_as_its_call(reader):
+    service, known, script, clock, _, _ = reader
 
+    def answer_late(clock):
+        clock.time += 0.3
+        return listing(5, main={"a": 1})
 
-def test_first_a_list_then_watches_from_its_revision(reader):
-    service, known, script, clock, _, _ = reader
-    script.answers = [listing(5, main={"a": 1}), changes(8, ("main", {"a": 2}))]
+    script.answers = [answer_late, listing(8, main={"a": 2})]
     service.step(CONFIGURATION)
-    clock.time += 1
+    assert known.age(CONFIGURATION) == pytest.approx(0.3)
+    assert not service.step(CONFIGURATION)
+    clock.time += readers.TERMS_BY_KIND[CONFIGURATION].period
     service.step(CONFIGURATION)
-    assert script.calls == [
-        ("list", CONFIGURATION),
-        ("watch", CONFIGURATION, 5),
-    ]
     assert known.value(CONFIGURATION) == {"main": {"a": 2}}
     assert known.stamp(CONFIGURATION).revision == 8
 
 
-def test_a_watch_without_changes_tells_that_the_store_waited(reader):
+def test_a_stale_list_never_replaces_newer_knowledge(reader):
     service, known, script, clock, _, _ = reader
-
-    def wait(clock):
-        clock.time += 1.02
-        return changes(6)
-
-    script.answers = [listing(5, main={"a": 1}), wait]
+    script.answers = [listing(5, main={"a": 1}), listing(4, main={"a": 0})]
     service.step(CONFIGURATION)
+    clock.time += 1.0
     service.step(CONFIGURATION)
-    assert known.age(CONFIGURATION) == pytest.approx(0.02)
+    assert known.value(CONFIGURATION) == {"main": {"a": 1}}
 
 
-def test_history_that_is_gone_is_listed_and_nothing_reverts(reader):
-    service, known, script, clock, _, lines = reader
-    gone = Failure(StoreFailure("gone", is_compacted=True))
-    script.answers = [listing(5, main={"a": 1}), gone, listing(4, main={"a": 0})]
-    service.step(CONFIGURATION)
-    service.step(CONFIGURATION)
-    assert known.value(CONFIGURATION) == {"main": {"a": 1}}
-    assert named(lines, events.HISTORY_LOST)
+@pytest.mark.parametrize("kind", [CONFIGURATION, UPSTREAMS])
+def test_a_change_is_known_in_time_though_the_reader_just_died(reader, kind):
+    """From the reader's last list to the next host's own, with what tells of it."""
+    service, known, script, clock, place, _ = reader
+    script.answers = [listing(5, main={"a": 1})]
+    service.step(kind)
+    place[0] = 1
+    read_at = clock.time
+    script.answers = [listing(6, main={"a": 2})]
+    while not service.step(kind):
+        clock.time += 0.01
+    idle = readers.IDLE_SECONDS * 1.25
+    assert clock.time - read_at + idle <= BOUND_SECONDS - 2 * BULLETIN_SECONDS
 
 
 def test_only_the_first_in_order_reads_while_knowledge_is_fresh(reader):
@@ -105,7 +104,7 @@
     assert service.step(CONFIGURATION)
     assert not service.step(CONFIGURATION)
     clock.time += readers.TERMS_BY_KIND[CONFIGURATION].take_over + 0.2
-    script.answers = [changes(6)]
+    script.answers = [listing(6, main={"a": 1})]
     assert service.step(CONFIGURATION)
 
 
@@ -114,15 +113,15 @@
     script.answers = [listing(5, u1={"x": 1}, u2={"x": 2})]
     service.step(UPSTREAMS)
     clock.time += 6.0
-    script.answers = [changes(9, ("u1", None), ("u2", None))]
+    script.answers = [listing(9)]
     service.step(UPSTREAMS)
     assert set(known.value(UPSTREAMS)) == {"u1", "u2"}
     clock.time += 1.0
-    script.answers = [changes(10, ("u1", {"x": 1}))]
+    script.answers = [listing(10, u1={"x": 1})]
     service.step(UPSTREAMS)
     assert set(known.value(UPSTREAMS)) == {"u1", "u2"}
     clock.time += readers.LAPSE_SECONDS
-    script.answers = [changes(11)]
+    script.answers = [listing(11, u1={"x": 1})]
     service.step(UPSTREAMS)
     assert set(known.value(UPSTREAMS)) == {"u1"}
 
@@ -132,7 +131,7 @@
     script.answers = [listing(5, u1={"x": 1}, u2={"x": 2})]
     service.step(UPSTREAMS)
     clock.time += 0.9
-    script.answers = [changes(9, ("u1", None))]
+    script.answers = [listing(9, u2={"x": 2})]
     service.step(UPSTREAMS)
     assert set(known.value(UPSTREAMS)) == {"u2"}
 
@@ -142,7 +141,7 @@
     script.answers = [listing(5, u1={"x": 1}, u2="forged")]
     service.step(UPSTREAMS)
     clock.time += 0.9
-    script.answers = [changes(9, ("u3", 17), ("u4", {"x": 4}))]
+    script.answers = [listing(9, u1={"x": 1}, u3=17, u4={"x": 4})]
     service.step(UPSTREAMS)
     assert set(known.value(UPSTREAMS)) == {"u1", "u4"}
 
