--- a/trefoilpin/gateway/readers.py
+++ b/trefoilpin/gateway/readers.py
@@ -55,9 +55,9 @@
     rank_seconds: float
 
 
-# The bounds are 2 s for configuration and draining upstreams and 5 s for zones. While
-# the reader lives, a relay's knowledge is as old as the period and one bulletin (0.5 s);
-# a takeover has to leave the time of one call and two bulletins.
+# Bounds are 2 s for configuration and draining upstreams and 5 s for zones. While the
+# reader lives, a relay's knowledge is as old as the period and one bulletin (0.5 s); a
+# takeover has to leave the time of one call and two bulletins.
 TERMS_BY_KIND = {
     CONFIGURATION: ReadTerms(0.6, 1.35, 0.05),
     UPSTREAMS: ReadTerms(0.6, 1.35, 0.05),
