--- a/trefoilpin/gateway/stops.py
+++ b/trefoilpin/gateway/stops.py
@@ -17,8 +17,9 @@
 RETIRE_FROM_SECONDS = 0.5
 QUIET_SECONDS = 0.3
 STEP_SECONDS = 0.05
-# Part of the time before the process is killed that requests under way may use.
-USED_GRACE = 0.93
+# Part of the time before the kill that requests under way may use; the rest is for
+# the end of the process on a slow host.
+USED_GRACE = 0.85
 LEAVE_SECONDS = 0.1
 
 
