--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -92,7 +92,7 @@
         put(CONFIGURATION, 1, configuration())
         entries = [upstream(number, slots=6) for number in range(1, count + 1)]
         put(UPSTREAMS, 1, table(*entries))
-        need = Need(False, False, False)
+        need = Need(False, False)
 
         def choose():
             choice = service.choose("p", frozenset(), need, USUAL_SECONDS).unwrap()
--- a/bench/unsound_sends.py
+++ b/bench/unsound_sends.py
@@ -111,7 +111,7 @@
         at(clock.time + rng.expovariate(pattern.per_second), arrive)
         is_idempotent = rng.random() < IDEMPOTENT_SHARE
         host = rng.choice(hosts)
-        need = Need(is_idempotent, is_idempotent, False)
+        need = Need(is_idempotent, is_idempotent)
         outcome = host.choose("p", frozenset(), need, WORK_SECONDS)
         choice = outcome.value_or(None)
         if choice is None:
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -122,8 +122,8 @@
     addresses : Addresses
     dialect : Dialect
     encode_addresses : callable
-        ``encode_addresses(answer)`` gives the body of an address answer, and
-        ``ip:port`` of callers' listeners are derived by it from IP numbers.
+        ``encode_addresses(answer)`` gives the body of an address answer; it knows the
+        port at which every host listens to callers.
 
     Returns
     -------
--- a/trefoilpin/gateway/placements.py
+++ b/trefoilpin/gateway/placements.py
@@ -56,13 +56,10 @@
         True when a failure may be repaired by another attempt.
     can_retry : bool
         True when another attempt is allowed after this one.
-    is_urgent : bool
-        True for the most urgent rank, which takes the surest upstream.
     """
 
     is_idempotent: bool
     can_retry: bool
-    is_urgent: bool
 
 
 def loss(candidate, need):
--- a/trefoilpin/gateway/proxies.py
+++ b/trefoilpin/gateway/proxies.py
@@ -212,7 +212,7 @@
     def choose(work):
         further = work.sent + 1 < work.route.max_attempts
         can_retry = further and retries.balance(work.pool) >= 1
-        need = Need(work.route.idempotent, can_retry, work.priority == 0)
+        need = Need(work.route.idempotent, can_retry)
         return upstreams.choose(work.pool, work.tried, need, work.usual)
 
     def may_send(work):
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -18,7 +18,7 @@
 from trefoilpin.messages import Answer, Attempt
 from trefoilpin.verdicts import Reason, Verdict
 
-URGENT = Need(False, False, True)
+ONCE = Need(False, False)
 USUAL = 0.1
 GOOD = Attempt(Verdict.RAN, Answer(200, (), b""), None, "", USUAL)
 BAD = Attempt(Verdict.RAN, Answer(500, (), b""), None, "", 0.01)
@@ -37,7 +37,7 @@
     return service, put, clock
 
 
-def choose(service, tried=frozenset(), need=URGENT):
+def choose(service, tried=frozenset(), need=ONCE):
     return service.choose("p", tried, need, USUAL)
 
 
