--- a/trefoilpin/tests/test_logs.py
+++ b/trefoilpin/tests/test_logs.py
@@ -2,7 +2,11 @@
 
 import json
 import logging
+import os
+import time
+import types
 
+import eventlet
 import pytest
 
 from trefoilpin import events, logs
@@ -64,6 +68,41 @@
     assert "3 lines were dropped" in lines[0]
 
 
+def test_routine_lines_over_the_bound_of_a_second_are_left_out_and_told():
+    lines = []
+    state = loops.LoopState(1)
+    kernel = create_kernel(loops.movable_clock(state), lambda *task: None)
+    service = logs.create(kernel, write=lines.append, max_routine=5)
+    for _ in range(12):
+        service.emit(events.ATTEMPT_ENDED)
+        service.emit(events.GATEWAY_REFUSED)
+    state.now += 1.0
+    service.emit(events.ATTEMPT_ENDED)
+    service.flush()
+    text = "".join(lines)
+    assert text.count("attempt_ended") == 6
+    assert text.count("gateway_refused") == 12
+    assert "lines_left_out lines=7" in text
+
+
+def test_a_reader_that_stopped_reading_holds_up_nobody(monkeypatch):
+    reader, writer = os.pipe()
+    monkeypatch.setattr(
+        logs.sys, "stdout", types.SimpleNamespace(fileno=lambda: writer)
+    )
+    task = eventlet.spawn(logs.write_standard_output, "x" * 200_000)
+    started = time.monotonic()
+    eventlet.sleep(0.02)
+    assert time.monotonic() - started < 1.0
+    received = 0
+    while received < 200_000:
+        received += len(os.read(reader, 65_536))
+        eventlet.sleep(0)
+    task.wait()
+    os.close(reader)
+    os.close(writer)
+
+
 def test_every_number_and_name_stands_once():
     numbers = [event.number for event in events.CATALOGUE]
     assert len(set(numbers)) == len(numbers)
