Name the terms of bulletins and the codec of documents; say what members' functions give

Cause: bare tuples and a doc comment that left out results would stop a newcomer. Change: BulletinTerms, DocumentCodec; doc comments. Conclusion: kept; behaviour is the same.

--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -14,7 +14,7 @@
 from trefoilpin.gateway.loops import repeat
 from trefoilpin.gateway.messages import Bulletin, Document
 
-__all__ = ["Bulletins", "create"]
+__all__ = ["BulletinTerms", "Bulletins", "create"]
 
 STEWARD_SECONDS = 0.2
 ALIVE_SECONDS = 0.4
@@ -36,6 +36,21 @@
 MAX_SENT_BYTES = 6_000
 
 
+class BulletinTerms(NamedTuple):
+    """What the deployment tells of the fleet.
+
+    Attributes
+    ----------
+    seeds : callable
+        Gives the IP numbers of hosts to ask first.
+    planned_senders : int
+        Least number of hosts that are taken to send requests to upstreams.
+    """
+
+    seeds: Callable
+    planned_senders: int
+
+
 class Bulletins(NamedTuple):
     """``bulletins``: what hosts tell each other.
 
@@ -111,9 +126,7 @@
     Parameters
     ----------
     kernel : Kernel
-    terms : tuple
-        Function that gives the IP numbers of hosts to ask first, and the least number
-        of hosts that are taken to send requests.
+    terms : BulletinTerms
     create_event : callable
         Makes an event with ``wait(timeout)``, ``send()`` and ``ready()``.
     send : callable
@@ -125,7 +138,6 @@
     -------
     Bulletins
     """
-    seeds, planned_senders = terms
     state = BulletinState()
     now, sleep = kernel.clock.now, kernel.clock.sleep
     emit = kernel.find("events").emit
@@ -294,7 +306,7 @@
         meshed = {member.address for member in members.meshed()}
         state.is_relay = own.address in relays
         state.rank = find_rank(own.address, live, relays_by_zone)
-        state.sender_count = max(len(meshed), planned_senders)
+        state.sender_count = max(len(meshed), terms.planned_senders)
         in_mesh = own.address in meshed
         targets = {host.address for host in relays_by_zone.get(own.zone, ())}
         if state.is_relay:
@@ -329,7 +341,7 @@
         """Ask the seeds while alone, and one random host now and then."""
         if len(live) == 1 and now() - state.seeded_at > SEED_SECONDS:
             state.seeded_at = now()
-            for address in seeds():
+            for address in terms.seeds():
                 if address != own.address:
                     send(address, compose(wants_reply=True))
         if now() - state.gossiped_at < GOSSIP_SECONDS:
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -173,12 +173,12 @@
     planned = len(settings.zones) * members.CALLER_HOSTS_PER_ZONE
     exchange = bulletins.create(
         kernel,
-        (lambda: settings.seeds, planned),
+        bulletins.BulletinTerms(lambda: settings.seeds, planned),
         eventlet.event.Event,
         send,
         transports.create_fetch(settings.control_port),
     )
-    codec = (documents.encode_objects, documents.decode_objects)
+    codec = readers.DocumentCodec(documents.encode_objects, documents.decode_objects)
     readers.create(kernel, codec, adapter.trim, exchange.rank)
     return lambda: kernel.spawn(receive_forever, exchange.receive)
 
--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -57,14 +57,17 @@
 class Members(NamedTuple):
     """``members``: the fleet as this host sees it.
 
-    ``hear(address, bulletin)`` takes what a host said of itself, ``learn(member)`` what
-    another said of it. ``live()`` gives the hosts that run, this one included.
-    ``caller_hosts(zone)`` are those that callers of a zone should use, ``relays(zone)``
-    those that read the store for a zone, ``meshed()`` all that send requests to
-    upstreams, with ``reached()`` the share of them that was heard directly.
-    ``describe()`` gives all of them with their ages. ``is_stopping`` and
-    ``stop()`` tell of this host's own end; ``note_request()`` counts a request here and
-    ``tick(seconds)`` turns the count into a load.
+    ``hear(address, bulletin)`` takes what a host said of itself and returns True when
+    it is new; ``learn(member)`` takes what another said of it. ``live()`` gives the
+    hosts that run, this one included. ``caller_hosts(zone)`` are those that callers of
+    a zone should use, ``relays(zone)`` those that read the store for a zone, and
+    ``meshed()`` all that send requests to upstreams. ``reached()`` gives how many of
+    those that serve were heard directly, and how many there are. ``describe()`` gives
+    all hosts with their ages.
+
+    ``is_stopping`` and ``stop()`` tell of this host's own end; ``note_request()``
+    counts a request here, ``tick(seconds)`` turns the count into ``load()``, and
+    ``is_serving()`` tells whether that is more than the checks which reach every host.
     """
 
     own: OwnHost
--- a/trefoilpin/gateway/readers.py
+++ b/trefoilpin/gateway/readers.py
@@ -23,7 +23,14 @@
 )
 from trefoilpin.gateway.loops import repeat
 
-__all__ = ["LAPSE_SECONDS", "OUTAGE_SECONDS", "ReadTerms", "create"]
+__all__ = [
+    "DocumentCodec",
+    "LAPSE_SECONDS",
+    "OUTAGE_SECONDS",
+    "ReadTerms",
+    "Readers",
+    "create",
+]
 
 # Upstreams whose entries lapsed in an outage write them anew within this time.
 LAPSE_SECONDS = 2.2
@@ -37,6 +44,13 @@
 MOST_RANK = 12
 
 
+class DocumentCodec(NamedTuple):
+    """Turns objects by name into a document, and one back into a ``Result``."""
+
+    encode: Callable
+    decode: Callable
+
+
 class ReadTerms(NamedTuple):
     """How one kind is read.
 
@@ -89,8 +103,7 @@
     Parameters
     ----------
     kernel : Kernel
-    codec : tuple of callable
-        Encodes objects by name as a document, and decodes one to a ``Result``.
+    codec : DocumentCodec
     trim : callable
         ``trim(kind, content)`` leaves out of an object what only tells that its writer
         lives; None for an object that can't be used.
@@ -101,7 +114,6 @@
     -------
     Readers
     """
-    encode, decode = codec
     state = ReaderState()
     now, sleep = kernel.clock.now, kernel.clock.sleep
     emit = kernel.find("events").emit
@@ -126,7 +138,7 @@
         stamp = knowledge.stamp(kind)
         known_digest, held = state.objects_by_kind.get(kind, (None, {}))
         if known_digest != stamp.digest:
-            held = decode(knowledge.document(kind)).value_or({})
+            held = codec.decode(knowledge.document(kind)).value_or({})
             state.objects_by_kind[kind] = (stamp.digest, held)
         return held
 
@@ -178,7 +190,7 @@
                 after[name] = before[name]
 
     def offer(kind, objects_by_name, revision, started):
-        document = encode(objects_by_name)
+        document = codec.encode(objects_by_name)
         state.objects_by_kind[kind] = (digest(document), objects_by_name)
         knowledge.offer(kind, revision, document, now() - started)
 
--- a/trefoilpin/tests/gateway/test_bulletins.py
+++ b/trefoilpin/tests/gateway/test_bulletins.py
@@ -63,7 +63,7 @@
         upstreams.create(kernel, zone, lambda: 1)
         self.bulletins = bulletins.create(
             kernel,
-            (lambda: ("10.0.0.1", "10.0.0.2"), 1),
+            bulletins.BulletinTerms(lambda: ("10.0.0.1", "10.0.0.2"), 1),
             InstantEvent,
             self.send,
             self.fetch,
--- a/trefoilpin/tests/gateway/test_readers.py
+++ b/trefoilpin/tests/gateway/test_readers.py
@@ -40,7 +40,7 @@
     decode_by_kind = dict.fromkeys(knowledge_module.KINDS, documents.decode_objects)
     known = knowledge_module.create(kernel, decode_by_kind)
     place = [0]
-    codec = (documents.encode_objects, documents.decode_objects)
+    codec = readers.DocumentCodec(documents.encode_objects, documents.decode_objects)
 
     def trim(kind, content):
         return content if isinstance(content, dict) else None
