--- a/trefoilpin/gateway/readers.py
+++ b/trefoilpin/gateway/readers.py
@@ -73,8 +73,8 @@
 # reader lives, a relay's knowledge is as old as the period and one bulletin (0.5 s); a
 # takeover has to leave the time of one call and two bulletins.
 TERMS_BY_KIND = {
-    CONFIGURATION: ReadTerms(0.6, 1.35, 0.05),
-    UPSTREAMS: ReadTerms(0.6, 1.35, 0.05),
+    CONFIGURATION: ReadTerms(0.6, 1.35, 0.1),
+    UPSTREAMS: ReadTerms(0.6, 1.35, 0.1),
     ZONES_OUT: ReadTerms(1.4, 2.4, 0.2),
 }
 
