--- a/trefoilpin/tests/gateway/test_readers.py
+++ b/trefoilpin/tests/gateway/test_readers.py
@@ -14,6 +14,8 @@
 # A draining upstream, and a version of the configuration, must be known by then.
 BOUND_SECONDS = 2.0
 BULLETIN_SECONDS = 0.1
+# A host that is told each 0.4 s, with jitter, hears at least once in this time.
+SLOWEST_BULLETIN_SECONDS = 0.5
 
 
 class Script:
@@ -108,6 +110,18 @@
     assert service.step(CONFIGURATION)
 
 
+@pytest.mark.parametrize("rank, hops", [(1, 1), (6, 2)])
+def test_nobody_takes_over_from_a_reader_that_lives(reader, rank, hops):
+    """The first of three zones' six relays, and the first host that is none."""
+    service, known, script, clock, place, _ = reader
+    script.answers = [listing(5, main={"a": 1})]
+    service.step(CONFIGURATION)
+    place[0] = rank
+    period = readers.TERMS_BY_KIND[CONFIGURATION].period + readers.IDLE_SECONDS
+    clock.time += period + hops * SLOWEST_BULLETIN_SECONDS
+    assert not service.step(CONFIGURATION)
+
+
 def test_entries_that_lapsed_in_an_outage_stay_for_a_while(reader):
     service, known, script, clock, _, _ = reader
     script.answers = [listing(5, u1={"x": 1}, u2={"x": 2})]
