Views of the fleet that agree at 128 hosts: silence marked by relays

Cause: word of a host of another zone passes two relays and is up to 3.5 s old, but a host counted as gone at 1.8 s. Change: a host that tells another regularly says so and is missed after 1.8 s; others count as running for 6 s unless a relay marks them silent; what changed, and the hosts that callers use, go with every bulletin of a relay; a survey of the view is made once in 50 ms.

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -53,6 +53,7 @@
         is_stopping=False,
         is_serving=True,
         wants_reply=False,
+        tells_on=True,
         knowledge_age=0.4,
         stamps=tuple(Stamp(kind, 5, 6, 0.4) for kind in (CONFIGURATION, UPSTREAMS)),
         members=tuple(rows),
--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -494,6 +494,13 @@
     ("host", "zone"),
     "A host was silent for so long that it is forgotten.",
 )
+MEMBER_SILENT = Event(
+    722,
+    "member_silent",
+    logging.INFO,
+    ("host", "zone"),
+    "A host that should be heard regularly is not, here or at a relay of its zone.",
+)
 SOUNDNESS_CHANGED = Event(
     730,
     "soundness_changed",
--- a/trefoilpin/gateway/bulletin_codecs.py
+++ b/trefoilpin/gateway/bulletin_codecs.py
@@ -28,7 +28,7 @@
 MEMBER = struct.Struct("!4sBBQHHHH")
 HUNDREDTHS = 100
 LARGEST = 0xFFFF
-STOPPING, SERVING = 1, 2
+STOPPING, SERVING, SILENT = 1, 2, 4
 ZONE_SEPARATOR = b"\0"
 HEAD = struct.Struct("!H")
 MALFORMED = (
@@ -47,17 +47,18 @@
     return int(min(max(number, 0.0) * scale, LARGEST))
 
 
-@functools.lru_cache(maxsize=1)
+@functools.lru_cache(maxsize=2)
 def pack_members(members):
     """Return members as fixed rows after the names of their zones.
 
-    A relay tells one view to all hosts of its zone, so the last one is kept.
+    A relay tells the same rows to all hosts of its zone, so the last ones are kept.
     """
     zones = sorted({member.zone for member in members})
     names = ZONE_SEPARATOR.join(zone.encode() for zone in zones)
     parts = [HEAD.pack(len(names)), names]
     for member in members:
         flags = STOPPING * member.is_stopping | SERVING * member.is_serving
+        flags |= SILENT * member.is_silent
         parts.append(
             MEMBER.pack(
                 ipaddress.IPv4Address(member.address).packed,
@@ -94,6 +95,7 @@
                 bool(flags & STOPPING),
                 bool(flags & SERVING),
                 knowledge_age / HUNDREDTHS,
+                bool(flags & SILENT),
             )
         )
     return tuple(members)
@@ -112,6 +114,7 @@
         stopping=bulletin.is_stopping,
         serving=bulletin.is_serving,
         wants_reply=bulletin.wants_reply,
+        tells_on=bulletin.tells_on,
         knowledge_age=bulletin.knowledge_age,
         stamps=[StampStruct(*stamp) for stamp in bulletin.stamps],
         members=pack_members(bulletin.members),
@@ -194,6 +197,7 @@
         message.stopping,
         message.serving,
         message.wants_reply,
+        message.tells_on,
         message.knowledge_age,
         tuple(stamps),
         unpack_members(message.members),
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -94,7 +94,7 @@
         self.seeded_at = float("-inf")
         self.gossiped_at = float("-inf")
         self.fetching: set[str] = set()
-        self.view: tuple[float, tuple] = (float("-inf"), ())
+        self.rows_by_function: dict = {}
         self.admitted_before: dict[str, int] = {}
 
 
@@ -149,8 +149,8 @@
     queues = kernel.find("queues")
     own = members.own
 
-    def compose(with_stamps=True, with_members=False, wants_reply=False):
-        """Return a bulletin on this host and, if asked for, on what it knows."""
+    def compose(with_stamps=True, rows=(), wants_reply=False):
+        """Return a bulletin on this host, on what it knows and on some members."""
         state.sequence += 1
         stamps = tuple(knowledge.stamp(kind) for kind in KINDS) if with_stamps else ()
         return Bulletin(
@@ -163,9 +163,10 @@
             is_stopping=members.is_stopping(),
             is_serving=members.is_serving(),
             wants_reply=wants_reply,
+            tells_on=False,
             knowledge_age=knowledge.age(CONFIGURATION),
             stamps=stamps,
-            members=view() if with_members else (),
+            members=rows,
             outcomes=(),
             in_flight_by_upstream={},
             admitted_by_account={},
@@ -173,23 +174,30 @@
             breaks=suspects.notes(),
         )
 
-    def view():
-        """Return the view of the fleet, the same for all who are told it together."""
-        made_at, rows = state.view
+    def rows_of(describe):
+        """Return rows on members, the same for all who are told them together."""
+        made_at, rows = state.rows_by_function.get(describe, (float("-inf"), ()))
         if now() - made_at > VIEW_SECONDS:
-            # Ages must hold for as long as the view is used.
-            rows = tuple(
-                row._replace(age=row.age + VIEW_SECONDS) for row in members.describe()
-            )
-            state.view = (now(), rows)
+            # Ages must hold for as long as the rows are used.
+            rows = tuple(row._replace(age=row.age + VIEW_SECONDS) for row in describe())
+            state.rows_by_function[describe] = (now(), rows)
         return rows
 
+    def view():
+        return rows_of(members.describe)
+
+    def rows_for(peer):
+        """Return the rows a relay tells: all of them now and then, else what is new."""
+        if not peer.hears_store:
+            return ()
+        if now() - peer.members_at <= MEMBERS_SECONDS:
+            return rows_of(members.news)
+        peer.members_at = now()
+        return view()
+
     def compose_for(peer):
         """Return what one host has to hear."""
-        with_members = state.is_relay and now() - peer.members_at > MEMBERS_SECONDS
-        if with_members:
-            peer.members_at = now()
-        bulletin = compose(peer.hears_store, with_members)
+        bulletin = compose(peer.hears_store, rows_for(peer))._replace(tells_on=True)
         if peer.hears_store and peer.zone == own.zone:
             bulletin = bulletin._replace(documents=documents_for(peer))
         if not peer.is_meshed:
@@ -223,7 +231,7 @@
         found = []
         for kind in KINDS:
             found.extend(small_document(kind, knowledge.stamp(kind)))
-        return compose(with_members=True)._replace(documents=tuple(found))
+        return compose(rows=view())._replace(documents=tuple(found))
 
     def admitted():
         counts = rates.admitted()
@@ -258,7 +266,7 @@
         if bulletin.wants_reply:
             send(address, introduce())
         elif is_new:
-            send(address, compose(with_members=True))
+            send(address, compose(rows=view()))
 
     def fetch_document(address, kind):
         """Get a newer document from the host that told of it."""
@@ -334,8 +342,11 @@
             kernel.spawn(serve_peer, peer)
         told = {host.address for host in hosts}
         for address in list(state.peer_by_address):
-            if address not in told:
-                state.peer_by_address.pop(address).is_told = False
+            if address in told:
+                continue
+            state.peer_by_address.pop(address).is_told = False
+            # It must not miss this host from now on.
+            send(address, compose(with_stamps=False))
 
     def find_fleet(live):
         """Ask the seeds while alone, and one random host now and then."""
@@ -351,13 +362,16 @@
         others = [host.address for host in members.describe()]
         others.remove(own.address)
         if others:
-            send(kernel.rng.choice(others), compose(with_members=state.is_relay))
+            rows = view() if state.is_relay else ()
+            send(kernel.rng.choice(others), compose(False, rows))
 
     def step():
         steward()
         upstreams.watch()
         queues.wake()
-        members.tick(STEWARD_SECONDS)
+        if members.tick(STEWARD_SECONDS) and state.is_relay:
+            state.rows_by_function.clear()
+            wake()
 
     def start():
         kernel.spawn(repeat, sleep, lambda: STEWARD_SECONDS, step)
--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -10,15 +10,20 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
+from trefoilpin.gateway import liveness
+from trefoilpin.gateway.liveness import SILENT_SECONDS
 from trefoilpin.gateway.messages import MemberAge
 
 __all__ = ["Members", "OwnHost", "create"]
 
-# Four bulletins in a row must be lost before a host counts as gone.
-LIVE_SECONDS = 1.8
 FORGET_SECONDS = 30.0
-# Lateness of a datagram that its age does not hold.
-TRANSIT_SECONDS = 0.02
+# Word of the hosts that callers use is renewed with each bulletin of a relay: it is
+# 0.6 s old with no datagram lost, and a caller is sent on from a dead host at once.
+NAMED_SECONDS = 2.5
+# Ages and loads differ little within this time.
+SURVEY_SECONDS = 0.05
+# What changed of a host is told with each bulletin for this time.
+NEWS_SECONDS = 1.0
 # A host whose configuration is older is not named to callers.
 FRESH_SECONDS = 2.8
 CALLER_HOSTS_PER_ZONE = 2
@@ -63,11 +68,12 @@
     a zone should use, ``relays(zone)`` those that read the store for a zone, and
     ``meshed()`` all that send requests to upstreams. ``reached()`` gives how many of
     those that serve were heard directly, and how many there are. ``describe()`` gives
-    all hosts with their ages.
+    all hosts with their ages, ``news()`` those of which others should hear at once.
 
     ``is_stopping`` and ``stop()`` tell of this host's own end; ``note_request()``
-    counts a request here, ``tick(seconds)`` turns the count into ``load()``, and
-    ``is_serving()`` tells whether that is more than the checks which reach every host.
+    counts a request here, ``tick(seconds)`` turns the count into ``load()`` and returns
+    True when another host fell silent or is heard again, and ``is_serving()`` tells
+    whether the load is more than the checks which reach every host.
     """
 
     own: OwnHost
@@ -79,37 +85,37 @@
     meshed: Callable
     reached: Callable
     describe: Callable
+    news: Callable
     is_stopping: Callable[[], bool]
     stop: Callable[[], None]
     note_request: Callable[[], None]
-    tick: Callable[[float], None]
+    tick: Callable[[float], bool]
     load: Callable[[], float]
     is_serving: Callable[[], bool]
 
 
-class Member:
-    """Another host.
+class Survey(NamedTuple):
+    """Hosts that run, as of a moment.
 
     Attributes
     ----------
-    told : MemberAge
-    heard_at : float
-        When the host is known to have run, by anyone.
-    direct_at : float
-        When a message of its own last came here.
+    made_at : float
+    live : tuple of MemberAge
+    live_by_zone : dict
+        In the order of ``rank_key``.
     """
 
-    def __init__(self, told, heard_at):
-        self.told = told
-        self.heard_at = heard_at
-        self.direct_at = float("-inf")
+    made_at: float
+    live: tuple[MemberAge, ...]
+    live_by_zone: dict[str, list[MemberAge]]
 
 
 class MemberState:
     """The view, and this host's own load."""
 
     def __init__(self):
-        self.member_by_address: dict[str, Member] = {}
+        self.survey: Survey | None = None
+        self.member_by_address: dict[str, liveness.Member] = {}
         self.is_stopping = False
         self.requests = 0
         self.load = 0.0
@@ -170,6 +176,7 @@
         member = take(told)
         if member is not None:
             member.direct_at = now()
+            member.tells_on = bulletin.tells_on
         return is_new
 
     def learn(told):
@@ -177,52 +184,81 @@
             take(told)
 
     def take(told):
-        heard_at = now() - told.age - TRANSIT_SECONDS
+        """Return the member that was told of, or None when it says nothing new."""
         member = state.member_by_address.get(told.address)
-        if member is None:
-            if told.age > LIVE_SECONDS:
-                return None
-            member = state.member_by_address[told.address] = Member(told, heard_at)
+        if member is not None:
+            before = member.changed_at
+            taken = liveness.take(member, told, now())
+            if member.changed_at != before:
+                state.survey = None
+            return member if taken else None
+        state.survey = None
+        member = liveness.create_member(told, now())
+        if member is not None:
+            state.member_by_address[told.address] = member
             emit(events.MEMBER_FOUND, host=told.address, zone=told.zone)
-            return member
-        if told.incarnation < member.told.incarnation:
-            return None
-        if told.incarnation > member.told.incarnation or heard_at > member.heard_at:
-            member.told = told
-            member.heard_at = heard_at
         return member
 
     def age(member):
         return now() - member.heard_at
 
-    def live():
-        found = [describe_own()]
+    def survey():
+        """Return who runs, worked out anew when something changed or time passed."""
+        known = state.survey
+        if known is not None and now() - known.made_at < SURVEY_SECONDS:
+            return known
+        live = [describe_own()]
         for member in state.member_by_address.values():
-            if age(member) < LIVE_SECONDS:
-                found.append(member.told)
-        return found
+            if liveness.is_live(member, now()):
+                live.append(member.told)
+        live_by_zone: dict[str, list[MemberAge]] = {}
+        for host in sorted(live, key=rank_key):
+            live_by_zone.setdefault(host.zone, []).append(host)
+        state.survey = Survey(now(), tuple(live), live_by_zone)
+        return state.survey
+
+    def describe_member(member):
+        is_silent = liveness.is_silent(member, now())
+        return member.told._replace(age=age(member), is_silent=is_silent)
+
+    def news():
+        """Return hosts of which something changed, and those that callers use."""
+        by_address = {}
+        for address, member in state.member_by_address.items():
+            if now() - member.changed_at < NEWS_SECONDS:
+                by_address[address] = member
+        for zone in zones():
+            for named in caller_hosts(zone):
+                member = state.member_by_address.get(named.address)
+                if member is not None:
+                    by_address[named.address] = member
+        return tuple(describe_member(member) for member in by_address.values())
+
+    def live():
+        return survey().live
+
+    def of_zone(zone):
+        return survey().live_by_zone.get(zone, ())
 
     def ranked(zone):
-        usable = []
-        for member in live():
-            if member.zone == zone and not member.is_stopping:
-                usable.append(member)
-        return sorted(usable, key=rank_key)
+        return [member for member in of_zone(zone) if not member.is_stopping]
 
     def is_store_away():
         """Tell whether nobody has fresh knowledge though most of the fleet is heard."""
-        heard = live()
+        heard = [member for member in live() if not is_overdue(member.address)]
         if any(member.knowledge_age <= FRESH_SECONDS for member in heard):
             return False
         return len(heard) * 2 > len(state.member_by_address) + 1
 
     def caller_hosts(zone):
         found = []
-        demand = sum(member.load for member in live() if member.zone == zone)
+        demand = sum(member.load for member in of_zone(zone))
         borne = 0.0
         for member in ranked(zone):
             if member.knowledge_age > FRESH_SECONDS and not is_store_away():
                 continue
+            if is_overdue(member.address):
+                continue
             covered = borne * PLANNED_UTILISATION >= demand
             if len(found) >= CALLER_HOSTS_PER_ZONE and covered:
                 break
@@ -230,11 +266,16 @@
             borne += member.capacity
         return found
 
+    def is_overdue(address):
+        """Tell whether a host was not heard of for too long to send callers there."""
+        member = state.member_by_address.get(address)
+        return member is not None and age(member) > NAMED_SECONDS
+
     def relays(zone):
         return ranked(zone)[-RELAYS_PER_ZONE:]
 
     def zones():
-        return sorted({member.zone for member in live()})
+        return sorted(survey().live_by_zone)
 
     def meshed():
         by_address = {}
@@ -255,7 +296,7 @@
             if not told.is_serving or told.is_stopping or age(member) > LOST_SECONDS:
                 continue
             total += 1
-            heard += quiet < LIVE_SECONDS
+            heard += quiet < SILENT_SECONDS
         return heard, total
 
     def describe():
@@ -266,11 +307,12 @@
                 del state.member_by_address[address]
                 emit(events.MEMBER_LOST, host=address, zone=member.told.zone)
                 continue
-            found.append(member.told._replace(age=known_for))
+            found.append(describe_member(member))
         return found
 
     def stop():
         state.is_stopping = True
+        state.survey = None
 
     def note_request():
         state.requests += 1
@@ -280,6 +322,15 @@
         state.requests = 0
         weight = min(seconds / LOAD_SECONDS, 1.0)
         state.load += (rate - state.load) * weight
+        state.survey = None
+        is_changed = False
+        for address, member in state.member_by_address.items():
+            if not liveness.mark(member, now()):
+                continue
+            is_changed = True
+            if member.was_silent:
+                emit(events.MEMBER_SILENT, host=address, zone=member.told.zone)
+        return is_changed
 
     service = Members(
         own,
@@ -291,6 +342,7 @@
         meshed,
         reached,
         describe,
+        news,
         lambda: state.is_stopping,
         stop,
         note_request,
--- a/trefoilpin/gateway/messages.py
+++ b/trefoilpin/gateway/messages.py
@@ -27,6 +27,8 @@
     is_stopping, is_serving : bool
     knowledge_age : float
         Age in seconds of the host's configuration.
+    is_silent : bool
+        True when a host that should hear it regularly does not.
     """
 
     address: str
@@ -38,6 +40,7 @@
     is_stopping: bool
     is_serving: bool
     knowledge_age: float
+    is_silent: bool = False
 
 
 class OutcomeNote(NamedTuple):
@@ -81,6 +84,8 @@
         Whether the host ends, and whether callers use it.
     wants_reply : bool
         True when the sender doesn't know the fleet yet.
+    tells_on : bool
+        True when the sender goes on telling the receiver.
     knowledge_age : float
         Age in seconds of the sender's configuration.
     stamps : tuple of Stamp
@@ -105,6 +110,7 @@
     is_stopping: bool
     is_serving: bool
     wants_reply: bool
+    tells_on: bool
     knowledge_age: float
     stamps: tuple[Stamp, ...]
     members: tuple[MemberAge, ...]
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -37,4 +37,5 @@
   20: list<string> broken_upstreams
   21: double knowledge_age
   22: list<DocumentStruct> documents
+  23: bool tells_on
 }
--- /dev/null
+++ b/trefoilpin/tests/gateway/test_large_fleets.py
@@ -0,0 +1,57 @@
+"""Hosts in the number of the larger deployments agree on who runs and who does what.
+
+The pattern: all start together, each at its own pace afterwards, with a datagram in a
+hundred lost. Where views differ, many hosts take themselves for readers or relays.
+"""
+
+import pytest
+
+from trefoilpin.fakes.bulletin_fleets import Fleet
+from trefoilpin.gateway import members
+
+HOSTS = 128
+ZONES = "abc"
+SETTLING_SECONDS = 6.0
+WATCHED_SECONDS = 5.0
+SAMPLE_SECONDS = 0.5
+
+
+@pytest.fixture(scope="module")
+def settled():
+    """Return a fleet some seconds after its start."""
+    fleet = Fleet(lost=0.01)
+    for number in range(1, HOSTS + 1):
+        fleet.start(number, ZONES[number % len(ZONES)])
+    fleet.run_unaligned(SETTLING_SECONDS)
+    return fleet
+
+
+def test_every_host_knows_all_that_run_all_the_time(settled):
+    least = HOSTS
+    for _ in range(int(WATCHED_SECONDS / SAMPLE_SECONDS)):
+        settled.run_unaligned(SAMPLE_SECONDS)
+        for node in settled.nodes.values():
+            least = min(least, len(node.members.live()))
+    assert least == HOSTS
+
+
+def test_one_host_reads_and_two_of_each_zone_relay(settled):
+    for _ in range(int(WATCHED_SECONDS / SAMPLE_SECONDS)):
+        settled.run_unaligned(SAMPLE_SECONDS)
+        ranks = [node.bulletins.rank() for node in settled.nodes.values()]
+        assert ranks.count(0) == 1
+        for zone in ZONES:
+            views = set()
+            for node in settled.nodes.values():
+                rows = node.members.relays(zone)
+                views.add(tuple(row.address for row in rows))
+            assert len(views) == 1
+            assert len(views.pop()) == members.RELAYS_PER_ZONE
+
+
+def test_a_relay_that_died_is_replaced_for_all_within_three_seconds(settled):
+    gone = settled.nodes.popitem()[1].members.relays("b")[0].address
+    settled.nodes.pop(gone, None)
+    settled.run_unaligned(3.0)
+    for node in settled.nodes.values():
+        assert gone not in [row.address for row in node.members.relays("b")]
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -221,11 +221,12 @@
      - broken_upstreams
      - knowledge_age
      - documents
+     - tells_on
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -248,6 +249,7 @@
         self.broken_upstreams = broken_upstreams
         self.knowledge_age = knowledge_age
         self.documents = documents
+        self.tells_on = tells_on
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -425,6 +427,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.BOOL:
+                    self.tells_on = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -556,6 +563,10 @@
                 iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.tells_on is not None:
+            oprot.writeFieldBegin('tells_on', TType.BOOL, 23)
+            oprot.writeBool(self.tells_on)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -613,6 +624,7 @@
     (20, TType.LIST, 'broken_upstreams', (TType.STRING, 'UTF8', False), None, ),  # 20
     (21, TType.DOUBLE, 'knowledge_age', None, None, ),  # 21
     (22, TType.LIST, 'documents', (TType.STRUCT, [DocumentStruct, None], False), None, ),  # 22
+    (23, TType.BOOL, 'tells_on', None, None, ),  # 23
 )
 fix_spec(all_structs)
 del all_structs
