Rates: count requests over the platform's window, and in proportion after a change

After a lowered rate, what had been given under the old one weighed in full. Change: a sliding count over the window of the settings beside the burst; counts of other hosts are kept before an account is first asked for here, so that one that moves to other hosts brings its past; counts are scaled when a rate changes.

--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -64,6 +64,8 @@
         Seconds between the signal to stop and the kill.
     retry_share, retry_slack, retry_window : float
         Retries allowed for each request, and beyond that in a window of seconds.
+    rate_window : float
+        Seconds over which an account's requests are counted against its rate.
     """
 
     name: str
@@ -79,6 +81,7 @@
     retry_share: float
     retry_slack: float
     retry_window: float
+    rate_window: float
 
 
 class Adapter(NamedTuple):
@@ -148,7 +151,7 @@
     fleet = members.create(
         kernel, settings.own, lambda: known.age(knowledge.CONFIGURATION)
     )
-    rate_terms = rates.RateTerms(settings.is_first_start, planned)
+    rate_terms = rates.RateTerms(settings.is_first_start, planned, settings.rate_window)
     rates.create(kernel, rate_terms, fleet.reached)
     suspects.create(kernel)
     queues.create(kernel, eventlet.event.Event)
--- a/trefoilpin/gateway/rates.py
+++ b/trefoilpin/gateway/rates.py
@@ -1,13 +1,15 @@
 """Rates of client accounts over the whole fleet, by counts that hosts share.
 
-Every host runs one token bucket an account and takes out of it what it admitted itself
-and what the others say they admitted, so each holds the whole rate without asking for
-leave. What is admitted twice before the counts arrive is owed: the level goes below
-zero. A host that hears only some of those that serve uses just their share of the rate,
-and those left without it leave the share of the missing ones alone for a while, so that
-both sides of a cut together stay within the rate.
+An account may have ``rate * window + burst`` requests in any window of some seconds,
+and ``burst`` at once. Every host counts what it admitted itself and what the others
+say they admitted, so each holds the whole rate without asking for leave. What is
+admitted twice before the counts arrive is owed. A host that hears only some of those
+that serve uses just their share of the rate, and those left without it leave the share
+of the missing ones alone for a while, so that both sides of a cut together stay within
+the rate.
 """
 
+from collections import deque
 from typing import Callable, NamedTuple
 
 from returns.result import Failure, Success
@@ -16,10 +18,10 @@
 
 __all__ = ["RateTerms", "Rates", "create"]
 
-# Part of a burst that is given out; late counts of other hosts are owed afterwards.
-USABLE_BURST = 1.0
-# A new bucket of a daemon that restarts holds this many seconds of its rate: what the
-# fleet gave out before is not known to it.
+# Counts are kept for spans of this length until they leave the window.
+SPAN_SECONDS = 0.1
+# A daemon that restarts begins with this many seconds of each rate: what the fleet
+# gave out before is not known to it.
 INITIAL_SECONDS = 0.1
 # Counts of a host's past come within this time after it is first heard.
 BASELINE_SECONDS = 3.0
@@ -28,7 +30,7 @@
 
 
 class RateTerms(NamedTuple):
-    """What a bucket starts with.
+    """What the deployment tells of rates.
 
     Attributes
     ----------
@@ -36,10 +38,13 @@
         True only when the whole system starts for the first time.
     planned_hosts : int
         Hosts among which a rate is divided until the fleet is known.
+    window_seconds : float
+        Time over which an account's requests are counted against its rate.
     """
 
     starts_full: bool
     planned_hosts: int
+    window_seconds: float
 
 
 class Rates(NamedTuple):
@@ -57,12 +62,50 @@
     admitted: Callable[[], dict]
 
 
-class Bucket:
-    """Tokens of one account over the whole fleet."""
+class Spending:
+    """What one account was given of late, over the whole fleet.
 
-    def __init__(self, level, filled_at):
-        self.level = level
-        self.filled_at = filled_at
+    Attributes
+    ----------
+    level : float or None
+        Requests that may come at once; None before the account was asked for here.
+    filled_at : float
+    limit : float or None
+        Requests allowed in a window when the counts were last scaled.
+    spans : deque of [float, float]
+        Start of a span of time, and requests counted in it.
+    total : float
+        Sum over the spans.
+    """
+
+    def __init__(self, now):
+        self.level: float | None = None
+        self.filled_at = now
+        self.limit: float | None = None
+        self.spans: deque[list[float]] = deque()
+        self.total = 0.0
+
+    def add(self, count, now):
+        """Count requests that were admitted, or take some back."""
+        if self.level is not None:
+            self.level -= count
+        self.total += count
+        if not self.spans or now - self.spans[-1][0] >= SPAN_SECONDS:
+            self.spans.append([now, 0.0])
+        self.spans[-1][1] += count
+
+    def forget(self, before):
+        """Drop what was counted before a time."""
+        while self.spans and self.spans[0][0] < before:
+            self.total -= self.spans.popleft()[1]
+
+    def scale(self, limit):
+        """Count what was given under another rate in proportion to the new one."""
+        factor = limit / (self.limit or limit)
+        self.limit = limit
+        self.total *= factor
+        for span in self.spans:
+            span[1] *= factor
 
 
 class HostCounts:
@@ -78,10 +121,11 @@
 
 
 class RateState:
-    """Buckets, and what every host admitted."""
+    """What was given to each account, and what every host admitted."""
 
-    def __init__(self):
-        self.bucket_by_account: dict[str, Bucket] = {}
+    def __init__(self, now):
+        self.started_at = now
+        self.spending_by_account: dict[str, Spending] = {}
         self.admitted_by_account: dict[str, int] = {}
         self.counts_by_host: dict[str, HostCounts] = {}
 
@@ -100,8 +144,9 @@
     -------
     Rates
     """
-    state = RateState()
     now = kernel.clock.now
+    state = RateState(now())
+    window = terms.window_seconds
 
     def usable_share():
         """Return the part of every rate that this host may give out."""
@@ -112,43 +157,57 @@
             return 1.0 / max(total, terms.planned_hosts)
         return heard / total
 
-    def fill(account):
-        bucket = state.bucket_by_account.get(account.id)
-        burst = max(account.burst * USABLE_BURST, 1.0)
-        share = usable_share()
-        if bucket is None:
-            initial = account.rate * INITIAL_SECONDS * share
-            level = burst if terms.starts_full else initial
-            bucket = Bucket(min(level, burst), now())
-            state.bucket_by_account[account.id] = bucket
-        elapsed = max(now() - bucket.filled_at, 0.0)
-        bucket.filled_at = now()
-        limit = max(burst * share, 1.0)
-        bucket.level = min(bucket.level + elapsed * account.rate * share, limit)
-        return bucket, share
+    def knows_past():
+        """Tell whether all that was given within the last window was counted here."""
+        return terms.starts_full or now() - state.started_at > window
+
+    def find(account, limit, share):
+        spending = state.spending_by_account.setdefault(account.id, Spending(now()))
+        if spending.level is None:
+            burst = account.burst if knows_past() else account.rate * INITIAL_SECONDS
+            spending.level = max(burst * share - spending.total, 1.0)
+        if spending.limit != limit:
+            spending.scale(limit)
+        return spending
+
+    def refill(account, spending, share):
+        """Let time pass for an account, and return the requests it gets a second."""
+        pace = account.rate
+        if knows_past():
+            pace += account.burst / window
+        elapsed = max(now() - spending.filled_at, 0.0)
+        spending.filled_at = now()
+        most = max(account.burst * share, 1.0)
+        spending.level = min(spending.level + elapsed * pace * share, most)
+        spending.forget(now() - window)
+        return pace * share
 
     def admit(account):
         if account.rate <= 0:
             return Success(account)
-        bucket, share = fill(account)
-        if bucket.level < 1.0:
-            return Failure(refuse(account, bucket, share))
-        bucket.level -= 1.0
+        share = usable_share()
+        limit = account.rate * window + account.burst
+        spending = find(account, limit, share)
+        pace = refill(account, spending, share)
+        allowed = max(limit * share, 1.0)
+        if spending.level < 1.0 or spending.total + 1.0 > allowed:
+            return Failure(refuse(account, spending, allowed, pace))
+        spending.add(1, now())
         count = state.admitted_by_account.get(account.id, 0)
         state.admitted_by_account[account.id] = count + 1
         return Success(account)
 
-    def refuse(account, bucket, share):
-        wait = (1.0 - bucket.level) / (account.rate * share)
-        wait = min(max(wait, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
+    def refuse(account, spending, allowed, pace):
+        missing = max(1.0 - spending.level, spending.total + 1.0 - allowed)
+        wait = min(max(missing / pace, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
         detail = f"account {account.id} is over its rate of {account.rate:g} a second"
         return Refusal(Reason.RATE_EXCEEDED, Verdict.NOT_RUN, detail, wait)
 
     def take_back(account):
-        bucket = state.bucket_by_account.get(account.id)
-        if bucket is None or account.rate <= 0:
+        spending = state.spending_by_account.get(account.id)
+        if spending is None or account.rate <= 0:
             return
-        bucket.level += 1.0
+        spending.add(-1, now())
         state.admitted_by_account[account.id] -= 1
 
     def learn(host, incarnation, count_by_account):
@@ -164,9 +223,12 @@
             if before is None:
                 before = count if now() < known.baseline_until else 0
             known.count_by_account[account] = max(count, before)
-            bucket = state.bucket_by_account.get(account)
-            if bucket is not None and count > before:
-                bucket.level -= count - before
+            if count > before:
+                spending = state.spending_by_account.setdefault(
+                    account, Spending(now())
+                )
+                spending.add(count - before, now())
+                spending.forget(now() - window)
 
     def admitted():
         return state.admitted_by_account
--- a/trefoilpin/tests/gateway/test_rates.py
+++ b/trefoilpin/tests/gateway/test_rates.py
@@ -28,7 +28,7 @@
             self.clock = self.clock or clock
             shared = kernel.clock._replace(now=self.clock.now)
             kernel = kernel._replace(clock=shared)
-            terms = rates.RateTerms(starts_full, count)
+            terms = rates.RateTerms(starts_full, count, WINDOW_SECONDS)
             self.hosts.append(
                 rates.create(kernel, terms, lambda number=number: self.reached[number])
             )
@@ -42,17 +42,27 @@
                         self.hosts[one].learn(f"h{other}", 1, counts)
 
 
-def play(fleet, seconds, per_second, groups, step=0.1, rng=None):
+def play(
+    fleet,
+    seconds,
+    per_second,
+    groups,
+    step=0.1,
+    rng=None,
+    account=ACCOUNT,
+    hosts=None,
+):
     """Return the times of admitted requests, spread over the hosts."""
     rng = rng or random.Random(3)
+    chosen = [fleet.hosts[place] for place in hosts] if hosts else fleet.hosts
     times = []
     owed = 0.0
     for _ in range(int(seconds / step)):
         owed += per_second * step
         while owed >= 1:
             owed -= 1
-            host = rng.choice(fleet.hosts)
-            if isinstance(host.admit(ACCOUNT), Success):
+            host = rng.choice(chosen)
+            if isinstance(host.admit(account), Success):
                 times.append(fleet.clock.time)
         fleet.clock.time += step
         fleet.share(groups)
@@ -84,6 +94,30 @@
     assert len(times) >= 449
 
 
+def test_what_stays_within_rate_and_burst_in_every_window_is_never_refused():
+    """An account that sends more than its rate for long, and less than the burst."""
+    fleet = Fleet(6)
+    per_second = (ACCOUNT.rate * WINDOW_SECONDS + ACCOUNT.burst) / WINDOW_SECONDS - 2
+    times = play(fleet, 20, per_second, [range(6)])
+    assert len(times) >= per_second * 20 - 1
+
+
+def test_a_lowered_rate_is_kept_and_still_given_out():
+    fleet = Fleet(6)
+    play(fleet, 6, 50, [range(6)])
+    lowered = ACCOUNT._replace(rate=10.0, burst=10.0)
+    times = play(fleet, 6, 20, [range(6)], account=lowered)
+    assert len(times) >= 0.8 * 10 * 6
+    assert busiest_window(times) <= (10 * WINDOW_SECONDS + 10) * OVERSHOOT + SLACK
+
+
+def test_an_account_that_moves_to_other_hosts_brings_its_past():
+    fleet = Fleet(6)
+    times = play(fleet, 6, 350, [range(6)], hosts=(0, 1))
+    times += play(fleet, 3, 350, [range(6)], hosts=(4, 5))
+    assert busiest_window(times) <= allowed()
+
+
 def test_hosts_cut_in_two_stay_within_the_rate_together():
     fleet = Fleet(6)
     play(fleet, 3, 100, [range(6)])
