Seeds read at once and tell those that asked before they had read

Change: a seed does not wait before its first list; hosts that asked are told as soon as something is known; a host that knows nobody waits 1 s for a seed before it reads.

--- a/trefoilpin/fakes/bulletin_fleets.py
+++ b/trefoilpin/fakes/bulletin_fleets.py
@@ -28,6 +28,9 @@
 STEP_SECONDS = 0.05
 STEWARD = bulletins.STEWARD_SECONDS
 BEAT = bulletins.ALIVE_SECONDS
+# Datagrams wait for the processors of small hosts.
+LATENCY = 0.03
+STEP, TELL, DELIVER = "step", "tell", "deliver"
 
 
 class InstantEvent:
@@ -100,6 +103,8 @@
         self.rng = random.Random(5)
         self.cut = frozenset()
         self.fetches = 0
+        self.events = None
+        self.order = iter(range(1 << 60))
 
     def start(self, number, zone, incarnation=1):
         node = Node(self, number, zone, incarnation)
@@ -112,8 +117,20 @@
             return
         if (source in self.cut) != (target in self.cut):
             return
-        decoded = bulletin_codecs.decode(bulletin_codecs.encode(bulletin)).unwrap()
-        node.bulletins.receive(source, decoded)
+        data = bulletin_codecs.encode(bulletin)
+        if self.events is None:
+            self.deliver(source, target, data)
+            return
+        at = self.clock.time + LATENCY * (0.5 + self.rng.random())
+        heapq.heappush(
+            self.events, (at, next(self.order), DELIVER, (source, target, data))
+        )
+
+    def deliver(self, source, target, data):
+        node = self.nodes.get(target)
+        if node is not None:
+            decoded = bulletin_codecs.decode(data).unwrap()
+            node.bulletins.receive(source, decoded)
 
     def run(self, seconds):
         steps = int(round(seconds / STEP_SECONDS))
@@ -127,19 +144,25 @@
 
     def run_unaligned(self, seconds):
         """Run with hosts that act at moments of their own, as real ones do."""
-        due = []
+        self.events = events = []
         for node in self.nodes.values():
-            due.append((self.clock.time + self.rng.random() * STEWARD, node, True))
-            due.append((self.clock.time + self.rng.random() * BEAT, node, False))
-        order = iter(range(1 << 60))
-        events = [(at, next(order), node, steps) for at, node, steps in due]
-        heapq.heapify(events)
+            for act, period in ((STEP, STEWARD), (TELL, BEAT)):
+                at = self.clock.time + self.rng.random() * period
+                heapq.heappush(events, (at, next(self.order), act, node))
         until = self.clock.time + seconds
         while events[0][0] < until:
-            self.clock.time, _, node, steps = heapq.heappop(events)
-            if self.nodes.get(node.address) is not node:
+            self.clock.time, _, act, subject = heapq.heappop(events)
+            if act == DELIVER:
+                self.deliver(*subject)
+                continue
+            if self.nodes.get(subject.address) is not subject:
                 continue
-            (node.bulletins.step if steps else node.bulletins.tell_all)()
-            pause = (STEWARD if steps else BEAT) * (0.8 + 0.4 * self.rng.random())
-            heapq.heappush(events, (self.clock.time + pause, next(order), node, steps))
+            if act == STEP:
+                subject.bulletins.step()
+            else:
+                subject.bulletins.tell_all()
+            pause = (STEWARD if act == STEP else BEAT) * (0.8 + 0.4 * self.rng.random())
+            at = self.clock.time + pause
+            heapq.heappush(events, (at, next(self.order), act, subject))
+        self.events = None
         self.clock.time = until
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -24,7 +24,14 @@
 FAR_SECONDS = 0.4
 # Outcomes of this time go out together.
 GATHER_SECONDS = 0.015
-SEED_SECONDS = 0.25
+SEED_SECONDS = 0.15
+# A host that asked while this one knew no configuration is told one that comes within
+# this time; later it asks again.
+ASKED_SECONDS = 1.0
+# By this time after the start most other hosts are known, so that not all read.
+SETTLE_SECONDS = 0.3
+# A seed that runs answers within milliseconds; without any, a host reads by itself.
+ALONE_SECONDS = 1.0
 MEMBERS_SECONDS = 1.0
 GOSSIP_SECONDS = 1.0
 # A view is put together and encoded once for all hosts that are told within this time.
@@ -55,7 +62,8 @@
     """``bulletins``: what hosts tell each other.
 
     ``receive(address, bulletin)`` takes one, ``wake()`` has all go out at once,
-    ``rank()`` is this host's place in the order of those that read the store, and
+    ``rank()`` is this host's place in the order of those that read the store,
+    ``settle()`` the seconds after the start in which it leaves that to others, and
     ``sender_count()`` the number of hosts that send requests to upstreams. ``step()``
     works out the roles and ``tell_all()`` tells every host now; the tasks call both.
     """
@@ -63,6 +71,7 @@
     receive: Callable
     wake: Callable
     rank: Callable
+    settle: Callable[[], float]
     sender_count: Callable
     step: Callable[[], None]
     tell_all: Callable[[], None]
@@ -94,6 +103,7 @@
         self.seeded_at = float("-inf")
         self.gossiped_at = float("-inf")
         self.fetching: set[str] = set()
+        self.asked_at_by_host: dict[str, float] = {}
         self.rows_by_function: dict = {}
         self.admitted_before: dict[str, int] = {}
 
@@ -264,10 +274,19 @@
             rates.learn(*host, bulletin.admitted_by_account)
             queues.wake()
         if bulletin.wants_reply:
+            state.asked_at_by_host[address] = now()
             send(address, introduce())
         elif is_new:
             send(address, compose(rows=view()))
 
+    def tell_askers():
+        """Tell what is new to the hosts that asked before this one knew it."""
+        for address, asked_at in list(state.asked_at_by_host.items()):
+            if now() - asked_at > ASKED_SECONDS:
+                del state.asked_at_by_host[address]
+                continue
+            send(address, introduce())
+
     def fetch_document(address, kind):
         """Get a newer document from the host that told of it."""
         try:
@@ -387,13 +406,24 @@
             if is_near and not peer.news.ready():
                 peer.news.send()
 
+    def settle():
+        if own.address in terms.seeds():
+            return 0.0
+        return ALONE_SECONDS if len(members.live()) == 1 else SETTLE_SECONDS
+
+    def hear_news(value):
+        tell_askers()
+        if state.is_relay:
+            wake()
+
     for kind in KINDS:
-        knowledge.subscribe(kind, lambda value: wake() if state.is_relay else None)
+        knowledge.subscribe(kind, hear_news)
     upstreams.on_news(wake_near)
     service = Bulletins(
         receive,
         wake,
         lambda: state.rank,
+        settle,
         lambda: state.sender_count,
         step,
         tell_all,
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -182,7 +182,7 @@
         transports.create_fetch(settings.control_port),
     )
     codec = readers.DocumentCodec(documents.encode_objects, documents.decode_objects)
-    readers.create(kernel, codec, adapter.trim, exchange.rank)
+    readers.create(kernel, codec, adapter.trim, exchange.rank, exchange.settle)
     return lambda: kernel.spawn(receive_forever, exchange.receive)
 
 
--- a/trefoilpin/gateway/readers.py
+++ b/trefoilpin/gateway/readers.py
@@ -39,8 +39,6 @@
 FIRST_PAUSE_SECONDS = 0.2
 MOST_PAUSE_SECONDS = 1.6
 IDLE_SECONDS = 0.1
-# By this time after the start most other hosts are known, so that not all read.
-SETTLE_SECONDS = 0.3
 MOST_RANK = 12
 
 
@@ -97,7 +95,7 @@
     step: Callable[[str], bool]
 
 
-def create(kernel, codec, trim, rank):
+def create(kernel, codec, trim, rank, settle):
     """Create the service ``readers``.
 
     Parameters
@@ -109,6 +107,8 @@
         lives; None for an object that can't be used.
     rank : callable
         This host's place in the order of readers, from 0.
+    settle : callable
+        Seconds after the start in which this host leaves reading to others.
 
     Returns
     -------
@@ -124,7 +124,7 @@
 
     def is_due(kind):
         running = now() - started_at
-        if running < SETTLE_SECONDS or now() < state.paused_until_by_kind[kind]:
+        if running < settle() or now() < state.paused_until_by_kind[kind]:
             return False
         place = rank()
         if place == 0:
--- a/trefoilpin/tests/gateway/test_bulletins.py
+++ b/trefoilpin/tests/gateway/test_bulletins.py
@@ -67,6 +67,29 @@
     assert fleet.fetches == before
 
 
+def test_hosts_that_asked_too_early_are_told_as_soon_as_a_seed_has_read():
+    """All start at once; the configuration is there 50 ms after the seeds run."""
+    fleet = Fleet()
+    for number in range(1, 13):
+        fleet.start(number, "abc"[number % 3]).bulletins.step()
+    seed = fleet.nodes["10.0.0.1"]
+    assert seed.bulletins.settle() == 0.0
+    assert fleet.nodes["10.0.0.7"].bulletins.settle() > 0.0
+    fleet.clock.time += 0.05
+    seed.put(CONFIGURATION, 7, "new")
+    for node in fleet.nodes.values():
+        assert node.knowledge.value(CONFIGURATION) == "new"
+
+
+def test_a_host_that_knows_nobody_waits_longer_for_a_seed():
+    fleet = Fleet()
+    alone = fleet.start(9, "a")
+    settling = alone.bulletins.settle()
+    fleet.start(1, "a")
+    alone.bulletins.step()
+    assert alone.bulletins.settle() < settling
+
+
 def test_ages_are_never_younger_than_the_reading():
     fleet = start_fleet()
     reader_of(fleet).put(CONFIGURATION, 7, "new")
--- a/trefoilpin/tests/gateway/test_readers.py
+++ b/trefoilpin/tests/gateway/test_readers.py
@@ -16,6 +16,7 @@
 BULLETIN_SECONDS = 0.1
 # A host that is told each 0.4 s, with jitter, hears at least once in this time.
 SLOWEST_BULLETIN_SECONDS = 0.5
+SETTLE = 0.3
 
 
 class Script:
@@ -47,8 +48,8 @@
     def trim(kind, content):
         return content if isinstance(content, dict) else None
 
-    service = readers.create(kernel, codec, trim, lambda: place[0])
-    clock.time += readers.SETTLE_SECONDS + 0.01
+    service = readers.create(kernel, codec, trim, lambda: place[0], lambda: SETTLE)
+    clock.time += SETTLE + 0.01
     return service, known, script, clock, place, lines
 
 
@@ -73,6 +74,15 @@
     assert known.stamp(CONFIGURATION).revision == 8
 
 
+def test_nothing_is_read_before_the_host_has_settled(reader):
+    service, _, script, clock, _, _ = reader
+    clock.time -= 0.02
+    assert not service.step(CONFIGURATION)
+    script.answers = [listing(5, main={"a": 1})]
+    clock.time += 0.02
+    assert service.step(CONFIGURATION)
+
+
 def test_a_stale_list_never_replaces_newer_knowledge(reader):
     service, known, script, clock, _, _ = reader
     script.answers = [listing(5, main={"a": 1}), listing(4, main={"a": 0})]
