Rank hosts by whole capacities, so that all agree who relays

Cause: rows in bulletins hold a host's capacity as a whole number, its own bulletins and its own view the exact one. Change: ranks go by whole numbers; the fleet of the tests bears 104.17. Figures: with 104.17 and the old order tests of large fleets and of bulletins fail; with the new one all pass.

--- a/trefoilpin/fakes/bulletin_fleets.py
+++ b/trefoilpin/fakes/bulletin_fleets.py
@@ -28,6 +28,8 @@
 STEP_SECONDS = 0.05
 STEWARD = bulletins.STEWARD_SECONDS
 BEAT = bulletins.ALIVE_SECONDS
+# Not a whole number, as links and processors give.
+CAPACITY = 104.17
 # Datagrams wait for the processors of small hosts.
 LATENCY = 0.03
 STEP, TELL, DELIVER = "step", "tell", "deliver"
@@ -57,7 +59,7 @@
         kernel = kernel._replace(clock=clock, spawn=self.spawn)
         metrics.create(kernel)
         self.knowledge, self.put = create_knowledge(kernel, fleet.values)
-        own = members.OwnHost(self.address, zone, "r", incarnation, 100.0)
+        own = members.OwnHost(self.address, zone, "r", incarnation, CAPACITY)
         self.members = members.create(
             kernel, own, lambda: self.knowledge.age(CONFIGURATION)
         )
--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -122,8 +122,11 @@
 
 
 def rank_key(member):
-    """Return the order of hosts in their zone: what they bear, then a fixed number."""
-    return -member.capacity, zlib.crc32(member.address.encode()), member.address
+    """Return the order of hosts in their zone: what they bear, then a fixed number.
+
+    Rows hold capacities as whole numbers, so every host must rank by those.
+    """
+    return -int(member.capacity), zlib.crc32(member.address.encode()), member.address
 
 
 def create(kernel, own, fresh_age):
