--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -28,8 +28,9 @@
 # A host that asked while this one knew no configuration is told one that comes within
 # this time; later it asks again.
 ASKED_SECONDS = 1.0
-# By this time after the start most other hosts are known, so that not all read.
-SETTLE_SECONDS = 0.3
+# By this time after the start most other hosts are known, so that not all read; seeds
+# read at once and tell the others.
+SETTLE_SECONDS = 0.8
 # A seed that runs answers within milliseconds; without any, a host reads by itself.
 ALONE_SECONDS = 1.0
 MEMBERS_SECONDS = 1.0
