A reused address uses up no attempt; soak of real processes under faults

Change: an answer by another upstream counts like a connection that was not made, within the retry budget; soak/ plays drawn series of faults against hosts as processes and checks the promises from what callers and upstreams saw. Figures: test_addresses_that_went_to_other_upstreams_use_up_no_attempt failed before (two 421 and a refusal).

--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(BIN)/python -m bench.measure $(NAME)
 
 format: .venv/ready
-	$(BIN)/isort trefoilpin bench platform
-	$(BIN)/black --quiet trefoilpin bench platform
+	$(BIN)/isort trefoilpin bench platform soak
+	$(BIN)/black --quiet trefoilpin bench platform soak
 
 lint: .venv/ready
-	$(BIN)/black --check --quiet trefoilpin bench platform
-	$(BIN)/isort --check-only --quiet trefoilpin bench platform
-	$(BIN)/flake8 trefoilpin bench platform
+	$(BIN)/black --check --quiet trefoilpin bench platform soak
+	$(BIN)/isort --check-only --quiet trefoilpin bench platform soak
+	$(BIN)/flake8 trefoilpin bench platform soak
 
 # Needs the thrift compiler; the generated code is committed.
 generate:
--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,4 +1,4 @@
-"""Fault soak: real hosts as processes, faults from outside, promises checked throughout.
+"""Fault soak: real hosts as processes, faults from outside, promises checked.
 
 ``links`` are loopback proxies, ``hosts`` the processes, ``worlds`` the store and the
 upstreams with what was changed when, ``callers`` what callers saw, ``faults`` the
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -4,16 +4,18 @@
 import os
 import pathlib
 import signal
-import subprocess
 import sys
 import time
 from typing import NamedTuple
 
 import eventlet
+import eventlet.patcher
 import stand_in_objects
 
 __all__ = ["Host", "Life", "Ports", "create", "free_ports", "start", "stop_all"]
 
+# Starting a process by way of the hub would meet descriptors that others just closed.
+subprocess = eventlet.patcher.original("subprocess")
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = "platform/edge.py"
 POLL_SECONDS = 0.02
@@ -54,7 +56,7 @@
         self.settings = settings
         self.settings_path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
-        self.process: subprocess.Popen | None = None
+        self.process = None
         self.signal_name = ""
         self.lives: list[Life] = []
         self.is_busy = False
--- a/soak/links.py
+++ b/soak/links.py
@@ -39,10 +39,10 @@
         self.mode = mode
         if mode != "reset":
             return
-        for pair in self.pairs:
+        pairs, self.pairs = self.pairs, []
+        for pair in pairs:
             for sock in pair:
                 close(sock, RESET)
-        self.pairs.clear()
 
 
 def close(sock, linger=None):
@@ -56,6 +56,8 @@
         # It ended by itself in the meantime, which is all that is wanted.
         pass
     sock.close()
+    # The hub has to drop the tasks that wait for it before its number is used again.
+    eventlet.sleep(0)
 
 
 def open_link(target):
@@ -73,7 +75,7 @@
                 if link.mode == "silent" or (link.mode == "one_way" and is_answer):
                     continue
                 sink.sendall(data)
-        except OSError:
+        except (OSError, EOFError):
             # Either end broke; the other one is told by the close below.
             pass
         close(source)
--- a/soak/worlds.py
+++ b/soak/worlds.py
@@ -9,7 +9,7 @@
 
 from soak.links import open_link
 
-__all__ = ["Account", "Change", "Member", "World", "create_world"]
+__all__ = ["Account", "Change", "Member", "World", "ZONES", "body_of", "create_world"]
 
 POOLS = ("first", "second")
 ZONES = ("a", "b", "c")
@@ -35,7 +35,7 @@
         When the store had taken it.
     kind : str
         ``key_withdrawn``, ``key_issued``, ``zone_out``, ``zone_back``, ``draining``,
-        ``gone``, ``route_moved``.
+        ``undrained``, ``gone``, ``route_moved``.
     subject : str
     """
 
@@ -53,7 +53,6 @@
         self.pool = pool
         self.zone = zone
         self.born = 1
-        self.is_registered = True
 
 
 class World:
@@ -72,6 +71,9 @@
             Account("fickle", "key-fickle"),
         ]
         self.withdrawn: set[str] = set()
+        self.zones_out: set[str] = set()
+        self.zone_by_upstream: dict[str, str] = {}
+        self.pool_by_upstream: dict[str, str] = {}
 
     def note(self, kind, subject):
         """Write down that the store has taken a change."""
@@ -104,7 +106,10 @@
         entry = stand_in_objects.upstream_entry(
             member.link.address, member.pool, member.zone, member.born, draining, cold
         )
-        self.store.put("servers", member.stand_in.name, entry)
+        name = member.stand_in.name
+        self.zone_by_upstream[name] = member.zone
+        self.pool_by_upstream[name] = member.pool
+        self.store.put("servers", name, entry)
 
     def replace(self, member, pool):
         """Have another upstream start at a member's address; the old one is gone."""
@@ -113,7 +118,6 @@
         member.born += 1
         member.pool = pool
         member.stand_in.name = f"{member.stand_in.name.split('.')[0]}.{member.born}"
-        member.stand_in.mode = ""
         self.write_member(member)
 
 
--- a/trefoilpin/gateway/proxies.py
+++ b/trefoilpin/gateway/proxies.py
@@ -23,12 +23,14 @@
     Work,
     conclude,
     is_failed,
+    is_unreached,
 )
 from trefoilpin.verdicts import Reason, Verdict
 
 __all__ = ["Arrival", "Proxies", "ProxyTerms", "create"]
 
-# Connections that may fail to be made for one request; nothing was sent then.
+# Upstreams that one request may fail to reach, because no connection was made or
+# another upstream answered at the address; nothing was run then.
 MAX_UNREACHED = 4
 # Without a read of the store for this long an unknown route or key may be a new one.
 TRUSTED_AGE_SECONDS = 2.5
@@ -306,8 +308,7 @@
     def note_attempt(work, upstream, attempt):
         work.upstream = upstream
         last = work.last = attempt
-        is_unreached = last.verdict is Verdict.NOT_RUN and not last.shed
-        if is_unreached:
+        if is_unreached(last):
             work.unreached += 1
         else:
             work.sent += 1
@@ -340,17 +341,24 @@
         last = work.last
         if now() >= work.deadline or last.reason is Reason.CALLER_GONE:
             return False
-        if last.verdict is Verdict.NOT_RUN and not last.shed:
-            return work.unreached < MAX_UNREACHED
+        if is_unreached(last):
+            if work.unreached >= MAX_UNREACHED:
+                return False
+            # Another upstream that answered at the address counts as an arrival.
+            return not last.shed or is_in_budget(work)
         if work.sent >= work.route.max_attempts:
             return False
         if last.verdict is not Verdict.NOT_RUN:
             if not (work.route.idempotent and is_failed(last)):
                 return False
-        if not retries.withdraw(work.pool):
-            metrics.count("retries_over_budget")
-            return False
-        return True
+        return is_in_budget(work)
+
+    def is_in_budget(work):
+        """Take a retry out of the budget; False when there is none left."""
+        if retries.withdraw(work.pool):
+            return True
+        metrics.count("retries_over_budget")
+        return False
 
     def note_answer(work, answer):
         seconds = now() - work.request.arrived_at
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -15,6 +15,7 @@
 from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.messages import OutcomeNote
 from trefoilpin.gateway.soundness import Outcome
+from trefoilpin.gateway.works import is_unreached
 from trefoilpin.messages import Choice
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
@@ -196,8 +197,7 @@
         standing.own -= 1
         if attempt is None:
             return
-        is_unreached = attempt.verdict is Verdict.NOT_RUN and not attempt.shed
-        if is_unreached or standings.is_misdirected(attempt):
+        if is_unreached(attempt):
             avoid(standing)
             return
         standing.failed_connects = 0
--- a/trefoilpin/gateway/works.py
+++ b/trefoilpin/gateway/works.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure, Success
 
+from trefoilpin.gateway.standings import is_misdirected
 from trefoilpin.gateway.suspects import fingerprint
 from trefoilpin.messages import Attempt, CallerRequest
 from trefoilpin.verdicts import Reason, Refusal, Verdict
@@ -22,6 +23,7 @@
     "Work",
     "conclude",
     "is_failed",
+    "is_unreached",
 ]
 
 SERVER_ERRORS = range(500, 600)
@@ -105,6 +107,13 @@
     return attempt.answer is None or attempt.answer.status in SERVER_ERRORS
 
 
+def is_unreached(attempt):
+    """Tell whether an attempt did not even arrive at the upstream it was meant for."""
+    if attempt.verdict is not Verdict.NOT_RUN:
+        return False
+    return not attempt.shed or is_misdirected(attempt)
+
+
 def conclude(work):
     """Return the answer of a work, or the refusal with its verdict."""
     last = work.last
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -29,6 +29,7 @@
 GOOD = Attempt(Verdict.RAN, Answer(200, (), b"ok"), None, "", 0.1)
 BAD = Attempt(Verdict.RAN, Answer(500, (), b"no"), None, "", 0.1)
 SHED = Attempt(Verdict.NOT_RUN, Answer(503, (), b""), None, "", 0.0, shed=True)
+OTHER = Attempt(Verdict.NOT_RUN, Answer(421, (), b""), None, "", 0.0, shed=True)
 UNREACHED = Attempt(Verdict.NOT_RUN, None, Reason.UPSTREAM_UNREACHABLE, "", 0.3)
 BROKEN = Attempt(
     Verdict.MAY_HAVE_RUN,
@@ -142,6 +143,21 @@
     assert len({chosen for chosen, _, _ in host.sends}) == 3
 
 
+def test_addresses_that_went_to_other_upstreams_use_up_no_attempt(host):
+    host.attempts = [GOOD] * 4 + [OTHER, OTHER, GOOD]
+    for number in range(4):
+        host.clock.time += 1.0
+        host.ask(f"/o/{number}", key=None)
+    assert isinstance(host.ask(), Success)
+
+
+def test_addresses_that_went_to_other_upstreams_use_up_the_retry_budget(host):
+    host.attempts = [OTHER] * 8
+    outcomes = [host.ask(f"/a/{number}") for number in range(4)]
+    assert all(refusal(found).verdict is Verdict.NOT_RUN for found in outcomes)
+    assert len(host.sends) < 8
+
+
 def test_attempts_are_bounded_by_the_route(host):
     host.attempts = [SHED, SHED]
     found = refusal(host.ask())
