--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Play seeds: ``python -m soak --seeds 1,2,3 --seconds 20 --hosts 6``."""
 
 import pathlib
+import signal
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -61,7 +62,8 @@
 
 
 def main():
-    """Read the command line and play."""
+    """Read the command line and play; a signal ends the hosts too."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
     fire.Fire(soak)
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,8 @@
 UPSTREAM_MODES = ("error", "shed", "cut", "unsigned", "stray", "unframed", "reset")
 STORE_FAULTS = ("busy", "many", "lost", "garbled")
 GRACE_SECONDS = 6.0
+# Before its first line of a program the interpreter can't keep a signal from ending it.
+INTERPRETER_SECONDS = 0.15
 GAP_RANGE = (0.3, 1.6)
 
 
@@ -135,7 +137,8 @@
 def reload(run):
     """Tell a host that its settings file has changed."""
     host = run.rng.choice(run.hosts)
-    host.send_signal(signal.SIGHUP)
+    if time.monotonic() - host.lives[-1].started_at > INTERPRETER_SECONDS:
+        host.send_signal(signal.SIGHUP)
     note(run, "reload", [], time.monotonic())
 
 
