Split roles and compositions out of the exchange of bulletins

Change: roles are worked out by a pure function of the view, what a bulletin holds is the service compositions; the exchange keeps peers, receiving and tasks. No change of behaviour.

--- a/trefoilpin/fakes/bulletin_fleets.py
+++ b/trefoilpin/fakes/bulletin_fleets.py
@@ -13,6 +13,7 @@
 from trefoilpin.gateway import (
     bulletin_codecs,
     bulletins,
+    compositions,
     directories,
     members,
     queues,
@@ -68,6 +69,7 @@
         suspects.create(kernel)
         queues.create(kernel, InstantEvent)
         upstreams.create(kernel, zone, lambda: 1)
+        compositions.create(kernel)
         self.bulletins = bulletins.create(
             kernel,
             bulletins.BulletinTerms(lambda: ("10.0.0.1", "10.0.0.2"), 1),
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -10,9 +10,9 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
-from trefoilpin.gateway.knowledge import CONFIGURATION, KINDS
+from trefoilpin.gateway.knowledge import KINDS
 from trefoilpin.gateway.loops import repeat
-from trefoilpin.gateway.messages import Bulletin, Document
+from trefoilpin.gateway.roles import NO_ROLES, work_out
 
 __all__ = ["BulletinTerms", "Bulletins", "create"]
 
@@ -33,15 +33,8 @@
 SETTLE_SECONDS = 0.8
 # A seed that runs answers within milliseconds; without any, a host reads by itself.
 ALONE_SECONDS = 1.0
-MEMBERS_SECONDS = 1.0
 GOSSIP_SECONDS = 1.0
-# A view is put together and encoded once for all hosts that are told within this time.
-VIEW_SECONDS = 0.1
-# With more accounts than this, a bulletin holds those that were admitted lately.
-MAX_ACCOUNTS = 100
 FETCH_PAUSE_SECONDS = 0.1
-# Documents up to this size go along within a zone; larger ones are fetched.
-MAX_SENT_BYTES = 6_000
 
 
 class BulletinTerms(NamedTuple):
@@ -97,38 +90,12 @@
 
     def __init__(self):
         self.peer_by_address: dict[str, Peer] = {}
-        self.sequence = 0
-        self.rank = 0
+        self.roles = NO_ROLES
         self.sender_count = 1
-        self.is_relay = False
         self.seeded_at = float("-inf")
         self.gossiped_at = float("-inf")
         self.fetching: set[str] = set()
         self.asked_at_by_host: dict[str, float] = {}
-        self.rows_by_function: dict = {}
-        self.admitted_before: dict[str, int] = {}
-
-
-def find_rank(address, live, relays_by_zone):
-    """Return a host's place in the order of those that read the store, from 0.
-
-    The relays come first, zone by zone, so that the first two are in different zones;
-    then all other hosts.
-
-    Parameters
-    ----------
-    address : str
-    live : sequence of MemberAge
-    relays_by_zone : dict
-    """
-    order = []
-    most = max(map(len, relays_by_zone.values()), default=0)
-    for place in range(1, most + 1):
-        for _, rows in sorted(relays_by_zone.items()):
-            if place <= len(rows):
-                order.append(rows[-place].address)
-    order.extend(sorted({host.address for host in live} - set(order)))
-    return order.index(address)
 
 
 def create(kernel, terms, create_event, send, fetch):
@@ -158,102 +125,10 @@
     rates = kernel.find("rates")
     suspects = kernel.find("suspects")
     queues = kernel.find("queues")
+    compositions = kernel.find("compositions")
+    compose = compositions.compose
     own = members.own
 
-    def compose(with_stamps=True, rows=(), wants_reply=False):
-        """Return a bulletin on this host, on what it knows and on some members."""
-        state.sequence += 1
-        stamps = tuple(knowledge.stamp(kind) for kind in KINDS) if with_stamps else ()
-        return Bulletin(
-            incarnation=own.incarnation,
-            sequence=state.sequence,
-            zone=own.zone,
-            region=own.region,
-            capacity=own.capacity,
-            load=members.load(),
-            is_stopping=members.is_stopping(),
-            is_serving=members.is_serving(),
-            wants_reply=wants_reply,
-            tells_on=False,
-            knowledge_age=knowledge.age(CONFIGURATION),
-            stamps=stamps,
-            members=rows,
-            outcomes=(),
-            in_flight_by_upstream={},
-            admitted_by_account={},
-            documents=(),
-            breaks=suspects.notes(),
-        )
-
-    def rows_of(describe):
-        """Return rows on members, the same for all who are told them together."""
-        made_at, rows = state.rows_by_function.get(describe, (float("-inf"), ()))
-        if now() - made_at > VIEW_SECONDS:
-            # Ages must hold for as long as the rows are used.
-            rows = tuple(row._replace(age=row.age + VIEW_SECONDS) for row in describe())
-            state.rows_by_function[describe] = (now(), rows)
-        return rows
-
-    def view():
-        return rows_of(members.describe)
-
-    def rows_for(peer):
-        """Return the rows a relay tells: all of them now and then, else what is new."""
-        if not peer.hears_store:
-            return ()
-        if now() - peer.members_at <= MEMBERS_SECONDS:
-            return rows_of(members.news)
-        peer.members_at = now()
-        return view()
-
-    def compose_for(peer):
-        """Return what one host has to hear."""
-        bulletin = compose(peer.hears_store, rows_for(peer))._replace(tells_on=True)
-        if peer.hears_store and peer.zone == own.zone:
-            bulletin = bulletin._replace(documents=documents_for(peer))
-        if not peer.is_meshed:
-            return bulletin
-        is_near = peer.zone == own.zone
-        return bulletin._replace(
-            outcomes=upstreams.notes(is_near),
-            in_flight_by_upstream=upstreams.flights(None if is_near else peer.zone),
-            admitted_by_account=admitted(),
-        )
-
-    def documents_for(peer):
-        """Return the small documents that this host did not send to a peer yet."""
-        found = []
-        for kind in KINDS:
-            stamp = knowledge.stamp(kind)
-            if stamp.digest == peer.sent_digest_by_kind.get(kind):
-                continue
-            peer.sent_digest_by_kind[kind] = stamp.digest
-            found.extend(small_document(kind, stamp))
-        return tuple(found)
-
-    def small_document(kind, stamp):
-        document = knowledge.document(kind)
-        if not stamp.revision or len(document) > MAX_SENT_BYTES:
-            return ()
-        return (Document(kind, stamp.revision, stamp.age, document),)
-
-    def introduce():
-        """Return a bulletin for a host that may know nothing yet."""
-        found = []
-        for kind in KINDS:
-            found.extend(small_document(kind, knowledge.stamp(kind)))
-        return compose(rows=view())._replace(documents=tuple(found))
-
-    def admitted():
-        counts = rates.admitted()
-        if len(counts) <= MAX_ACCOUNTS:
-            return counts
-        changed = {}
-        for account, count in counts.items():
-            if state.admitted_before.get(account) != count:
-                changed[account] = count
-        return changed
-
     def receive(address, bulletin):
         if address == own.address:
             return
@@ -276,9 +151,9 @@
             queues.wake()
         if bulletin.wants_reply:
             state.asked_at_by_host[address] = now()
-            send(address, introduce())
+            send(address, compositions.introduce())
         elif is_new:
-            send(address, compose(rows=view()))
+            send(address, compose(rows=compositions.view()))
 
     def tell_askers():
         """Tell what is new to the hosts that asked before this one knew it."""
@@ -286,7 +161,7 @@
             if now() - asked_at > ASKED_SECONDS:
                 del state.asked_at_by_host[address]
                 continue
-            send(address, introduce())
+            send(address, compositions.introduce())
 
     def fetch_document(address, kind):
         """Get a newer document from the host that told of it."""
@@ -319,7 +194,7 @@
             tell(peer)
 
     def tell(peer):
-        send(peer.address, compose_for(peer))
+        send(peer.address, compositions.for_peer(peer))
 
     def tell_all():
         for peer in list(state.peer_by_address.values()):
@@ -327,30 +202,16 @@
 
     def steward():
         """Work out the roles and who has to be told."""
-        live = members.live()
-        zones = sorted({member.zone for member in live})
-        relays_by_zone = {zone: members.relays(zone) for zone in zones}
-        relays = {host.address for rows in relays_by_zone.values() for host in rows}
-        meshed = {member.address for member in members.meshed()}
-        state.is_relay = own.address in relays
-        state.rank = find_rank(own.address, live, relays_by_zone)
-        state.sender_count = max(len(meshed), terms.planned_senders)
-        in_mesh = own.address in meshed
-        targets = {host.address for host in relays_by_zone.get(own.zone, ())}
-        if state.is_relay:
-            targets |= relays
-            targets |= {host.address for host in live if host.zone == own.zone}
-        if in_mesh:
-            targets |= meshed
-        targets.discard(own.address)
-        keep_peers([host for host in live if host.address in targets])
+        roles = state.roles = work_out(members)
+        state.sender_count = max(len(roles.meshed), terms.planned_senders)
+        keep_peers(roles.told)
         for peer in state.peer_by_address.values():
-            peer.is_meshed = in_mesh and peer.address in meshed
+            peer.is_meshed = roles.is_meshed and peer.address in roles.meshed
             is_near = peer.zone == own.zone
-            peer.hears_store = state.is_relay and (is_near or peer.address in relays)
-        find_fleet(live)
-        if len(rates.admitted()) > MAX_ACCOUNTS:
-            state.admitted_before = dict(rates.admitted())
+            is_relay = peer.address in roles.relays
+            peer.hears_store = roles.is_relay and (is_near or is_relay)
+        find_fleet(members.live())
+        compositions.turn_page()
 
     def keep_peers(hosts):
         """Have one task for each host that is told something, and no other."""
@@ -382,15 +243,15 @@
         others = [host.address for host in members.describe()]
         others.remove(own.address)
         if others:
-            rows = view() if state.is_relay else ()
+            rows = compositions.view() if state.roles.is_relay else ()
             send(kernel.rng.choice(others), compose(False, rows))
 
     def step():
         steward()
         upstreams.watch()
         queues.wake()
-        if members.tick(STEWARD_SECONDS) and state.is_relay:
-            state.rows_by_function.clear()
+        if members.tick(STEWARD_SECONDS) and state.roles.is_relay:
+            compositions.drop_rows()
             wake()
 
     def start():
@@ -414,7 +275,7 @@
 
     def hear_news(value):
         tell_askers()
-        if state.is_relay:
+        if state.roles.is_relay:
             wake()
 
     for kind in KINDS:
@@ -423,7 +284,7 @@
     service = Bulletins(
         receive,
         wake,
-        lambda: state.rank,
+        lambda: state.roles.rank,
         settle,
         lambda: state.sender_count,
         step,
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -12,6 +12,7 @@
 from trefoilpin.dialects import Dialect
 from trefoilpin.gateway import (
     bulletins,
+    compositions,
     directories,
     documents,
     frontends,
@@ -174,6 +175,7 @@
         kernel, settings.own.address, settings.peer_port
     )
     planned = len(settings.zones) * members.CALLER_HOSTS_PER_ZONE
+    compositions.create(kernel)
     exchange = bulletins.create(
         kernel,
         bulletins.BulletinTerms(lambda: settings.seeds, planned),
--- /dev/null
+++ b/trefoilpin/gateway/roles.py
@@ -0,0 +1,87 @@
+"""What this host is to the others, worked out from the view of the fleet alone."""
+
+from typing import NamedTuple
+
+__all__ = ["NO_ROLES", "Roles", "find_rank", "work_out"]
+
+
+class Roles(NamedTuple):
+    """Roles at a moment.
+
+    Attributes
+    ----------
+    is_relay : bool
+    rank : int
+        Place in the order of those that read the store, from 0.
+    relays, meshed : frozenset of str
+        Addresses of all relays, and of all hosts that send requests to upstreams.
+    is_meshed : bool
+        True when this host is one of those.
+    told : tuple of MemberAge
+        Hosts that this one tells regularly.
+    """
+
+    is_relay: bool
+    rank: int
+    relays: frozenset[str]
+    meshed: frozenset[str]
+    is_meshed: bool
+    told: tuple
+
+
+NO_ROLES = Roles(False, 0, frozenset(), frozenset(), False, ())
+
+
+def find_rank(address, live, relays_by_zone):
+    """Return a host's place in the order of those that read the store, from 0.
+
+    The relays come first, zone by zone, so that the first two are in different zones;
+    then all other hosts.
+
+    Parameters
+    ----------
+    address : str
+    live : sequence of MemberAge
+    relays_by_zone : dict
+    """
+    order = []
+    most = max(map(len, relays_by_zone.values()), default=0)
+    for place in range(1, most + 1):
+        for _, rows in sorted(relays_by_zone.items()):
+            if place <= len(rows):
+                order.append(rows[-place].address)
+    order.extend(sorted({host.address for host in live} - set(order)))
+    return order.index(address)
+
+
+def work_out(members):
+    """Return the roles of this host.
+
+    Every host tells the relays of its zone; a relay tells its zone and the other
+    relays; hosts that send requests to upstreams tell each other.
+
+    Parameters
+    ----------
+    members : Members
+    """
+    own = members.own
+    live = members.live()
+    zones = sorted({member.zone for member in live})
+    relays_by_zone = {zone: members.relays(zone) for zone in zones}
+    relays = {host.address for rows in relays_by_zone.values() for host in rows}
+    meshed = {member.address for member in members.meshed()}
+    targets = {host.address for host in relays_by_zone.get(own.zone, ())}
+    if own.address in relays:
+        targets |= relays
+        targets |= {host.address for host in live if host.zone == own.zone}
+    if own.address in meshed:
+        targets |= meshed
+    targets.discard(own.address)
+    return Roles(
+        own.address in relays,
+        find_rank(own.address, live, relays_by_zone),
+        frozenset(relays),
+        frozenset(meshed),
+        own.address in meshed,
+        tuple(host for host in live if host.address in targets),
+    )
