Split attempts, hedges and retries out of proxies into sendings

Change: sendings holds attempts, hedges, retries and usual times; before a hedge the caller and the age of the keys are looked at again, as before every other send.

--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -23,6 +23,7 @@
     rates,
     readers,
     routing,
+    sendings,
     stops,
     suspects,
     transports,
@@ -198,10 +199,11 @@
         MAX_IDLE_NON_IDEMPOTENT_SECONDS,
     )
     forwarders.create(kernel, bounds, adapter.dialect)
-    terms = proxies.ProxyTerms(
+    terms = sendings.SendingTerms(
         settings.key_seconds, adapter.account_header, adapter.expected_header
     )
-    proxies.create(kernel, terms, eventlet.event.Event)
+    sendings.create(kernel, terms, eventlet.event.Event)
+    proxies.create(kernel)
     directories.create(kernel)
     frontends.create(
         kernel, settings.addresses, adapter.dialect, adapter.encode_addresses
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -15,10 +15,19 @@
     table,
     upstream,
 )
-from trefoilpin.gateway import members, proxies, rates, routing, suspects, upstreams
+from trefoilpin.gateway import (
+    members,
+    proxies,
+    rates,
+    routing,
+    sendings,
+    suspects,
+    upstreams,
+)
 from trefoilpin.gateway.knowledge import CONFIGURATION, UPSTREAMS
-from trefoilpin.gateway.proxies import Arrival, ProxyTerms
+from trefoilpin.gateway.proxies import Arrival
 from trefoilpin.gateway.queues import Queues
+from trefoilpin.gateway.sendings import SendingTerms
 from trefoilpin.messages import Answer, Attempt, CallerRequest
 from trefoilpin.services import Forwarders
 from trefoilpin.verdicts import Reason, Verdict
@@ -67,8 +76,9 @@
         kernel.register("queues", queues)
         self.upstreams = upstreams.create(kernel, "a", lambda: 1)
         kernel.register("forwarders", Forwarders(self.exchange))
-        terms = ProxyTerms(KEY_SECONDS, "x-account", "x-expected")
-        self.proxies = proxies.create(kernel, terms, eventlet.event.Event)
+        terms = SendingTerms(KEY_SECONDS, "x-account", "x-expected")
+        sendings.create(kernel, terms, eventlet.event.Event)
+        self.proxies = proxies.create(kernel)
         routes = (ROUTE, SAFE, OPEN)
         self.put(CONFIGURATION, 1, configuration(routes))
         entries = table(*(upstream(number, slots=9) for number in range(1, 5)))
