--- a/trefoilpin/gateway/sendings.py
+++ b/trefoilpin/gateway/sendings.py
@@ -34,6 +34,10 @@
 # fifteen, a third of what the retry budget allows.
 HEDGE_FACTOR = 2.5
 LEAST_HEDGE_SECONDS = 0.25
+# Retries that requests of each rank leave to more urgent ones; in a storm of sheds there
+# is one for each third failed attempt, so few are enough. Less urgent ranks than these,
+# and hedges, leave as much as the last.
+KEPT_BY_PRIORITY = (0.0, 2.0, 4.0)
 # An attempt ends by its deadline; its task may run a little later.
 LATE_SECONDS = 0.5
 MOST_USUAL_FACTOR = 5.0
@@ -134,7 +138,7 @@
 
     def choose(work):
         further = work.sent + 1 < work.route.max_attempts
-        can_retry = further and retries.balance(work.pool) >= 1
+        can_retry = further and retries.balance(work.pool, kept(work)) >= 1
         need = Need(work.route.idempotent, can_retry)
         return upstreams.choose(work.pool, work.tried, need, work.usual)
 
@@ -174,7 +178,7 @@
         """Tell whether another attempt beside this one would be allowed."""
         if not work.route.idempotent or work.sent + 1 >= work.route.max_attempts:
             return False
-        return retries.balance(work.pool) >= 1
+        return retries.balance(work.pool, KEPT_BY_PRIORITY[-1]) >= 1
 
     def race(work, choice):
         """Send a request, and once more when its answer takes long.
@@ -271,9 +275,13 @@
                 return False
         return is_in_budget(work)
 
+    def kept(work):
+        """Return the retries that a request leaves to more urgent ones."""
+        return KEPT_BY_PRIORITY[min(work.priority, len(KEPT_BY_PRIORITY) - 1)]
+
     def is_in_budget(work):
         """Take a retry out of the budget; False when there is none left."""
-        if retries.withdraw(work.pool):
+        if retries.withdraw(work.pool, kept(work)):
             return True
         metrics.count("retries_over_budget")
         return False
--- a/trefoilpin/request_services.py
+++ b/trefoilpin/request_services.py
@@ -40,13 +40,14 @@
 class Retries(NamedTuple):
     """``retries``: the retry budget of each pool.
 
-    ``deposit(pool)`` counts a request. ``withdraw(pool)`` takes a retry, or tells that
-    none is left. ``balance(pool)`` is the number of retries left.
+    ``deposit(pool)`` counts a request. ``withdraw(pool, kept)`` takes a retry, or tells
+    that none is left. ``balance(pool, kept)`` is the number of retries left. Both leave
+    ``kept`` retries to others; none by default.
     """
 
     deposit: Callable[[str], None]
-    withdraw: Callable[[str], bool]
-    balance: Callable[[str], float]
+    withdraw: Callable[..., bool]
+    balance: Callable[..., float]
 
 
 class Routes(NamedTuple):
--- a/trefoilpin/retries.py
+++ b/trefoilpin/retries.py
@@ -60,7 +60,10 @@
     now = kernel.clock.now
     state = RetryState()
 
-    def balance(pool):
+    def balance(pool, kept=0.0):
+        return count(pool) - kept
+
+    def count(pool):
         elapsed = now() - state.counted_at_by_pool.get(pool, now())
         state.counted_at_by_pool[pool] = now()
         held = state.balance_by_pool.get(pool, min(max_balance, least_per_second))
@@ -69,13 +72,12 @@
         return held
 
     def deposit(pool):
-        state.balance_by_pool[pool] = min(max_balance, balance(pool) + share)
+        state.balance_by_pool[pool] = min(max_balance, count(pool) + share)
 
-    def withdraw(pool):
-        held = balance(pool)
-        if held < 1.0:
+    def withdraw(pool, kept=0.0):
+        if balance(pool, kept) < 1.0:
             return False
-        state.balance_by_pool[pool] = held - 1.0
+        state.balance_by_pool[pool] -= 1.0
         return True
 
     service = Retries(deposit, withdraw, balance)
