--- a/trefoilpin/gateway/sendings.py
+++ b/trefoilpin/gateway/sendings.py
@@ -34,9 +34,9 @@
 # fifteen, a third of what the retry budget allows.
 HEDGE_FACTOR = 2.5
 LEAST_HEDGE_SECONDS = 0.25
-# Retries that requests of each rank leave to more urgent ones; in a storm of sheds there
-# is one for each third failed attempt, so few are enough. Less urgent ranks than these,
-# and hedges, leave as much as the last.
+# Retries that requests of each rank leave to more urgent ones; in a storm of sheds
+# there is one for each third failed attempt, so few are enough. Less urgent ranks than
+# these, and hedges, leave as much as the last.
 KEPT_BY_PRIORITY = (0.0, 2.0, 4.0)
 # An attempt ends by its deadline; its task may run a little later.
 LATE_SECONDS = 0.5
