Load and experiment tool over real hosts

Cause: the only load on real hosts was the users' bench and the ticket-driven demonstration. Change: bench/experiments plays five patterns with an open loop against hosts as processes, with the soak's world; a report by second, with plots as an optional extra.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 PYTHON ?= python3
 BIN = .venv/bin
 NAME ?=
+PATTERN ?= gray_pool
 
-.PHONY: demo test measure format lint generate docs
+.PHONY: demo test measure experiment format lint generate docs
 
 .venv/ready: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -18,6 +19,9 @@
 measure: .venv/ready
 	$(BIN)/python -m bench.measure $(NAME)
 
+experiment: .venv/ready
+	$(BIN)/python -m bench.experiments $(PATTERN) --report experiment-$(PATTERN).html
+
 format: .venv/ready
 	$(BIN)/isort trefoilpin bench platform soak
 	$(BIN)/black --quiet trefoilpin bench platform soak
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -12,6 +12,8 @@
 NOT_MEASURES = {
     "__init__",
     "demo",
+    "experiment_reports",
+    "experiments",
     "measure",
     "processes",
     "results",
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -42,7 +42,9 @@
 class Run:
     """State that the faults of one run share."""
 
-    def __init__(self, seed, world, fleet, store_link_by_ip):
+    def __init__(self, seed, world, fleet, store_link_by_ip, ports):
+        self.seed = seed
+        self.ports = ports
         self.rng = random.Random(seed)
         self.world = world
         self.hosts = fleet
@@ -56,8 +58,8 @@
         self.is_over = False
 
 
-def create_run(seed, host_count, folder):
-    """Return a run whose hosts are started."""
+def create_run(seed, host_count, folder, with_callers=True):
+    """Return a run whose hosts are started, and callers that call without end."""
     world = worlds.create_world(seed)
     ips = [f"127.0.{1 + seed % 200}.{2 + number}" for number in range(host_count)]
     ports = hosts.free_ports(ips, len(hosts.Ports._fields))
@@ -68,13 +70,21 @@
         fleet.append(
             hosts.create(number, zone, worlds.ZONES, ports, ips, link.address, folder)
         )
-    run = Run(seed, world, fleet, store_link_by_ip)
+    run = Run(seed, world, fleet, store_link_by_ip, ports)
     for host in fleet:
         hosts.start(host)
+    if with_callers:
+        start_callers(run)
+    return run
+
+
+def start_callers(run):
+    """Start callers that send one request after another until the run is over."""
+    seed, world = run.seed, run.world
     for number in range(CALLERS):
         zone = worlds.ZONES[number % len(worlds.ZONES)]
         rng = random.Random(seed * 1000 + number)
-        caller = callers.Caller(f"s{seed}c{number}", zone, fleet, ports, rng)
+        caller = callers.Caller(f"s{seed}c{number}", zone, run.hosts, run.ports, rng)
         eventlet.spawn(
             callers.call_forever,
             caller,
@@ -83,7 +93,6 @@
             run.records,
             lambda: run.is_over,
         )
-    return run
 
 
 def gather(run):
