--- /dev/null
+++ b/soak/conftest.py
@@ -0,0 +1,6 @@
+"""Puts the platform's stand-ins on the path, behind the standard library."""
+
+import pathlib
+import sys
+
+sys.path.append(str(pathlib.Path(__file__).resolve().parent.parent / "platform"))
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -7,15 +7,13 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.append(str(ROOT / "platform"))
+from stand_ins import Run
 
-from stand_ins import Run  # noqa: E402
-
-from soak import checks  # noqa: E402
-from soak.callers import Sent  # noqa: E402
-from soak.faults import Span  # noqa: E402
-from soak.hosts import Life  # noqa: E402
-from soak.worlds import Account, Change  # noqa: E402
+from soak import checks
+from soak.callers import Sent
+from soak.faults import Span
+from soak.hosts import Life
+from soak.worlds import Account, Change
 
 SEEDS = "101,102"
 SECONDS = "6"
