--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -5,8 +5,6 @@
 import sys
 
 import pytest
-
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 from stand_ins import Run
 
 from soak import checks
@@ -15,6 +13,7 @@
 from soak.hosts import Life
 from soak.worlds import Account, Change
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEEDS = "101,102"
 SECONDS = "6"
 HOSTS = "4"
