--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -92,19 +92,20 @@
 
 
 def free_ports(ips, count):
-    """Return ports that are free on every one of some addresses."""
-    found = []
+    """Return ports that are free on every one of some addresses, no two alike."""
+    found, taken = [], []
     while len(found) < count:
         probe = eventlet.listen((ips[0], 0))
+        taken.append(probe)
         port = probe.getsockname()[1]
         try:
-            others = [eventlet.listen((ip, port)) for ip in ips[1:]]
+            taken.extend(eventlet.listen((ip, port)) for ip in ips[1:])
         except OSError:
-            probe.close()
+            # Taken on another address; the next draw gives another port.
             continue
-        for sock in (probe, *others):
-            sock.close()
         found.append(port)
+    for sock in taken:
+        sock.close()
     return Ports(*found)
 
 
