--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -18,6 +18,8 @@
 subprocess = eventlet.patcher.original("subprocess")
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = "platform/edge.py"
+# As the deploy file runs it: without docstrings and assertions.
+OPTIONS = ("-OO",)
 POLL_SECONDS = 0.02
 
 
@@ -130,7 +132,7 @@
     host.signal_name = ""
     with open(host.log_path, "ab") as log:
         host.process = subprocess.Popen(
-            [sys.executable, PROGRAM],
+            [sys.executable, *OPTIONS, PROGRAM],
             cwd=ROOT,
             env=environment,
             stdout=log,
