--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -4,8 +4,9 @@
 import subprocess
 import sys
 
+import eventlet
 import pytest
-from stand_ins import Run
+from stand_ins import Run, start_upstream
 
 from soak import checks
 from soak.callers import Sent
@@ -111,3 +112,13 @@
 def test_what_keeps_the_promises_is_not_found_fault_with():
     calm = evidence([sent("a"), sent("b", status=429, is_not_run=True)], [ran("a")])
     assert checks.check_all(calm) == []
+
+
+def test_an_upstream_that_is_left_half_way_through_a_body_stops_reading():
+    upstream = start_upstream("u")
+    host, _, port = upstream.address.partition(":")
+    with eventlet.connect((host, int(port))) as sock:
+        sock.sendall(b"POST /write/a HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf")
+    with eventlet.Timeout(5):
+        eventlet.sleep(0.2)
+    assert upstream.ran == []
