Changes of documents go along with bulletins, also between zones

Change: a relay sends what turns the document a host was last sent into the present one; the digest says whether the host has that one, else it fetches the whole as before.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -71,6 +71,13 @@
     return host
 
 
+def start_again(host):
+    """Start a host unless a fault that overlapped has done so."""
+    if not host.is_running():
+        hosts.start(host)
+    host.is_busy = False
+
+
 def kill(run):
     """Kill a host and start it again."""
     host = take_host(run)
@@ -80,8 +87,7 @@
     host.send_signal(signal.SIGKILL)
     host.wait(5.0)
     eventlet.sleep(draw(run, DOWN_RANGE))
-    hosts.start(host)
-    host.is_busy = False
+    start_again(host)
     note(run, "kill", [host.ip], began_at)
 
 
@@ -97,9 +103,7 @@
         host.wait(5.0)
     eventlet.sleep(draw(run, DOWN_RANGE))
     for host in struck:
-        if not host.is_running():
-            hosts.start(host)
-        host.is_busy = False
+        start_again(host)
     note(run, "kill_all", [host.ip for host in struck], began_at)
     run.all_started_at.append(time.monotonic())
 
@@ -115,9 +119,7 @@
         run.broken.append(f"{host.name} ran on {GRACE_SECONDS} s after its SIGTERM")
         host.send_signal(signal.SIGKILL)
         host.wait(5.0)
-    if not host.is_running():
-        hosts.start(host)
-    host.is_busy = False
+    start_again(host)
     note(run, "stop", [host.ip], began_at)
 
 
--- a/trefoilpin/fakes/bulletin_fleets.py
+++ b/trefoilpin/fakes/bulletin_fleets.py
@@ -15,6 +15,7 @@
     bulletins,
     compositions,
     directories,
+    documents,
     members,
     queues,
     rates,
@@ -69,13 +70,14 @@
         suspects.create(kernel)
         queues.create(kernel, InstantEvent)
         upstreams.create(kernel, zone, lambda: 1)
-        compositions.create(kernel)
+        compositions.create(kernel, documents.difference)
         self.bulletins = bulletins.create(
             kernel,
             bulletins.BulletinTerms(lambda: ("10.0.0.1", "10.0.0.2"), 1),
             InstantEvent,
             self.send,
             self.fetch,
+            documents.patch,
         )
         self.directories = directories.create(kernel)
 
--- a/trefoilpin/gateway/bulletin_codecs.py
+++ b/trefoilpin/gateway/bulletin_codecs.py
@@ -174,7 +174,8 @@
 
 def to_document(found):
     """Return the document that a struct holds."""
-    return Document(found.kind, found.revision, found.age, bytes(found.document))
+    document = bytes(found.document)
+    return Document(found.kind, found.revision, found.age, document, found.base)
 
 
 def from_struct(message):
--- a/trefoilpin/gateway/bulletins.py
+++ b/trefoilpin/gateway/bulletins.py
@@ -9,6 +9,8 @@
 
 from typing import Callable, NamedTuple
 
+from returns.result import Failure
+
 from trefoilpin import events
 from trefoilpin.gateway.knowledge import KINDS
 from trefoilpin.gateway.loops import repeat
@@ -100,7 +102,7 @@
         self.asked_at_by_host: dict[str, float] = {}
 
 
-def create(kernel, terms, create_event, send, fetch):
+def create(kernel, terms, create_event, send, fetch, patch):
     """Create the service ``bulletins``.
 
     Parameters
@@ -113,6 +115,8 @@
         ``send(address, bulletin)`` puts a datagram on its way.
     fetch : callable
         ``fetch(address, kind)`` gives a ``Result`` with a ``Document``.
+    patch : callable
+        ``patch(document, changes)`` gives a ``Result`` with the document changed.
 
     Returns
     -------
@@ -179,7 +183,22 @@
             state.fetching.discard(kind)
 
     def take_document(found):
-        knowledge.offer(found.kind, found.revision, found.document, found.age)
+        if not found.base:
+            knowledge.offer(found.kind, found.revision, found.document, found.age)
+            return
+        if knowledge.stamp(found.kind).digest != found.base:
+            # The stamp that comes with it has the whole document fetched.
+            return
+        patched = patch(knowledge.document(found.kind), found.document)
+        if isinstance(patched, Failure):
+            emit(
+                events.DOCUMENT_MALFORMED,
+                kind=found.kind,
+                revision=found.revision,
+                detail=patched.failure(),
+            )
+            return
+        knowledge.offer(found.kind, found.revision, patched.unwrap(), found.age)
 
     def period(peer):
         if not peer.is_meshed:
--- a/trefoilpin/gateway/compositions.py
+++ b/trefoilpin/gateway/compositions.py
@@ -13,8 +13,11 @@
 VIEW_SECONDS = 0.1
 # With more accounts than this, a bulletin holds those that were admitted lately.
 MAX_ACCOUNTS = 100
-# Documents up to this size go along within a zone; larger ones are fetched.
+# Documents up to this size go along within a zone, and changes of documents to all;
+# larger ones are fetched.
 MAX_SENT_BYTES = 6_000
+# Documents that were replaced are kept for as long as hosts may still hold them.
+KEPT_DOCUMENTS = 4
 
 
 class Compositions(NamedTuple):
@@ -42,14 +45,18 @@
         self.sequence = 0
         self.rows_by_function: dict = {}
         self.admitted_before: dict[str, int] = {}
+        self.document_by_digest_by_kind = {kind: {} for kind in KINDS}
+        self.changes_by_digests: dict[tuple[int, int], bytes] = {}
 
 
-def create(kernel):
+def create(kernel, difference):
     """Create the service ``compositions``.
 
     Parameters
     ----------
     kernel : Kernel
+    difference : callable
+        ``difference(before, after)`` gives what turns one document into another.
 
     Returns
     -------
@@ -113,7 +120,7 @@
     def for_peer(peer):
         """Return what one host has to hear."""
         bulletin = compose(peer.hears_store, rows_for(peer))._replace(tells_on=True)
-        if peer.hears_store and peer.zone == own.zone:
+        if peer.hears_store:
             bulletin = bulletin._replace(documents=documents_for(peer))
         if not peer.is_meshed:
             return bulletin
@@ -125,16 +132,40 @@
         )
 
     def documents_for(peer):
-        """Return the small documents that this host did not send to a peer yet."""
+        """Return what is new since the last bulletin to a peer, where it is small."""
         found = []
         for kind in KINDS:
             stamp = knowledge.stamp(kind)
-            if stamp.digest == peer.sent_digest_by_kind.get(kind):
+            base = peer.sent_digest_by_kind.get(kind)
+            if stamp.digest == base:
                 continue
             peer.sent_digest_by_kind[kind] = stamp.digest
-            found.extend(small_document(kind, stamp))
+            changes = changes_since(kind, base, stamp)
+            if changes is not None and len(changes) <= MAX_SENT_BYTES:
+                found.append(Document(kind, stamp.revision, stamp.age, changes, base))
+            elif peer.zone == own.zone:
+                found.extend(small_document(kind, stamp))
         return tuple(found)
 
+    def changes_since(kind, base, stamp):
+        """Return what turns the document of a digest into the present one, or None."""
+        before = state.document_by_digest_by_kind[kind].get(base)
+        if before is None or not stamp.revision:
+            return None
+        digests = (base, stamp.digest)
+        if digests not in state.changes_by_digests:
+            found = difference(before, knowledge.document(kind))
+            state.changes_by_digests[digests] = found
+        return state.changes_by_digests[digests]
+
+    def keep_document(kind):
+        """Keep the documents of late, and the changes between them."""
+        kept = state.document_by_digest_by_kind[kind]
+        kept[knowledge.stamp(kind).digest] = knowledge.document(kind)
+        while len(kept) > KEPT_DOCUMENTS:
+            del kept[next(iter(kept))]
+        state.changes_by_digests.clear()
+
     def small_document(kind, stamp):
         document = knowledge.document(kind)
         if not stamp.revision or len(document) > MAX_SENT_BYTES:
@@ -162,6 +193,8 @@
         if len(rates.admitted()) > MAX_ACCOUNTS:
             state.admitted_before = dict(rates.admitted())
 
+    for kind in KINDS:
+        knowledge.subscribe(kind, lambda value, kind=kind: keep_document(kind))
     service = Compositions(
         compose, introduce, for_peer, view, state.rows_by_function.clear, turn_page
     )
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -176,13 +176,14 @@
         kernel, settings.own.address, settings.peer_port
     )
     planned = len(settings.zones) * members.CALLER_HOSTS_PER_ZONE
-    compositions.create(kernel)
+    compositions.create(kernel, documents.difference)
     exchange = bulletins.create(
         kernel,
         bulletins.BulletinTerms(lambda: settings.seeds, planned),
         eventlet.event.Event,
         send,
         transports.create_fetch(settings.control_port),
+        documents.patch,
     )
     codec = readers.DocumentCodec(documents.encode_objects, documents.decode_objects)
     readers.create(
--- a/trefoilpin/gateway/messages.py
+++ b/trefoilpin/gateway/messages.py
@@ -60,12 +60,24 @@
 
 
 class Document(NamedTuple):
-    """One section's document as a host holds it, with its age in seconds."""
+    """One section's document as a host holds it, or what turns another into it.
+
+    Attributes
+    ----------
+    kind : str
+    revision : int
+    age : float
+        Seconds since the store is known to have held it.
+    document : bytes
+    base : int
+        Digest of the document that ``document`` changes; 0 when it is whole.
+    """
 
     kind: str
     revision: int
     age: float
     document: bytes
+    base: int = 0
 
 
 class Bulletin(NamedTuple):
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -12,6 +12,7 @@
   2: i64 revision
   3: double age
   4: binary document
+  5: i64 base
 }
 
 struct BulletinStruct {
--- a/trefoilpin/tests/gateway/test_large_fleets.py
+++ b/trefoilpin/tests/gateway/test_large_fleets.py
@@ -4,10 +4,13 @@
 hundred lost. Where views differ, many hosts take themselves for readers or relays.
 """
 
+import random
+
 import pytest
 
 from trefoilpin.fakes.bulletin_fleets import Fleet
-from trefoilpin.gateway import members
+from trefoilpin.gateway import documents, members
+from trefoilpin.gateway.knowledge import ZONES_OUT
 
 HOSTS = 128
 ZONES = "abc"
@@ -49,6 +52,22 @@
             assert len(views.pop()) == members.RELAYS_PER_ZONE
 
 
+def test_a_change_of_a_large_document_reaches_all_at_once_and_unfetched(settled):
+    """An upstream of 300 leaves; relays have small links, and must not send it all."""
+    rng = random.Random(3)
+    objects = {f"u{number}": {"id": rng.getrandbits(256)} for number in range(300)}
+    reader = next(node for node in settled.nodes.values() if node.bulletins.rank() == 0)
+    for revision, content in ((7, objects), (8, objects | {"u9": {"state": "leaves"}})):
+        document = documents.encode_objects(content)
+        settled.values[document] = revision
+        reader.knowledge.offer(ZONES_OUT, revision, document, 0.0)
+        before = settled.fetches
+        settled.run_unaligned(3.0 if revision == 7 else 1.2)
+    assert settled.fetches - before <= len(settled.nodes) // 20
+    for node in settled.nodes.values():
+        assert node.knowledge.value(ZONES_OUT) == 8
+
+
 def test_a_relay_that_died_is_replaced_for_all_within_three_seconds(settled):
     gone = settled.nodes.popitem()[1].members.relays("b")[0].address
     settled.nodes.pop(gone, None)
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -113,15 +113,17 @@
      - revision
      - age
      - document
+     - base
 
     """
 
 
-    def __init__(self, kind=None, revision=None, age=None, document=None,):
+    def __init__(self, kind=None, revision=None, age=None, document=None, base=None,):
         self.kind = kind
         self.revision = revision
         self.age = age
         self.document = document
+        self.base = base
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -152,6 +154,11 @@
                     self.document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -178,6 +185,10 @@
             oprot.writeFieldBegin('document', TType.STRING, 4)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 5)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -598,6 +609,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.DOUBLE, 'age', None, None, ),  # 3
     (4, TType.STRING, 'document', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'base', None, None, ),  # 5
 )
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
