Rates after a start: own parts only until counts flow, and the past of hosts as young

For its first second a host knew few of those that serve and gave out the whole rate; and the first counts of hosts that had just started were taken for their past and left out. Change: for 1.5 s after a start a host gives out its part of twice the planned hosts, without regard to what others give out of theirs; counts of a host that started within the window count whole. The fleets of these tests now start at their restart, as before they counted as long-running.

--- a/trefoilpin/fakes/bulletin_fleets.py
+++ b/trefoilpin/fakes/bulletin_fleets.py
@@ -65,7 +65,7 @@
         self.members = members.create(
             kernel, own, lambda: self.knowledge.age(CONFIGURATION)
         )
-        terms = rates.RateTerms(True, 1, 5.0)
+        terms = rates.RateTerms(True, 1, 5.0, incarnation)
         self.rates = rates.create(kernel, terms, self.members.reached)
         suspects.create(kernel)
         queues.create(kernel, InstantEvent)
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -153,7 +153,12 @@
     fleet = members.create(
         kernel, settings.own, lambda: known.age(knowledge.CONFIGURATION)
     )
-    rate_terms = rates.RateTerms(settings.is_first_start, planned, settings.rate_window)
+    rate_terms = rates.RateTerms(
+        settings.is_first_start,
+        planned,
+        settings.rate_window,
+        settings.own.incarnation,
+    )
     rates.create(kernel, rate_terms, fleet.reached)
     suspects.create(kernel)
     queues.create(kernel, eventlet.event.Event)
--- a/trefoilpin/gateway/rates.py
+++ b/trefoilpin/gateway/rates.py
@@ -25,6 +25,12 @@
 INITIAL_SECONDS = 0.1
 # Counts of a host's past come within this time after it is first heard.
 BASELINE_SECONDS = 3.0
+# By this time after a start the hosts that serve know each other and hear each other's
+# counts; until then each gives out its part only, of twice the hosts that are planned,
+# as callers may have been sent to others.
+SETTLING_SECONDS = 1.5
+SETTLING_FACTOR = 2
+MILLISECONDS = 1000
 LEAST_RETRY_SECONDS = 0.05
 MOST_RETRY_SECONDS = 2.0
 
@@ -40,11 +46,14 @@
         Hosts among which a rate is divided until the fleet is known.
     window_seconds : float
         Time over which an account's requests are counted against its rate.
+    incarnation : int
+        Unix milliseconds of this daemon's start.
     """
 
     starts_full: bool
     planned_hosts: int
     window_seconds: float
+    incarnation: int
 
 
 class Rates(NamedTuple):
@@ -85,9 +94,9 @@
         self.spans: deque[list[float]] = deque()
         self.total = 0.0
 
-    def add(self, count, now):
+    def add(self, count, now, takes_level=True):
         """Count requests that were admitted, or take some back."""
-        if self.level is not None:
+        if takes_level and self.level is not None:
             self.level -= count
         self.total += count
         if not self.spans or now - self.spans[-1][0] >= SPAN_SECONDS:
@@ -151,12 +160,21 @@
     def usable_share():
         """Return the part of every rate that this host may give out."""
         heard, total = reached()
+        if is_settling():
+            return 1.0 / max(total, terms.planned_hosts * SETTLING_FACTOR)
         if total <= 1:
             return 1.0 / terms.planned_hosts if not terms.starts_full else 1.0
         if heard * 2 <= total:
             return 1.0 / max(total, terms.planned_hosts)
         return heard / total
 
+    def is_settling():
+        return not terms.starts_full and now() - state.started_at < SETTLING_SECONDS
+
+    def started_lately(incarnation):
+        """Tell whether a host's counts began within the window before this start."""
+        return terms.incarnation - incarnation < window * MILLISECONDS
+
     def knows_past():
         """Tell whether all that was given within the last window was counted here."""
         return terms.starts_full or now() - state.started_at > window
@@ -215,8 +233,10 @@
         if known is not None and incarnation < known.incarnation:
             return
         if known is None or incarnation > known.incarnation:
-            # A restart of a host that was heard before has no past to leave out.
-            baseline = now() + BASELINE_SECONDS if known is None else 0.0
+            # The past of a host is left out, unless all of it was heard or is so short
+            # that it counts.
+            has_past = known is None and not started_lately(incarnation)
+            baseline = now() + BASELINE_SECONDS if has_past else 0.0
             known = state.counts_by_host[host] = HostCounts(incarnation, baseline)
         for account, count in count_by_account.items():
             before = known.count_by_account.get(account)
@@ -227,7 +247,8 @@
                 spending = state.spending_by_account.setdefault(
                     account, Spending(now())
                 )
-                spending.add(count - before, now())
+                # What others give out of their own parts leaves this host's alone.
+                spending.add(count - before, now(), not is_settling())
                 spending.forget(now() - window)
 
     def admitted():
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -73,7 +73,7 @@
         own = members.OwnHost("10.1.0.1", "a", "r", 1, 100.0)
         self.members = members.create(kernel, own, lambda: 0.0)
         routing.create(kernel)
-        rates.create(kernel, rates.RateTerms(True, 1, 5.0), lambda: (1, 1))
+        rates.create(kernel, rates.RateTerms(True, 1, 5.0, 1), lambda: (1, 1))
         suspects.create(kernel)
         retries.create(kernel, 0.2, 6.0, 6.0)
         queues = Queues(
--- a/trefoilpin/tests/gateway/test_rates.py
+++ b/trefoilpin/tests/gateway/test_rates.py
@@ -19,16 +19,20 @@
 class Fleet:
     """Hosts with one clock, whose counts travel when a test says so."""
 
-    def __init__(self, count, starts_full=True):
+    def __init__(self, count, starts_full=True, planned=None, incarnation=1, at=100.0):
+        self.incarnation = incarnation
         self.reached = [(count, count) for _ in range(count)]
         self.hosts = []
         self.clock = None
         for number in range(count):
             kernel, clock, _ = create_host(number)
             self.clock = self.clock or clock
+            self.clock.time = at
             shared = kernel.clock._replace(now=self.clock.now)
             kernel = kernel._replace(clock=shared)
-            terms = rates.RateTerms(starts_full, count, WINDOW_SECONDS)
+            terms = rates.RateTerms(
+                starts_full, planned or count, WINDOW_SECONDS, incarnation
+            )
             self.hosts.append(
                 rates.create(kernel, terms, lambda number=number: self.reached[number])
             )
@@ -39,7 +43,7 @@
                 for other in group:
                     if one != other:
                         counts = dict(self.hosts[other].admitted())
-                        self.hosts[one].learn(f"h{other}", 1, counts)
+                        self.hosts[one].learn(f"h{other}", self.incarnation, counts)
 
 
 def play(
@@ -138,14 +142,36 @@
     for _ in range(4):
         times += play(fleet, 0.5 + rng.random(), 350, [range(6)], rng=rng)
         stopped_at = fleet.clock.time + DOWN_SECONDS
-        fleet = Fleet(6, starts_full=False)
-        fleet.clock.time = stopped_at
+        fleet = Fleet(6, starts_full=False, at=stopped_at)
         fleet.reached = [(1, 1)] * 6
         times += play(fleet, 0.5, 350, [()], rng=rng)
         fleet.reached = [(6, 6)] * 6
     assert busiest_window(times) <= allowed()
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_after_a_kill_of_all_more_hosts_serve_than_planned_and_hear_late(seed):
+    """A hot account before and after; callers are spread over 16 hosts of 6 planned.
+
+    The hosts learn one by one of each other, and their counts come 0.4 s later still.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(6)
+    times = play(fleet, 6 + rng.random(), 220, [range(6)], rng=rng)
+    restarted_at = fleet.clock.time + 1.2
+    milliseconds = int(restarted_at * 1000)
+    fleet = Fleet(16, False, 6, milliseconds, restarted_at)
+    for known in range(1, 11):
+        fleet.reached = [(known, known)] * 16
+        groups = [range(known)] if known > 4 else [()]
+        times += play(fleet, 0.1, 220, groups, rng=rng)
+    fleet.reached = [(16, 16)] * 16
+    times += play(fleet, 4.0, 220, [range(16)], rng=rng)
+    assert busiest_window(times) <= allowed()
+    after = [at for at in times if at > restarted_at + 1.5]
+    assert len(after) >= 0.8 * ACCOUNT.rate * 3.5
+
+
 def test_a_token_of_an_unsent_request_comes_back():
     fleet = Fleet(1)
     host = fleet.hosts[0]
