--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,7 +26,7 @@
     Parameters
     ----------
     seeds : str or int or tuple
-        Numbers, or ``first-last``.
+        Numbers, ``first-last``, or ``failed`` for those in ``seeds.txt``.
     seconds : float
         Time in which faults strike.
     hosts : int
@@ -51,6 +51,9 @@
 
 def read_seeds(text):
     """Return the seeds that an argument names."""
+    if text == "failed":
+        lines = (pathlib.Path(__file__).parent / "seeds.txt").read_text().splitlines()
+        return [int(line.split("|")[0]) for line in lines if not line.startswith("#")]
     if isinstance(text, int):
         return [text]
     if isinstance(text, (tuple, list)):
