Rates settle once no further host is found, not after a fixed time

Change: the parts end when no further serving host was found for 0.4 s, 0.5 s after the start at the soonest and 1.5 s at the latest.

--- a/trefoilpin/gateway/rates.py
+++ b/trefoilpin/gateway/rates.py
@@ -25,10 +25,12 @@
 INITIAL_SECONDS = 0.1
 # Counts of a host's past come within this time after it is first heard.
 BASELINE_SECONDS = 3.0
-# By this time after a start the hosts that serve know each other and hear each other's
-# counts; until then each gives out its part only, of twice the hosts that are planned,
-# as callers may have been sent to others.
-SETTLING_SECONDS = 1.5
+# After a start the hosts that serve have to know each other and hear each other's
+# counts; until no further one was found for a while, each gives out its part only, of
+# twice the hosts that are planned, as callers may have been sent to others.
+LEAST_SETTLING_SECONDS = 0.5
+QUIET_SECONDS = 0.4
+MOST_SETTLING_SECONDS = 1.5
 SETTLING_FACTOR = 2
 MILLISECONDS = 1000
 LEAST_RETRY_SECONDS = 0.05
@@ -134,6 +136,8 @@
 
     def __init__(self, now):
         self.started_at = now
+        self.total = 0
+        self.total_changed_at = now
         self.spending_by_account: dict[str, Spending] = {}
         self.admitted_by_account: dict[str, int] = {}
         self.counts_by_host: dict[str, HostCounts] = {}
@@ -160,6 +164,8 @@
     def usable_share():
         """Return the part of every rate that this host may give out."""
         heard, total = reached()
+        if total != state.total:
+            state.total, state.total_changed_at = total, now()
         if is_settling():
             return 1.0 / max(total, terms.planned_hosts * SETTLING_FACTOR)
         if total <= 1:
@@ -169,7 +175,11 @@
         return heard / total
 
     def is_settling():
-        return not terms.starts_full and now() - state.started_at < SETTLING_SECONDS
+        running = now() - state.started_at
+        if terms.starts_full or running >= MOST_SETTLING_SECONDS:
+            return False
+        is_quiet = now() - state.total_changed_at >= QUIET_SECONDS
+        return running < LEAST_SETTLING_SECONDS or not is_quiet
 
     def started_lately(incarnation):
         """Tell whether a host's counts began within the window before this start."""
--- a/trefoilpin/tests/gateway/test_rates.py
+++ b/trefoilpin/tests/gateway/test_rates.py
@@ -172,6 +172,13 @@
     assert len(after) >= 0.8 * ACCOUNT.rate * 3.5
 
 
+def test_hosts_that_found_each_other_give_out_the_whole_rate_soon_after_a_start():
+    fleet = Fleet(6, starts_full=False, planned=6, incarnation=100_000)
+    play(fleet, 0.6, 60, [range(6)])
+    times = play(fleet, 2.0, 60, [range(6)])
+    assert len(times) >= 0.9 * ACCOUNT.rate * 2.0
+
+
 def test_a_token_of_an_unsent_request_comes_back():
     fleet = Fleet(1)
     host = fleet.hosts[0]
