Decide in one place which connection is idle; read requests sent ahead

Change: connections are registered when they are accepted (ConnectionPool), and close marks each of them before eventlet's server sees it. Requests are parsed by a reader task and answered in their order by the connection's task (connections.py), so a partly received request counts as in progress and what a caller sends ahead can run early. The close of a caller is noticed while its bytes wait.

--- a/trefoilpin/frontends.py
+++ b/trefoilpin/frontends.py
@@ -243,7 +243,7 @@
 
     def close_idle(is_due):
         for listener in open_listeners:
-            for connection in list(listener.connections):
+            for connection in list(listener.connections.values()):
                 if is_due(connection):
                     listeners.close_if_idle(connection, CLOSING)
 
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -289,7 +289,7 @@
 
     def close_idle(is_due):
         for listener in open_listeners:
-            for connection in list(listener.connections):
+            for connection in list(listener.connections.values()):
                 if is_due(connection):
                     listeners.close_if_idle(connection)
 
--- a/trefoilpin/listeners.py
+++ b/trefoilpin/listeners.py
@@ -1,4 +1,4 @@
-"""Listening sockets and their connections, served by eventlet's WSGI server.
+"""Listening sockets, served by eventlet's WSGI server.
 
 Adds to the server: requests that it can't parse are answered as JSON and reported, and
 connections can be closed while idle or after their next answer.
@@ -14,6 +14,15 @@
 import eventlet.wsgi
 
 from trefoilpin import codecs
+from trefoilpin.connections import (
+    CONNECTION,
+    LINGER_SECONDS,
+    ConnectionHooks,
+    ConnectionState,
+    end_after_answer,
+    is_gone,
+    serve_connection,
+)
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
 __all__ = [
@@ -30,101 +39,23 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECTION = "trefoilpin.connection"
 LISTEN_BACKLOG = 1024
-LINGER_SECONDS = 1.0
-LINGER_BYTES = 262_144
-READ_BYTES = 65_536
 
 
-class ConnectionState:
-    """State of one accepted connection.
+class Listener:
+    """A listening socket with the connections accepted on it.
 
     Attributes
     ----------
-    share : float
-        Fraction of a drain, from 0 to 1, after which the connection is closed.
-    idle_since : float
-        Seconds of the clock; when the last answer was written.
-    request_at : float
-        Seconds of the clock; when the first line of the current request arrived.
-    lingers : bool
-        True when unread input is discarded before the connection is closed.
-    is_closing : bool
-        True once no further request is served on it.
+    connections : dict of int to ConnectionState
+        By the identity of eventlet's record of the connection.
     """
 
-    def __init__(self, server_state, share, now):
-        self.server_state = server_state
-        self.sock = server_state[1]
-        self.peer = server_state[0][0]
-        self.share = share
-        self.idle_since = now
-        self.request_at = now
-        self.protocol = None
-        self.lingers = False
-        self.is_closing = False
-
-    def is_idle(self):
-        """Tell whether no request is in progress and none has begun to arrive."""
-        if self.server_state[2] != eventlet.wsgi.STATE_IDLE:
-            return False
-        return not has_data(self.sock)
-
-
-class Listener:
-    """A listening socket with the connections accepted on it."""
-
     def __init__(self, sock):
         self.sock = sock
         self.task = None
         self.closed = eventlet.event.Event()
-        self.connections: set[ConnectionState] = set()
-
-
-def has_data(sock):
-    """Tell whether a socket has unread input."""
-    try:
-        return bool(sock.fd.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
-def is_gone(sock):
-    """Tell whether the caller closed its connection."""
-    try:
-        return not sock.fd.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
-def end_after_answer(connection):
-    """Close a connection after the current answer, which announces it."""
-    connection.protocol.close_connection = 1
-
-
-def linger(connection):
-    """Close the writing side and discard input, so that the caller can read the answer.
-
-    Closing a socket with unread input resets the connection, and the caller may lose
-    the answer.
-    """
-    connection.protocol.wfile.flush()
-    connection.sock.shutdown(socket.SHUT_WR)
-    discard(connection)
-
-
-def discard(connection):
-    """Read and drop input, up to ``LINGER_SECONDS`` and ``LINGER_BYTES``."""
-    received = 0
-    with eventlet.Timeout(LINGER_SECONDS, False):
-        while received < LINGER_BYTES:
-            part = connection.sock.recv(READ_BYTES)
-            if not part:
-                return
-            received += len(part)
+        self.connections: dict[int, ConnectionState] = {}
 
 
 def listen(address):
@@ -166,56 +97,35 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def serve_connection(connection, server, now, report):
-    """Serve one connection until it ends."""
-    protocol = eventlet.wsgi.HttpProtocol.__new__(eventlet.wsgi.HttpProtocol)
-    connection.protocol = protocol
-    handle_one_request = protocol.handle_one_request
-    get_environ = protocol.get_environ
-    read_request_line = protocol._read_request_line
-
-    def send_error(code, message=None, explain=None):
-        protocol.close_connection = 1
-        protocol.wfile.write(error_bytes(code, message or "the request is malformed"))
-
-    def get_environ_with_connection():
-        environ = get_environ()
-        environ[CONNECTION] = connection
-        return environ
-
-    def read_request_line_unless_closing():
-        line = read_request_line()
-        connection.request_at = now()
-        if not connection.is_closing:
-            return line
-        # The refusal was already sent as the answer to a request that arrives while the
-        # connection is being closed, so this request must not run.
-        discard(connection)
-        return b""
-
-    def handle_and_report_malformed():
-        protocol.environ = None
-        handle_one_request()
-        connection.idle_since = now()
-        if not protocol.raw_requestline:
-            return
-        if protocol.environ is None:
-            connection.lingers = True
-            report(connection.peer, "the request line or the headers are malformed")
-        if connection.lingers:
-            linger(connection)
-
-    protocol.send_error = send_error
-    protocol._read_request_line = read_request_line_unless_closing
-    protocol.get_environ = get_environ_with_connection
-    protocol.handle_one_request = handle_and_report_malformed
-    try:
-        protocol.__init__(connection.server_state, server)
-    finally:
-        vars(protocol).clear()
+class ConnectionPool:
+    """The pool in which eventlet's server runs the connections that it accepts.
 
+    A connection is registered when it is accepted, before its task runs, so that a
+    listener that closes knows every caller that may have sent a request.
+    """
 
-def serve(listener, application, limits, clock, rng, report):
+    def __init__(self, listener, max_connections, create_connection):
+        self.listener = listener
+        self.tasks = eventlet.GreenPool(max_connections)
+        self.create_connection = create_connection
+        self.waitall = self.tasks.waitall
+
+    def spawn(self, process, server_state):
+        """Start the task of an accepted connection."""
+        connection = self.create_connection(server_state)
+        self.listener.connections[id(server_state)] = connection
+        is_started = False
+        try:
+            task = self.tasks.spawn(process, server_state)
+            is_started = True
+            return task
+        finally:
+            if not is_started:
+                del self.listener.connections[id(server_state)]
+                connection.sock.close()
+
+
+def serve(listener, application, limits, clock, rng, report, prepare=None):
     """Serve an application until the listener is closed.
 
     Parameters
@@ -229,18 +139,23 @@
         Draws ``share`` of each connection.
     report : callable
         ``report(peer, detail)`` is called for each request that can't be parsed.
+    prepare : callable, optional
+        See ``ConnectionHooks``.
     """
     max_connections, idle_seconds = limits
+    hooks = ConnectionHooks(clock.now, report, error_bytes, prepare)
+
+    def create_connection(server_state):
+        return ConnectionState(server_state, rng.random(), clock.now())
 
     def run_connection(server_state, server):
-        connection = ConnectionState(server_state, rng.random(), clock.now())
-        listener.connections.add(connection)
+        connection = listener.connections[id(server_state)]
         try:
-            serve_connection(connection, server, clock.now, report)
+            serve_connection(connection, server, hooks)
         except OSError as error:
             logger.debug("connection of %s ended: %s", connection.peer, error)
         finally:
-            listener.connections.discard(connection)
+            del listener.connections[id(server_state)]
 
     listener.task = eventlet.getcurrent()
     try:
@@ -249,7 +164,7 @@
             application,
             log=logger,
             log_output=False,
-            max_size=max_connections,
+            custom_pool=ConnectionPool(listener, max_connections, create_connection),
             socket_timeout=idle_seconds,
             protocol=run_connection,
             debug=False,
@@ -271,11 +186,10 @@
     """
     if not connection.is_idle():
         return False
-    connection.server_state[2] = eventlet.wsgi.STATE_CLOSE
+    connection.is_closing = True
     if refusal is None:
-        connection.sock.shutdown(socket.SHUT_RDWR)
+        stop_reading(connection)
         return True
-    connection.is_closing = True
     try:
         connection.sock.fd.send(refusal_bytes(refusal.reason.value.status, refusal))
         connection.sock.shutdown(socket.SHUT_WR)
@@ -300,14 +214,17 @@
     ----------
     listener : Listener
     refusal : Refusal, optional
-        Closes idle connections too; see ``close_if_idle``.
+        Sent on idle connections; see ``close_if_idle``.
     """
     if listener.task is None or listener.closed.ready():
         listener.sock.close()
         return
-    if refusal is not None:
-        for connection in list(listener.connections):
-            close_if_idle(connection, refusal)
+    for connection in list(listener.connections.values()):
+        if not close_if_idle(connection, refusal):
+            connection.ends = True
+        # Eventlet's server would shut down a connection that it takes for idle though a
+        # request waits in its socket; which ones are idle is decided here alone.
+        connection.server_state[2] = eventlet.wsgi.STATE_REQUEST
     listener.task.kill()
     listener.sock.close()
     listener.closed.wait()
--- a/trefoilpin/tests/test_imports.py
+++ b/trefoilpin/tests/test_imports.py
@@ -11,6 +11,7 @@
     "admin",
     "codecs",
     "commands",
+    "connections",
     "daemons",
     "explanations",
     "logs",
--- a/trefoilpin/tests/test_listeners.py
+++ b/trefoilpin/tests/test_listeners.py
@@ -41,7 +41,7 @@
         with eventlet.Timeout(5):
             while not self.listener.connections:
                 eventlet.sleep(0.001)
-        return next(iter(self.listener.connections))
+        return next(iter(self.listener.connections.values()))
 
 
 @pytest.fixture
@@ -81,6 +81,26 @@
         assert sock.recv(1) == b""
 
 
+@pytest.mark.parametrize("refusal", [None, CLOSING])
+@pytest.mark.parametrize("is_served", [False, True])
+def test_request_that_waits_in_the_socket_is_answered_before_close_returns(
+    server, refusal, is_served
+):
+    """The task of the connection has not run since the caller sent its request."""
+    server.may_answer.send()
+    with socket.create_connection(server.address, timeout=5) as sock:
+        server.wait_for_connection()
+        if is_served:
+            sock.sendall(REQUEST)
+            assert sock.recv(65536).endswith(b"ok")
+            eventlet.sleep(0.01)
+        sock.sendall(REQUEST)
+        listeners.close(server.listener, refusal)
+        answer = read_to_end(sock)
+    assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"ok")
+    assert b"Connection: close" in answer
+
+
 def test_request_arrives_with_its_first_line_and_not_with_its_body(server):
     with socket.create_connection(server.address, timeout=5) as sock:
         sock.sendall(b"PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n")
