Gateway: run repeatable requests that are sent ahead

Cause: a request sent behind an unanswered one waited for all before it, and was not even read; callers give up an unread request after a second. Time counts from the arrival of each request.

--- a/trefoilpin/connections.py
+++ b/trefoilpin/connections.py
@@ -22,6 +22,7 @@
     "ARRIVED_AT",
     "CONNECTION",
     "IN_TURN",
+    "LINGER_SECONDS",
     "PROTOCOL",
     "READ_ON",
     "ConnectionHooks",
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -6,7 +6,7 @@
 
 import json
 import logging
-from typing import Callable, NamedTuple
+from typing import Any, Callable, NamedTuple
 from urllib.parse import parse_qs
 
 from returns.result import Failure, Success
@@ -39,9 +39,14 @@
 IDLE_MARGIN_SECONDS = 1.0
 IDLE_CHECK_INTERVAL_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000.0
+HTTP_1_1 = "HTTP/1.1"
 DOCUMENTS_PATH = "/documents/"
 METRICS_PATH = "/metrics"
 
+# Keys of the WSGI environment.
+HEAD = "trefoilpin.head"
+AHEAD = "trefoilpin.ahead"
+
 INTERNAL = Refusal(
     Reason.INTERNAL, Verdict.MAY_HAVE_RUN, "a fault of the gateway ended the request"
 )
@@ -56,6 +61,30 @@
     control: str | None
 
 
+class RequestHead(NamedTuple):
+    """Headers of a request, with names in lower case, and its fault, if any.
+
+    Attributes
+    ----------
+    headers : list of (str, str)
+    request_id : str
+    fault : Refusal or None
+    has_body : bool
+    """
+
+    headers: list[tuple[str, str]]
+    request_id: str
+    fault: Refusal | None
+    has_body: bool
+
+
+class RequestAhead(NamedTuple):
+    """A request that was started before its turn, and the task that runs it."""
+
+    incoming: IncomingRequest
+    task: Any
+
+
 class Frontends(NamedTuple):
     """``frontends``: the HTTP listeners.
 
@@ -85,6 +114,27 @@
     return int(value) if value.isdecimal() else NO_BASE
 
 
+def read_head(environ, id_header):
+    """Return the ``RequestHead`` of a request."""
+    head = environ.get(HEAD)
+    if head is not None:
+        return head
+    headers = [(name.lower(), value) for name, value in environ["headers_raw"]]
+    value_by_name = dict(headers)
+    protocol = environ[listeners.PROTOCOL]
+    fault = find_fault(
+        protocol.command, protocol.path, headers, protocol.headers.defects
+    )
+    has_body = value_by_name.get("content-length", "0") != "0"
+    head = environ[HEAD] = RequestHead(
+        headers,
+        value_by_name.get(id_header, ""),
+        fault,
+        has_body or "transfer-encoding" in value_by_name,
+    )
+    return head
+
+
 def send_refusal(start_response, refusal, request_id, id_header):
     """Send a refusal as JSON."""
     body = json.dumps(codecs.encode_refusal(refusal, request_id)).encode() + b"\n"
@@ -152,18 +202,18 @@
     def limits():
         return document_cache.value(CONFIGURATION).limits
 
-    def decode_request(environ, headers, body, request_id):
+    def decode_request(environ, head, body):
         connection = environ[listeners.CONNECTION]
         request = CallerRequest(
-            request_id=request_id,
+            request_id=head.request_id,
             method=environ["REQUEST_METHOD"],
             host=environ.get("HTTP_HOST", "").partition(":")[0].lower(),
             path=environ["RAW_PATH_INFO"],
             query=environ.get("QUERY_STRING", ""),
-            headers=drop_hop_by_hop(headers),
+            headers=drop_hop_by_hop(head.headers),
             body=body,
             peer=environ["REMOTE_ADDR"],
-            arrived_at=connection.request_at,
+            arrived_at=environ[listeners.ARRIVED_AT],
             caller_gone=lambda: listeners.is_gone(connection.sock),
         )
         key = read_key(request)
@@ -172,6 +222,22 @@
             request._replace(headers=strip(request.headers)), key, caller_timeout
         )
 
+    def prepare(environ, is_behind):
+        """Start a request early that was sent ahead and may run more than once."""
+        head = read_head(environ, dialect.request_id)
+        protocol = environ[listeners.PROTOCOL]
+        if head.fault or head.has_body or protocol.request_version != HTTP_1_1:
+            return listeners.IN_TURN
+        if not is_behind:
+            return listeners.READ_ON
+        incoming = decode_request(environ, head, b"")
+        if not proxies.may_run_ahead(incoming.request):
+            return listeners.IN_TURN
+        task = kernel.spawn(handle_request, incoming)
+        environ[AHEAD] = RequestAhead(incoming, task)
+        metrics.count("requests_ahead")
+        return listeners.Preparation(task, True)
+
     def refuse_malformed(environ, start_response, refusal, request_id):
         connection = environ[listeners.CONNECTION]
         connection.lingers = True
@@ -182,17 +248,17 @@
 
     def serve_callers(environ, start_response):
         connection = environ[listeners.CONNECTION]
-        headers = [(name.lower(), value) for name, value in environ["headers_raw"]]
-        request_id = dict(headers).get(dialect.request_id, "")
-        protocol = connection.protocol
-        fault = find_fault(
-            protocol.command, protocol.path, headers, protocol.headers.defects
-        )
-        body = fault or read_body(environ, limits().max_body_bytes)
-        if isinstance(body, Refusal):
-            return refuse_malformed(environ, start_response, body, request_id)
-        incoming = decode_request(environ, headers, body, request_id)
-        outcome = handle_request(incoming)
+        head = read_head(environ, dialect.request_id)
+        request_id = head.request_id
+        ahead = environ.get(AHEAD)
+        if ahead is not None:
+            incoming, outcome = ahead.incoming, ahead.task.wait()
+        else:
+            body = head.fault or read_body(environ, limits().max_body_bytes)
+            if isinstance(body, Refusal):
+                return refuse_malformed(environ, start_response, body, request_id)
+            incoming = decode_request(environ, head, body)
+            outcome = handle_request(incoming)
         if members.is_stopping():
             listeners.end_after_answer(connection)
         if isinstance(outcome, Failure):
@@ -255,7 +321,7 @@
     def report_malformed(peer, detail):
         emit(events.REQUEST_MALFORMED, peer=peer, detail=detail)
 
-    def open_listener(address, application):
+    def open_listener(address, application, prepare=None):
         if address is None:
             return
         listener = listeners.listen(address)
@@ -269,11 +335,12 @@
             kernel.clock,
             kernel.rng,
             report_malformed,
+            prepare,
         )
 
     def start():
         open_listener(addresses.control, serve_control)
-        open_listener(addresses.callers, serve_callers)
+        open_listener(addresses.callers, serve_callers, prepare)
         open_listener(addresses.readiness, serve_readiness)
         open_listener(addresses.directory, serve_directory)
         kernel.spawn(
--- a/trefoilpin/gateway/proxies.py
+++ b/trefoilpin/gateway/proxies.py
@@ -28,11 +28,14 @@
 class Proxies(NamedTuple):
     """``proxies``: ``handle(incoming)`` returns the ``Answer`` or a ``Refusal``.
 
+    ``may_run_ahead(request)`` tells whether a request may run before earlier ones of
+    its connection were answered, as it may run more than once.
     ``under_way()`` is the number of requests in progress. After ``close()`` every
     further request is refused.
     """
 
     handle: Callable
+    may_run_ahead: Callable
     under_way: Callable[[], int]
     close: Callable[[], None]
 
@@ -170,6 +173,10 @@
     def close():
         state.is_closed = True
 
-    service = Proxies(handle, lambda: state.under_way, close)
+    def may_run_ahead(request):
+        route = routing.match(request.host, request.path)
+        return route is not None and route.idempotent and not state.is_closed
+
+    service = Proxies(handle, may_run_ahead, lambda: state.under_way, close)
     kernel.register("proxies", service)
     return service
--- a/trefoilpin/listeners.py
+++ b/trefoilpin/listeners.py
@@ -15,10 +15,15 @@
 
 from trefoilpin import codecs
 from trefoilpin.connections import (
+    ARRIVED_AT,
     CONNECTION,
+    IN_TURN,
     LINGER_SECONDS,
+    PROTOCOL,
+    READ_ON,
     ConnectionHooks,
     ConnectionState,
+    Preparation,
     end_after_answer,
     is_gone,
     serve_connection,
@@ -26,9 +31,14 @@
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
 __all__ = [
+    "ARRIVED_AT",
     "CONNECTION",
+    "IN_TURN",
+    "PROTOCOL",
+    "READ_ON",
     "ConnectionState",
     "Listener",
+    "Preparation",
     "close",
     "close_if_idle",
     "end_after_answer",
