Follow what answers say: leaving, a pause; accept no copy of a refusal

Cause: an answer that says that its upstream leaves was not read; a pause that an upstream asks for (503 with Retry-After) was not kept; and a refusal that names no request, written once more on a kept connection, was taken for the refusal of the next request there, which its caller was then told had not run. Change: a leaving upstream gets nothing more from this host until it starts anew; a paused one gets nothing until then (60 s at most), and callers of a pool that pauses as a whole are refused at once with the time until its end, spread. A connection that carried a refusal without a name is reused only for requests that may run more than once.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -387,6 +387,21 @@
     "An upstream is draining and gets no new requests.",
 )
 
+UPSTREAM_PAUSED = Event(
+    621,
+    "upstream_paused",
+    logging.INFO,
+    ("pool", "upstream", "seconds"),
+    "An upstream asked this host for a pause and gets no requests from it meanwhile.",
+)
+RETRY_AFTER_LIMITED = Event(
+    622,
+    "retry_after_limited",
+    logging.WARNING,
+    ("upstream", "stated", "seconds"),
+    "An upstream stated an invalid or very long pause; seconds is what is followed.",
+)
+
 # 7xx: the gateway over a store that others write.
 GATEWAY_ANSWERED = Event(
     700,
--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -76,6 +76,9 @@
         Idle timeout in seconds, derived from the one that the upstream announced.
     is_suspect : bool
         True once an answer to another request arrived on it.
+    may_repeat_refusal : bool
+        True once a refusal that names no request arrived on it. A copy of it could be
+        taken for the answer to a later request.
     """
 
     def __init__(self, address, http_connection):
@@ -88,6 +91,7 @@
         self.idle_since = 0.0
         self.max_idle = None
         self.is_suspect = False
+        self.may_repeat_refusal = False
 
 
 def set_dead_peer_timeouts(sock):
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -2,7 +2,8 @@
 
 The verdict is ``NOT_RUN`` only when nothing of the request was written, or the upstream
 states that it did not run it. A connection is reused only after a complete answer to
-the request that was sent on it.
+the request that was sent on it, and after a refusal that names no request only for
+requests that may run more than once.
 """
 
 import re
@@ -13,7 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from trefoilpin import dialects, events, exchanges
-from trefoilpin.headers import drop_hop_by_hop
+from trefoilpin.headers import drop_hop_by_hop, read_retry_after
 from trefoilpin.messages import Answer, Attempt
 from trefoilpin.request_services import Forwarders
 from trefoilpin.verdicts import Reason, Verdict
@@ -29,6 +30,9 @@
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)")
 MAX_SKIPPED_ANSWERS = 2
+UNAVAILABLE_STATUS = 503
+# Longest time for which an upstream's request to pause is followed.
+MAX_PAUSE_SECONDS = 60.0
 CALLER_LEFT = "the caller left"
 EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
@@ -122,10 +126,12 @@
         headers.extend(outgoing.extra_headers)
         return headers
 
-    def take_idle(address, max_idle):
-        connections = state.idle_by_address.get(address)
-        while connections:
-            connection = connections.pop()
+    def take_idle(address, max_idle, idempotent):
+        connections = state.idle_by_address.get(address, [])
+        for connection in reversed(tuple(connections)):
+            if connection.may_repeat_refusal and not idempotent:
+                continue
+            connections.remove(connection)
             max_seconds = min(max_idle, connection.max_idle or max_idle)
             is_fresh = now() - connection.idle_since < max_seconds
             if is_fresh and exchanges.is_reusable(connection):
@@ -176,7 +182,7 @@
             extra_headers=extra_headers,
         )
         max_idle = bounds.max_idle if idempotent else bounds.max_idle_non_idempotent
-        connection = take_idle(upstream.address, max_idle)
+        connection = take_idle(upstream.address, max_idle, idempotent)
         if connection is None:
             return open_and_send(outgoing)
         idle_seconds = now() - connection.idle_since
@@ -290,7 +296,10 @@
             rest = stream(connection, outgoing, response)
             return answered_attempt(outgoing, response.status, fields, body, rest), True
         attempt = answered_attempt(outgoing, response.status, fields, body, None)
-        if response.will_close or connection.is_suspect:
+        if attempt.shed and dialect.request_id not in value_by_name:
+            connection.may_repeat_refusal = True
+        is_unsound = connection.may_repeat_refusal and not outgoing.idempotent
+        if response.will_close or connection.is_suspect or is_unsound:
             return attempt, False
         announced = keep_alive_seconds(value_by_name)
         if announced is not None:
@@ -328,7 +337,31 @@
         answer = Answer(status, drop_hop_by_hop(fields), body, rest)
         draining = dialect.states_drain(value_by_name)
         seconds = now() - outgoing.started_at
-        return Attempt(verdict, answer, None, "", seconds, shed, draining)
+        return Attempt(
+            verdict,
+            answer,
+            None,
+            "",
+            seconds,
+            shed,
+            draining,
+            pause_seconds=read_pause(outgoing, status, value_by_name),
+        )
+
+    def read_pause(outgoing, status, value_by_name):
+        """Return the time for which the upstream wants no request, in seconds."""
+        stated = value_by_name.get("retry-after")
+        if status != UNAVAILABLE_STATUS or stated is None:
+            return 0.0
+        seconds = read_retry_after(stated, kernel.clock.wall())
+        if seconds is None or seconds > MAX_PAUSE_SECONDS:
+            emit(
+                events.RETRY_AFTER_LIMITED,
+                upstream=outgoing.upstream,
+                stated=stated[:64],
+                seconds=None if seconds is None else MAX_PAUSE_SECONDS,
+            )
+        return min(seconds or 0.0, MAX_PAUSE_SECONDS)
 
     def caller_left_attempt(outgoing):
         emit(events.CALLER_GONE, request_id=outgoing.request.request_id)
--- a/trefoilpin/gateway/upstream_health.py
+++ b/trefoilpin/gateway/upstream_health.py
@@ -42,6 +42,10 @@
         Moving average of durations relative to the typical duration of the route.
     cold_until, avoided_until, full_until : float
         Clock times until which it is cold, unreachable from this host, or full.
+    paused_until : float
+        Clock time until which it asked this host to send it nothing.
+    is_leaving : bool
+        True once one of its answers said that it is leaving.
     failed_connects : int
         Consecutive attempts that did not reach it.
     """
@@ -60,6 +64,8 @@
         self.avoided_until = float("-inf")
         self.failed_connects = 0
         self.full_until = float("-inf")
+        self.paused_until = float("-inf")
+        self.is_leaving = False
 
 
 class InFlightRequest:
@@ -87,7 +93,7 @@
     cold_share : float
         Requests a second that this host may send while the upstream is cold.
     """
-    if now < max(health.avoided_until, health.full_until):
+    if now < max(health.avoided_until, health.full_until, health.paused_until):
         return False
     in_flight = health.own_in_flight + health.other_in_flight
     if in_flight >= health.upstream.slots + MAX_QUEUED_REQUESTS:
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -44,6 +44,10 @@
 # In-flight counts of a host that no longer reports expire after this time.
 IN_FLIGHT_EXPIRY_SECONDS = 1.5
 RETRY_AFTER_SECONDS = 0.2
+# A request waits for a pool that asked for a pause only if it ends within this time.
+MAX_PAUSE_WAIT_SECONDS = 0.25
+# Callers of a pool that pauses return over this multiple of its pause.
+PAUSE_SPREAD = 0.5
 
 SATURATED = Failure(
     Refusal(
@@ -153,7 +157,8 @@
 
     def is_usable(health, zones_out):
         upstream = health.upstream
-        return not upstream.draining and upstream.zone not in zones_out
+        is_departing = upstream.draining or health.is_leaving
+        return not is_departing and upstream.zone not in zones_out
 
     def has_room(health, cold_rate):
         share = cold_rate / max(sender_count(), 1)
@@ -175,10 +180,12 @@
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
         cold_rate = pool.cold_rate if pool is not None else 0.0
         accepted, others, has_accepted, has_usable = [], [], False, False
+        paused_until = float("inf")
         for health in state.health_by_pool.get(pool_id, {}).values():
             if health.upstream.id in tried or not is_usable(health, zones_out):
                 continue
             has_usable = True
+            paused_until = min(paused_until, health.paused_until)
             candidate = create_candidate(health)
             is_accepted = candidate.failure_probability <= MAX_ACCEPTED_PROBABILITY
             is_reachable = now() >= health.avoided_until
@@ -187,11 +194,21 @@
                 (accepted if is_accepted else others).append(candidate)
         if not has_usable:
             return NO_UPSTREAM
+        if paused_until - now() > MAX_PAUSE_WAIT_SECONDS:
+            return refuse_paused(paused_until - now())
         if not accepted and (has_accepted or not others):
             return SATURATED
         chosen = upstream_selection.choose(accepted or others, retry_policy, rng)
         return Success(reserve(pool_id, state.health_by_id[chosen.id], typical_seconds))
 
+    def refuse_paused(seconds):
+        """Refuse a request whose whole pool asked for a pause; spread the returns."""
+        retry_after = seconds * (1.0 + PAUSE_SPREAD * rng.random())
+        detail = "every upstream of the pool asked for a pause"
+        return Failure(
+            Refusal(Reason.NO_UPSTREAM, Verdict.NOT_RUN, detail, retry_after)
+        )
+
     def reserve(pool_id, health, typical_seconds):
         health.own_in_flight += 1
         if now() < health.cold_until:
@@ -212,6 +229,7 @@
             back_off(health)
             return
         health.failed_connects = 0
+        heed_answer(health, attempt)
         outcome = upstream_health.classify_attempt(attempt, typical_seconds)
         if outcome is None:
             return
@@ -228,6 +246,27 @@
             outcome = Outcome.GOOD
         record_outcome(health, outcome)
 
+    def heed_answer(health, attempt):
+        """Follow what an answer says of its upstream: that it leaves, or a pause."""
+        upstream = health.upstream
+        if attempt.draining and not health.is_leaving:
+            health.is_leaving = True
+            emit(
+                events.UPSTREAM_DRAINING,
+                pool=upstream.pool,
+                upstream=upstream.id,
+                source="answer",
+            )
+        if attempt.pause_seconds:
+            paused_until = now() + attempt.pause_seconds
+            health.paused_until = max(health.paused_until, paused_until)
+            emit(
+                events.UPSTREAM_PAUSED,
+                pool=upstream.pool,
+                upstream=upstream.id,
+                seconds=attempt.pause_seconds,
+            )
+
     def back_off(health):
         """Back off from an upstream that this host can't reach."""
         backoff = MIN_BACKOFF_SECONDS * 2 ** min(health.failed_connects, 6)
--- a/trefoilpin/headers.py
+++ b/trefoilpin/headers.py
@@ -1,15 +1,17 @@
-"""Validation of request lines and headers, and removal of hop-by-hop headers.
+"""Validation of request lines and headers, removal of hop-by-hop headers, durations.
 
 Requests that two HTTP parsers could read differently are refused, since they allow
 request smuggling.
 """
 
 import re
+from datetime import timezone
+from email.utils import parsedate_to_datetime
 from urllib.parse import unquote
 
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
-__all__ = ["HOP_BY_HOP", "drop_hop_by_hop", "find_fault"]
+__all__ = ["HOP_BY_HOP", "drop_hop_by_hop", "find_fault", "read_retry_after"]
 
 HOP_BY_HOP = frozenset(
     (
@@ -27,6 +29,7 @@
 REFUSED_METHODS = frozenset(("CONNECT", "TRACE"))
 CONTROL_CHARACTER = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
 NOT_TARGET_CHARACTER = re.compile("[^\x21-\x7e]")
+RETRY_AFTER_SECONDS = re.compile("[0-9]{1,9}([.][0-9]{1,9})?")
 TOKEN = re.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 DOT_SEGMENTS = frozenset((".", ".."))
 
@@ -56,6 +59,28 @@
     )
 
 
+def read_retry_after(value, wall_seconds):
+    """Return the delay in seconds that a ``Retry-After`` header states, or None.
+
+    Parameters
+    ----------
+    value : str
+        Seconds, which may have a fraction, or an HTTP date (RFC 9110, section 10.2.3).
+    wall_seconds : float
+        Time of day in seconds since the epoch.
+    """
+    text = value.strip()
+    if RETRY_AFTER_SECONDS.fullmatch(text):
+        return float(text)
+    try:
+        date = parsedate_to_datetime(text)
+        if date.tzinfo is None:
+            date = date.replace(tzinfo=timezone.utc)
+        return max(date.timestamp() - wall_seconds, 0.0)
+    except (TypeError, ValueError, OverflowError):
+        return None
+
+
 def find_fault(method, target, headers, defects):
     """Return the refusal of an ambiguous or malformed request, or None.
 
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -91,6 +91,8 @@
         True when the upstream announced that it is draining.
     broke_connection : bool
         True when the connection broke after the request was written.
+    pause_seconds : float
+        Time for which the upstream asked this host to send it nothing; 0 for none.
     """
 
     verdict: Verdict
@@ -101,6 +103,7 @@
     shed: bool = False
     draining: bool = False
     broke_connection: bool = False
+    pause_seconds: float = 0.0
 
 
 class Choice(NamedTuple):
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -177,3 +177,47 @@
     assert health.own_in_flight == 0 and clock.time >= health.avoided_until
     assert isinstance(choose(service), Success)
     assert isinstance(choose(service, frozenset(("u1",))), Failure)
+
+
+def test_upstream_that_says_it_leaves_gets_no_requests_until_it_starts_anew(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    left = send(service, GOOD._replace(draining=True))
+    number = int(left[1:])
+    for step in range(40):
+        clock.time += 0.5
+        assert send(service, GOOD) != left
+    other = 3 - number
+    put(UPSTREAMS, 2, table(upstream(number, slots=7), upstream(other, draining=True)))
+    assert choose(service).failure().reason is Reason.NO_UPSTREAM
+    put(UPSTREAMS, 3, table(upstream(number, born=9)))
+    assert send(service, GOOD) == left
+
+
+def test_upstream_gets_no_requests_while_the_pause_it_asked_for_lasts(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    paused = send(service, SHED._replace(pause_seconds=2.0))
+    until = clock.time + 2.0
+    clock.time += 0.1
+    others = frozenset(("u1", "u2")) - {paused}
+    while clock.time < until - 0.01:
+        assert send(service, GOOD) != paused
+        assert isinstance(choose(service, others), Failure)
+        clock.time += 0.05
+    clock.time = until
+    assert send(service, GOOD, others) == paused
+
+
+def test_pool_that_asks_for_a_pause_is_refused_at_once_until_it_ends(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    send(service, SHED._replace(pause_seconds=3.0))
+    send(service, SHED._replace(pause_seconds=2.0))
+    delays = [choose(service).failure().retry_after for _ in range(20)]
+    assert all(2.0 <= delay <= 3.0 for delay in delays) and len(set(delays)) > 10
+    assert choose(service).failure().reason is Reason.NO_UPSTREAM
+    clock.time += 1.9
+    assert choose(service).failure().reason is Reason.OVERLOADED
+    clock.time += 0.1
+    assert isinstance(choose(service), Success)
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -278,3 +278,48 @@
     assert lines.count(b"x-a: 1") == lines.count(b"x-a: 2") == 1
     assert lines.count(b"content-length: 0") == lines.count(b"host: h") == 1
     assert sum(line.startswith(b"x-request-timeout-ms:") for line in lines) == 1
+
+
+UNNAMED_REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Shed: not-run\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_copy_of_an_earlier_refusal_is_not_the_answer_to_a_later_write(upstream):
+    """The copy arrives after the next request was written."""
+    upstream.steps = [UNNAMED_REFUSAL, UNNAMED_REFUSAL + COMPLETE, COMPLETE]
+    assert upstream.call("POST").verdict is Verdict.NOT_RUN
+    upstream.steps = [COMPLETE]
+    assert upstream.call("POST").verdict is Verdict.RAN
+    assert upstream.connections == 2
+
+
+def test_connection_with_an_unnamed_refusal_is_kept_for_repeatable_requests(upstream):
+    upstream.steps = [UNNAMED_REFUSAL, COMPLETE, COMPLETE]
+    assert upstream.call().verdict is Verdict.NOT_RUN
+    assert upstream.call("POST").verdict is Verdict.RAN
+    assert upstream.connections == 2
+    assert upstream.call().verdict is Verdict.RAN
+    assert upstream.connections == 2
+
+
+def test_named_refusal_keeps_its_connection(upstream):
+    named = UNNAMED_REFUSAL.replace(b"X-Shed", b"X-Request-Id: r1\r\nX-Shed")
+    upstream.steps = [named, COMPLETE_WITH_ID]
+    assert upstream.call("POST").verdict is Verdict.NOT_RUN
+    assert upstream.call("POST").verdict is Verdict.RAN
+    assert upstream.connections == 1
+
+
+@pytest.mark.parametrize(
+    "status, value, seconds",
+    [
+        (503, b"1.5", 1.5),
+        (503, b"86400", forwarders.MAX_PAUSE_SECONDS),
+        (503, b"-3", 0.0),
+        (503, b"tomorrow", 0.0),
+        (500, b"1.5", 0.0),
+    ],
+)
+def test_pause_that_an_upstream_asks_for_is_bounded(upstream, status, value, seconds):
+    head = b"HTTP/1.1 %d Busy\r\nRetry-After: %s\r\n" % (status, value)
+    upstream.steps = [head + b"Content-Length: 0\r\n\r\n"]
+    assert upstream.call().pause_seconds == seconds
--- a/trefoilpin/tests/test_headers.py
+++ b/trefoilpin/tests/test_headers.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from trefoilpin import headers
+from trefoilpin.headers import read_retry_after
 from trefoilpin.verdicts import Verdict
 
 VALID_HEADERS = (("host", "a"),)
@@ -60,3 +61,23 @@
     kept = [name for name, _ in headers.drop_hop_by_hop(fields)]
     expected = [name for name in present if name not in named and name != "keep-alive"]
     assert kept == expected
+
+
+@pytest.mark.parametrize(
+    "value, seconds",
+    [
+        ("3", 3.0),
+        ("0.25", 0.25),
+        (" 2.5 ", 2.5),
+        ("Thu, 01 Jan 1970 00:01:40 GMT", 90.0),
+        ("Thu, 01 Jan 1970 00:00:01 GMT", 0.0),
+        ("-1", None),
+        ("1e999", None),
+        ("nan", None),
+        ("9" * 5000, None),
+        ("soon", None),
+        ("", None),
+    ],
+)
+def test_retry_after_is_a_number_or_a_date(value, seconds):
+    assert read_retry_after(value, 10.0) == seconds
