--- a/trefoilpin/gateway/documents.py
+++ b/trefoilpin/gateway/documents.py
@@ -28,7 +28,7 @@
     try:
         text = zlib.decompressobj().decompress(data, MAX_DOCUMENT_BYTES)
         table = json.loads(text)
-    except (zlib.error, ValueError) as error:
+    except (zlib.error, ValueError, RecursionError) as error:
         return Failure(f"{type(error).__name__}: {error}")
     if not isinstance(table, dict):
         return Failure("the document is not a JSON object")
--- a/trefoilpin/gateway/store_readers.py
+++ b/trefoilpin/gateway/store_readers.py
@@ -41,6 +41,7 @@
 MAX_OTHER_RETRY_DELAY_SECONDS = 3.2
 FREQUENT_RETRY_HOSTS = 8
 STEP_INTERVAL_SECONDS = 0.1
+PARSE_ERRORS = (ValueError, TypeError, RecursionError)
 # The delay does not grow beyond this rank, so that with one call it stays within the
 # age bound.
 MAX_DELAY_RANK = 8
@@ -173,14 +174,23 @@
         )
 
     def parse_if_changed(kind, name, content):
-        """Return an object with its rows, parsed only when it changed."""
+        """Return an object with its rows, parsed only when it changed.
+
+        An object that can't be parsed has no rows and leaves the others in use.
+        """
         cached = state.parsed_by_name_by_kind.get(kind, {}).get(name)
-        if cached is not None and cached.content == content:
-            return cached
-        rows = {}
-        for row_name, row in parse_object(kind, name, content).items():
-            rows[row_name] = codec.encode_content(row)
-        return ParsedObject(content, rows)
+        try:
+            if cached is not None and cached.content == content:
+                return cached
+            rows = {}
+            for row_name, row in parse_object(kind, name, content).items():
+                rows[row_name] = codec.encode_content(row)
+            return ParsedObject(content, rows)
+        except PARSE_ERRORS as error:
+            detail = f"{type(error).__name__}: {error}"
+            if cached is None or cached.rows:
+                emit(events.OBJECT_MALFORMED, kind=kind, object=name, detail=detail)
+            return ParsedObject(content, {})
 
     def retain_missing(before, after):
         """Keep upstreams for a while whose entries may have expired in an outage.
