--- a/trefoilpin/gateway/upstream_health.py
+++ b/trefoilpin/gateway/upstream_health.py
@@ -46,6 +46,8 @@
         Clock time until which it asked this host to send it nothing.
     is_leaving : bool
         True once one of its answers said that it is leaving.
+    used_at : float
+        Clock time at which a host was last known to send it a request.
     failed_connects : int
         Consecutive attempts that did not reach it.
     """
@@ -66,6 +68,7 @@
         self.full_until = float("-inf")
         self.paused_until = float("-inf")
         self.is_leaving = False
+        self.used_at = now
 
 
 class InFlightRequest:
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -11,7 +11,12 @@
 from returns.result import Failure, Success
 
 from trefoilpin import events
-from trefoilpin.gateway import failure_models, upstream_health, upstream_selection
+from trefoilpin.gateway import (
+    failure_models,
+    floors,
+    upstream_health,
+    upstream_selection,
+)
 from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.failure_models import Outcome
 from trefoilpin.gateway.messages import UpstreamOutcome
@@ -129,6 +134,7 @@
     rng = kernel.rng
     emit = kernel.find("events").emit
     document_cache = kernel.find("document_cache")
+    floor = floors.create(kernel)
 
     def rebuild(upstream_by_id):
         health_by_pool = {}
@@ -180,6 +186,7 @@
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
         cold_rate = pool.cold_rate if pool is not None else 0.0
         accepted, others, has_accepted, has_usable = [], [], False, False
+        in_zone = []
         paused_until = float("inf")
         for health in state.health_by_pool.get(pool_id, {}).values():
             if health.upstream.id in tried or not is_usable(health, zones_out):
@@ -190,16 +197,24 @@
             is_accepted = candidate.failure_probability <= MAX_ACCEPTED_PROBABILITY
             is_reachable = now() >= health.avoided_until
             has_accepted = has_accepted or (is_accepted and is_reachable)
-            if has_room(health, cold_rate):
-                (accepted if is_accepted else others).append(candidate)
+            if not has_room(health, cold_rate):
+                continue
+            (accepted if is_accepted else others).append(candidate)
+            if is_accepted and candidate.is_same_zone:
+                in_zone.append(health)
         if not has_usable:
             return NO_UPSTREAM
         if paused_until - now() > MAX_PAUSE_WAIT_SECONDS:
             return refuse_paused(paused_until - now())
         if not accepted and (has_accepted or not others):
             return SATURATED
-        chosen = upstream_selection.choose(accepted or others, retry_policy, rng)
-        return Success(reserve(pool_id, state.health_by_id[chosen.id], typical_seconds))
+        # The hosts of a zone know from each other which of its upstreams are in use.
+        is_repeatable = retry_policy.is_idempotent and retry_policy.can_retry
+        due = None if tried else floor.find_due(pool_id, in_zone, is_repeatable)
+        if due is None:
+            chosen = upstream_selection.choose(accepted or others, retry_policy, rng)
+            due = state.health_by_id[chosen.id]
+        return Success(reserve(pool_id, due, typical_seconds))
 
     def refuse_paused(seconds):
         """Refuse a request whose whole pool asked for a pause; spread the returns."""
@@ -211,6 +226,7 @@
 
     def reserve(pool_id, health, typical_seconds):
         health.own_in_flight += 1
+        health.used_at = now()
         if now() < health.cold_until:
             health.cold_tokens -= 1.0
         state.choice_number += 1
@@ -233,6 +249,7 @@
         outcome = upstream_health.classify_attempt(attempt, typical_seconds)
         if outcome is None:
             return
+        floor.record(choice.pool, outcome is Outcome.FAILED)
         if outcome is Outcome.SHED:
             health.full_until = now() + FULL_AFTER_SHED_SECONDS
         if (
@@ -331,6 +348,7 @@
             health = state.health_by_id.get(upstream)
             if health is not None:
                 health.other_in_flight += count
+                health.used_at = now()
         state.in_flight_by_host[host] = (now(), count_by_upstream)
 
     def drop_in_flight(host):
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -221,3 +221,36 @@
     assert choose(service).failure().reason is Reason.OVERLOADED
     clock.time += 0.1
     assert isinstance(choose(service), Success)
+
+
+def send_for(service, clock, seconds, is_failed):
+    """Send 50 non-idempotent requests a second; return the upstreams that got some."""
+    used = set()
+    for number in range(int(seconds * 50)):
+        attempt = BAD if is_failed(number) else GOOD
+        used.add(send(service, attempt))
+        clock.time += 0.02
+    return used
+
+
+@pytest.mark.parametrize("failed_every, floor", [(9, 0.7), (50, 0.0)])
+def test_pool_that_fails_a_tenth_of_its_requests_uses_its_healthy_upstreams(
+    host, failed_every, floor
+):
+    """Upstreams that failed some time ago get requests again, as the floor asks."""
+    service, put, clock = host
+    ids = [f"u{number}" for number in range(1, 11)]
+    put(UPSTREAMS, 1, table(*(upstream(number) for number in range(1, 11))))
+    outcomes = []
+    for number, upstream_id in enumerate(ids[:7], 1):
+        outcomes.append(UpstreamOutcome(number, upstream_id, Outcome.FAILED))
+    service.merge_outcomes("h2", 1, tuple(outcomes))
+
+    def is_failed(number):
+        return number % failed_every == 0
+
+    send_for(service, clock, 3.0, is_failed)
+    used = send_for(service, clock, 2.0, is_failed)
+    assert len(used) >= floor * len(ids)
+    if not floor:
+        assert len(used) < 0.7 * len(ids)
