Membership: digests of zones, ages as bytes, a view computed once

In an outage of the store each host checked for each host in turn whether all configurations are old, a cost by the square of the hosts. Change: hosts report a digest of each zone's live hosts in their heartbeats; a relay sends records of a zone only to those whose digest differs, and else one byte of age a host. The view caches its orders, digests and caller hosts for 0.2 s. A host far from its turn as a reader checks it when its document would be due, in place of ten times a second. Tests: test_hosts_and_relays_keep_to_their_bytes_a_second (6 KB/s a host, 0.3 of a link).

--- a/trefoilpin/gateway/failure_detection.py
+++ b/trefoilpin/gateway/failure_detection.py
@@ -6,15 +6,20 @@
 the age alone would show it.
 """
 
+import hashlib
+
 from trefoilpin.gateway.messages import MemberRecord
 
 __all__ = [
+    "MAX_CONFIGURATION_AGE_SECONDS",
     "MAX_LIVE_AGE_SECONDS",
     "Member",
     "SUSPICION_TIMEOUT_SECONDS",
     "create_member",
     "is_live",
+    "member_digest",
     "is_suspected",
+    "record_digest",
     "update_suspicion",
     "merge_record",
 ]
@@ -26,6 +31,9 @@
 MAX_LIVE_AGE_SECONDS = 6.0
 # Bound on the time between the last messages that two relays receive from a dead host.
 MAX_RELAY_SKEW_SECONDS = 0.6
+# Callers are not directed to a host whose configuration is older.
+MAX_CONFIGURATION_AGE_SECONDS = 2.8
+DIGEST_BYTES = 8
 
 
 class Member:
@@ -48,6 +56,9 @@
         When its record last changed in a way that has to be forwarded soon.
     was_suspected : bool
         Suspicion at the last ``update_suspicion``.
+    digested_record : MemberRecord or None
+    digest : int
+        Digest of ``digested_record``, kept until the record changes.
     suspected_at : float
         Value of ``last_alive_at`` when the host was last suspected; the suspicion holds
         until the host is known to have been alive later.
@@ -62,6 +73,32 @@
         self.changed_at = now
         self.was_suspected = False
         self.suspected_at = float("-inf")
+        self.digested_record: MemberRecord | None = None
+        self.digest = 0
+
+
+def record_digest(record):
+    """Return a digest of a record without its ages and its load."""
+    fields = (
+        record.address,
+        record.zone,
+        record.incarnation,
+        int(record.capacity),
+        record.is_stopping,
+        record.is_serving,
+        record.configuration_age <= MAX_CONFIGURATION_AGE_SECONDS,
+    )
+    text = repr(fields).encode()
+    hashed = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(hashed, "big")
+
+
+def member_digest(member):
+    """Return the digest of a member's record."""
+    if member.digested_record is not member.record:
+        member.digest = record_digest(member.record)
+        member.digested_record = member.record
+    return member.digest
 
 
 def create_member(record, now):
--- a/trefoilpin/gateway/gossip_codecs.py
+++ b/trefoilpin/gateway/gossip_codecs.py
@@ -2,6 +2,7 @@
 
 import functools
 import ipaddress
+import math
 import struct
 
 from returns.result import Failure, Result, Success
@@ -16,11 +17,13 @@
     GossipMessage,
     MemberRecord,
     UpstreamOutcome,
+    ZoneView,
 )
 from trefoilpin.thrift_gen.bulletins.ttypes import (
     BulletinStruct,
     DocumentStruct,
     StampStruct,
+    ZoneViewStruct,
 )
 
 __all__ = ["decode", "decode_document", "encode", "encode_document"]
@@ -28,15 +31,32 @@
 MAX_STRING_BYTES = 65_536
 MAX_DOCUMENT_BYTES = 4_194_304
 MAX_ITEMS = 10_000
+MAX_CACHED_ADDRESSES = 4096
 # IPv4 address, index of the zone, flags, incarnation, age and configuration age in
 # hundredths of a second, capacity and load in requests per second.
 MEMBER_LAYOUT = struct.Struct("!4sBBQHHHH")
 AGE_UNITS_PER_SECOND = 100
+# Ages in a zone view are bytes; the highest one means that the age is not known.
+VIEW_AGE_UNITS_PER_SECOND = 25
+UNKNOWN_VIEW_AGE = 0xFF
 MAX_UINT16 = 0xFFFF
 STOPPING_FLAG, SERVING_FLAG, SUSPECTED_FLAG = 1, 2, 4
 ZONE_SEPARATOR = b"\0"
 # Length in bytes of the zone names that follow.
 NAMES_LENGTH = struct.Struct("!H")
+REQUIRED_FIELDS = (
+    "incarnation",
+    "sequence",
+    "zone",
+    "region",
+    "capacity",
+    "load",
+    "stopping",
+    "serving",
+    "wants_reply",
+    "tells_on",
+    "knowledge_age",
+)
 DECODE_ERRORS = (
     TProtocolException,
     EOFError,
@@ -53,7 +73,19 @@
     return int(min(max(number, 0.0) * scale, MAX_UINT16))
 
 
-@functools.lru_cache(maxsize=2)
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
+def pack_address(address):
+    """Return an IPv4 address as four bytes."""
+    return ipaddress.IPv4Address(address).packed
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
+def unpack_address(packed):
+    """Return the text of an IPv4 address of four bytes."""
+    return ".".join(map(str, packed))
+
+
+@functools.lru_cache(maxsize=8)
 def pack_members(members):
     """Return records of fixed length, preceded by the names of their zones.
 
@@ -67,7 +99,7 @@
         flags |= SUSPECTED_FLAG * member.is_suspected
         parts.append(
             MEMBER_LAYOUT.pack(
-                ipaddress.IPv4Address(member.address).packed,
+                pack_address(member.address),
                 zones.index(member.zone),
                 flags,
                 member.incarnation,
@@ -80,6 +112,21 @@
     return b"".join(parts)
 
 
+def pack_ages(ages):
+    """Return ages as bytes, rounded up as they are upper bounds."""
+    units = (math.ceil(age * VIEW_AGE_UNITS_PER_SECOND) for age in ages)
+    return bytes(min(max(unit, 0), UNKNOWN_VIEW_AGE) for unit in units)
+
+
+def unpack_ages(data):
+    """Return the ages that ``pack_ages`` encoded; infinity for unknown ones."""
+    ages = []
+    for unit in data:
+        is_known = unit != UNKNOWN_VIEW_AGE
+        ages.append(unit / VIEW_AGE_UNITS_PER_SECOND if is_known else math.inf)
+    return tuple(ages)
+
+
 def unpack_members(data):
     """Return the member records that ``pack_members`` encoded."""
     if not data:
@@ -96,7 +143,7 @@
         )
         members.append(
             MemberRecord(
-                ".".join(map(str, packed)),
+                unpack_address(packed),
                 zones[zone],
                 incarnation,
                 age / AGE_UNITS_PER_SECOND,
@@ -140,6 +187,10 @@
             fingerprint for fingerprint, _ in gossip_message.broken_requests
         ],
         broken_upstreams=[upstream for _, upstream in gossip_message.broken_requests],
+        zone_views=[
+            ZoneViewStruct(view.zone, view.digest, pack_ages(view.ages))
+            for view in gossip_message.zone_views
+        ],
     )
     return serialize(message)
 
@@ -203,7 +254,16 @@
 
 
 def to_gossip_message(message):
-    """Convert a generated struct to a gossip message."""
+    """Convert a generated struct to a gossip message.
+
+    Raises
+    ------
+    ValueError
+        When a field of the first version is missing.
+    """
+    for field in REQUIRED_FIELDS:
+        if getattr(message, field) is None:
+            raise ValueError(f"the field {field} is missing")
     outcomes = []
     for number, upstream, kind in zip(
         message.outcome_numbers, message.outcome_upstreams, message.outcome_kinds
@@ -214,6 +274,10 @@
         versions.append(
             DocumentVersion(version.kind, version.revision, version.digest, version.age)
         )
+    # Missing in messages of hosts that run an earlier version.
+    zone_views = []
+    for view in message.zone_views or ():
+        zone_views.append(ZoneView(view.zone, view.digest, unpack_ages(view.ages)))
     return GossipMessage(
         message.incarnation,
         message.sequence,
@@ -233,4 +297,5 @@
         dict(zip(message.admitted_accounts, message.admitted_counts)),
         tuple(to_document(found) for found in message.documents),
         tuple(zip(message.broken_fingerprints, message.broken_upstreams)),
+        tuple(zone_views),
     )
--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -7,13 +7,17 @@
 of the store and forward its documents to their zone.
 """
 
+import functools
 import zlib
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
 from trefoilpin.gateway import failure_detection
-from trefoilpin.gateway.failure_detection import SUSPICION_TIMEOUT_SECONDS
-from trefoilpin.gateway.messages import MemberRecord
+from trefoilpin.gateway.failure_detection import (
+    MAX_CONFIGURATION_AGE_SECONDS,
+    SUSPICION_TIMEOUT_SECONDS,
+)
+from trefoilpin.gateway.messages import MemberRecord, ZoneView
 
 __all__ = ["Members", "OwnHost", "create"]
 
@@ -23,11 +27,10 @@
 # Callers of a dead host fail over to another one at once.
 MAX_CALLER_HOST_AGE_SECONDS = 2.5
 # Ages and loads change little while a computed view is reused.
-MAX_VIEW_CACHE_AGE_SECONDS = 0.05
+MAX_VIEW_CACHE_AGE_SECONDS = 0.2
+MAX_CACHED_HASHES = 4096
 # A changed record is included in every gossip message for this time.
 MAX_RECENT_CHANGE_AGE_SECONDS = 1.0
-# Callers are not directed to a host whose configuration is older.
-MAX_CONFIGURATION_AGE_SECONDS = 2.8
 CALLER_HOSTS_PER_ZONE = 2
 RELAYS_PER_ZONE = 2
 # Share of a host's capacity that is planned for; a zone gets as many caller hosts as
@@ -38,6 +41,8 @@
 SERVING_TIMEOUT_SECONDS = 12.0
 # Requests per second; hosts that receive no callers stay below this.
 MIN_SERVING_LOAD = 3.0
+# Digests are sent as signed 64-bit integers.
+DIGEST_MASK = (1 << 63) - 1
 # Time constant of the moving average of the load.
 LOAD_AVERAGE_SECONDS = 2.0
 
@@ -74,8 +79,11 @@
     to upstreams. ``mesh_coverage()`` returns how many of the serving hosts sent this
     one a message recently, and how many there are, this one included in both.
     ``expect_heartbeats(addresses)`` sets the hosts that send to this one regularly, as
-    it does to them. ``records()`` returns the records of all hosts,
-    ``changed_records()`` those to be passed on at once.
+    it does to them. ``records(zones)`` returns the records of all hosts, or of those
+    of some zones, and ``changed_records(zone)`` those to be passed on at once: what
+    changed recently, and all hosts with callers, or only those of one zone.
+    ``zone_views()`` returns a ``ZoneView`` of each zone, and ``merge_zone_view(view)``
+    takes the ages from one with the same digest.
 
     ``is_stopping()`` and ``stop()`` concern this host's own shutdown.
     ``count_request()`` counts a request at this host, and ``tick(seconds)`` turns the
@@ -95,6 +103,8 @@
     expect_heartbeats: Callable
     records: Callable
     changed_records: Callable
+    zone_views: Callable
+    merge_zone_view: Callable
     is_stopping: Callable[[], bool]
     stop: Callable[[], None]
     count_request: Callable[[], None]
@@ -103,8 +113,8 @@
     is_serving: Callable[[], bool]
 
 
-class MembershipView(NamedTuple):
-    """The live hosts at one instant.
+class MembershipView:
+    """The live hosts at one instant, and what was derived from them since.
 
     Attributes
     ----------
@@ -112,11 +122,26 @@
     live : tuple of MemberRecord
     live_by_zone : dict
         In the order of ``rank_key``.
+    ordered_by_zone : dict
+        In the order of the addresses.
+    digest_by_zone : dict
+        As in ``ZoneView``.
+    callers_by_zone : dict
+        Hosts that callers of a zone should use.
+    is_store_unreachable : bool or None
+        None until it is needed.
     """
 
-    computed_at: float
-    live: tuple[MemberRecord, ...]
-    live_by_zone: dict[str, list[MemberRecord]]
+    def __init__(self, computed_at, live):
+        self.computed_at = computed_at
+        self.live = tuple(live)
+        self.live_by_zone: dict[str, list[MemberRecord]] = {}
+        for host in sorted(live, key=rank_key):
+            self.live_by_zone.setdefault(host.zone, []).append(host)
+        self.ordered_by_zone: dict[str, list[MemberRecord]] = {}
+        self.digest_by_zone: dict[str, int] = {}
+        self.callers_by_zone: dict[str, list[MemberRecord]] = {}
+        self.is_store_unreachable: bool | None = None
 
 
 class MembershipState:
@@ -135,7 +160,13 @@
 
     Gossip messages carry capacities as integers, so all hosts must rank by these.
     """
-    return -int(member.capacity), zlib.crc32(member.address.encode()), member.address
+    return -int(member.capacity), address_hash(member.address), member.address
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_HASHES)
+def address_hash(address):
+    """Return a hash of an address, the same on every host."""
+    return zlib.crc32(address.encode())
 
 
 def create(kernel, own, configuration_age):
@@ -226,29 +257,75 @@
         for member in state.member_by_address.values():
             if failure_detection.is_live(member, now()):
                 live.append(member.record)
-        live_by_zone: dict[str, list[MemberRecord]] = {}
-        for host in sorted(live, key=rank_key):
-            live_by_zone.setdefault(host.zone, []).append(host)
-        state.view = MembershipView(now(), tuple(live), live_by_zone)
+        state.view = MembershipView(now(), live)
         return state.view
 
     def member_record(member):
         is_suspected = failure_detection.is_suspected(member, now())
         return member.record._replace(age=age(member), is_suspected=is_suspected)
 
-    def changed_records():
-        """Return the records that changed recently and those of all caller hosts."""
+    def changed_records(zone=None):
+        """Return the records that changed recently and those of hosts with callers."""
         by_address = {}
         for address, member in state.member_by_address.items():
-            if now() - member.changed_at < MAX_RECENT_CHANGE_AGE_SECONDS:
+            is_recent = now() - member.changed_at < MAX_RECENT_CHANGE_AGE_SECONDS
+            is_in_zone = zone in (None, member.record.zone)
+            if is_recent or (is_in_zone and member.record.is_serving):
                 by_address[address] = member
-        for zone in zones():
-            for host in caller_hosts(zone):
+        for caller_zone in zones() if zone is None else (zone,):
+            for host in caller_hosts(caller_zone):
                 member = state.member_by_address.get(host.address)
                 if member is not None:
                     by_address[host.address] = member
         return tuple(member_record(member) for member in by_address.values())
 
+    def live_members(zone):
+        """Return the live hosts of a zone in the order of their addresses."""
+        ordered_by_zone = view().ordered_by_zone
+        if zone not in ordered_by_zone:
+            ordered = sorted(live_in_zone(zone), key=lambda host: host.address)
+            ordered_by_zone[zone] = ordered
+        return ordered_by_zone[zone]
+
+    def zone_digest(zone):
+        digest_by_zone = view().digest_by_zone
+        if zone not in digest_by_zone:
+            digest_by_zone[zone] = compute_digest(live_members(zone))
+        return digest_by_zone[zone]
+
+    def compute_digest(hosts):
+        total = 0
+        for host in hosts:
+            member = state.member_by_address.get(host.address)
+            if member is None:
+                total += failure_detection.record_digest(host)
+            else:
+                total += failure_detection.member_digest(member)
+        return total & DIGEST_MASK
+
+    def zone_views():
+        """Return the view of each zone with the ages of its hosts."""
+        views = []
+        for zone in zones():
+            hosts = live_members(zone)
+            ages = []
+            for host in hosts:
+                member = state.member_by_address.get(host.address)
+                ages.append(0.0 if member is None else age(member))
+            views.append(ZoneView(zone, zone_digest(zone), tuple(ages)))
+        return tuple(views)
+
+    def merge_zone_view(view):
+        """Take the ages of a view if its hosts are the ones that this host knows."""
+        hosts = live_members(view.zone)
+        if len(hosts) != len(view.ages) or zone_digest(view.zone) != view.digest:
+            return
+        for host, host_age in zip(hosts, view.ages):
+            member = state.member_by_address.get(host.address)
+            if member is not None:
+                alive_at = now() - host_age
+                member.last_alive_at = max(member.last_alive_at, alive_at)
+
     def live():
         return view().live
 
@@ -260,15 +337,27 @@
 
     def is_store_unreachable():
         """Tell whether most records are recent but none has a recent configuration."""
-        heard = [member for member in live() if not is_overdue(member.address)]
-        if any(
-            member.configuration_age <= MAX_CONFIGURATION_AGE_SECONDS
-            for member in heard
-        ):
-            return False
-        return len(heard) * 2 > len(state.member_by_address) + 1
+        current = view()
+        if current.is_store_unreachable is None:
+            heard = 0
+            has_recent = False
+            for member in current.live:
+                if is_overdue(member.address):
+                    continue
+                heard += 1
+                if member.configuration_age <= MAX_CONFIGURATION_AGE_SECONDS:
+                    has_recent = True
+            is_most = heard * 2 > len(state.member_by_address) + 1
+            current.is_store_unreachable = is_most and not has_recent
+        return current.is_store_unreachable
 
     def caller_hosts(zone):
+        callers_by_zone = view().callers_by_zone
+        if zone not in callers_by_zone:
+            callers_by_zone[zone] = find_caller_hosts(zone)
+        return callers_by_zone[zone]
+
+    def find_caller_hosts(zone):
         found = []
         demand = sum(member.load for member in live_in_zone(zone))
         total_capacity = 0.0
@@ -328,15 +417,18 @@
         for address, member in state.member_by_address.items():
             member.is_heartbeat_expected = address in addresses
 
-    def records():
-        found = [own_record()]
+    def records(zones=None):
+        found = []
+        if zones is None or own.zone in zones:
+            found.append(own_record())
         for address, member in list(state.member_by_address.items()):
             silence = age(member)
             if silence > MAX_MEMBER_AGE_SECONDS:
                 del state.member_by_address[address]
                 emit(events.MEMBER_LOST, host=address, zone=member.record.zone)
                 continue
-            found.append(member_record(member))
+            if zones is None or member.record.zone in zones:
+                found.append(member_record(member))
         return found
 
     def stop():
@@ -373,6 +465,8 @@
         expect_heartbeats,
         records,
         changed_records,
+        zone_views,
+        merge_zone_view,
         lambda: state.is_stopping,
         stop,
         count_request,
--- a/trefoilpin/gateway/messages.py
+++ b/trefoilpin/gateway/messages.py
@@ -11,6 +11,7 @@
     "Document",
     "MemberRecord",
     "UpstreamOutcome",
+    "ZoneView",
     "aged",
 ]
 
@@ -53,6 +54,25 @@
     is_suspected: bool = False
 
 
+class ZoneView(NamedTuple):
+    """The live hosts of a zone as a host sees them, without their records.
+
+    Attributes
+    ----------
+    zone : str
+    digest : int
+        Sum of the record digests of the live hosts; hosts with equal digests have the
+        same records but for ages and loads.
+    ages : tuple of float
+        Age of each live host in the order of their addresses, as in ``MemberRecord``;
+        empty in messages of hosts that only report what they know.
+    """
+
+    zone: str
+    digest: int
+    ages: tuple[float, ...] = ()
+
+
 class UpstreamOutcome(NamedTuple):
     """Outcome of a request, as evidence on the health of an upstream.
 
@@ -122,6 +142,7 @@
         Small documents that the receiver may not have.
     broken_requests : tuple of (int, str)
         Fingerprint of a request, and the upstream whose connection broke under it.
+    zone_views : tuple of ZoneView
     """
 
     incarnation: int
@@ -142,6 +163,7 @@
     admitted_by_account: dict[str, int]
     documents: tuple[Document, ...]
     broken_requests: tuple[tuple[int, str], ...]
+    zone_views: tuple[ZoneView, ...] = ()
 
 
 def aged(message, seconds):
@@ -158,7 +180,12 @@
         members.append(
             record._replace(age=record.age + seconds, configuration_age=new_age)
         )
+    zone_views = []
+    for view in message.zone_views:
+        ages = tuple(age + seconds for age in view.ages)
+        zone_views.append(view._replace(ages=ages))
     return message._replace(
+        zone_views=tuple(zone_views),
         configuration_age=message.configuration_age + seconds,
         versions=tuple(versions),
         documents=tuple(documents),
--- a/trefoilpin/gateway/store_readers.py
+++ b/trefoilpin/gateway/store_readers.py
@@ -9,6 +9,7 @@
 content is unchanged. The age bounds rely on lists alone.
 """
 
+from functools import partial
 from typing import Any, Callable, NamedTuple
 
 from returns.result import Failure
@@ -41,6 +42,8 @@
 MAX_OTHER_RETRY_DELAY_SECONDS = 3.2
 FREQUENT_RETRY_HOSTS = 8
 STEP_INTERVAL_SECONDS = 0.1
+# A host that becomes the first reader notices it within this time.
+MAX_STEP_PAUSE_SECONDS = 0.3
 PARSE_ERRORS = (ValueError, TypeError, RecursionError)
 # The delay does not grow beyond this rank, so that with one call it stays within the
 # age bound.
@@ -137,9 +140,13 @@
         position = rank()
         if position == 0:
             return True
+        return min(document_cache.age(kind), uptime) > due_age(kind)
+
+    def due_age(kind):
+        """Return the age from which this host reads a document."""
         settings = SETTINGS_BY_KIND[kind]
-        delay = min(position, MAX_DELAY_RANK) * settings.rank_seconds
-        return min(document_cache.age(kind), uptime) > settings.take_over_age + delay
+        delay = min(rank(), MAX_DELAY_RANK) * settings.rank_seconds
+        return settings.take_over_age + delay
 
     def step(kind):
         if not is_due(kind):
@@ -248,12 +255,22 @@
         jitter = 0.75 + 0.5 * kernel.rng.random()
         state.paused_until_by_kind[kind] = now() + seconds * jitter
 
-    def step_pause():
-        return STEP_INTERVAL_SECONDS * (0.75 + 0.5 * kernel.rng.random())
+    def step_pause(kind):
+        """Return the time until the next step; hosts far from their turn wait longer.
+
+        A document that is not replaced meanwhile is due when the pause ends.
+        """
+        jitter = 0.75 + 0.5 * kernel.rng.random()
+        if rank() == 0 or now() - started_at < startup_delay():
+            return STEP_INTERVAL_SECONDS * jitter
+        remaining = due_age(kind) - document_cache.age(kind)
+        return min(
+            max(remaining, STEP_INTERVAL_SECONDS * jitter), MAX_STEP_PAUSE_SECONDS
+        )
 
     def start():
         for kind in KINDS:
-            kernel.spawn(repeat, sleep, step_pause, step, kind)
+            kernel.spawn(repeat, sleep, partial(step_pause, kind), step, kind)
 
     service = StoreReaders(step)
     kernel.register("store_readers", service, start)
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -15,6 +15,12 @@
   5: i64 base
 }
 
+struct ZoneViewStruct {
+  1: string zone
+  2: i64 digest
+  3: binary ages
+}
+
 struct BulletinStruct {
   1: i64 incarnation
   2: i64 sequence
@@ -39,4 +45,5 @@
   21: double knowledge_age
   22: list<DocumentStruct> documents
   23: bool tells_on
+  24: list<ZoneViewStruct> zone_views
 }
--- /dev/null
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -0,0 +1,56 @@
+"""Encoding of gossip messages, and messages of hosts that run an earlier version."""
+
+import math
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from trefoilpin.gateway import gossip_codecs
+from trefoilpin.gateway.messages import GossipMessage, ZoneView
+from trefoilpin.thrift_gen.bulletins.ttypes import BulletinStruct
+
+MESSAGE = GossipMessage(
+    7, 1, "a", "r", 9.0, 0.5, False, True, False, True, 0.1, (), (), (), {}, {}, (), ()
+)
+AGES = st.lists(st.floats(0.0, 10.0), max_size=300)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(AGES, st.integers(0, (1 << 63) - 1))
+def test_ages_of_a_view_remain_upper_bounds(ages, digest):
+    message = MESSAGE._replace(zone_views=(ZoneView("b", digest, tuple(ages)),))
+    decoded = gossip_codecs.decode(gossip_codecs.encode(message)).unwrap()
+    (view,) = decoded.zone_views
+    assert (view.zone, view.digest, len(view.ages)) == ("b", digest, len(ages))
+    for sent, received in zip(ages, view.ages):
+        is_known = sent + 0.1 < gossip_codecs.UNKNOWN_VIEW_AGE / (
+            gossip_codecs.VIEW_AGE_UNITS_PER_SECOND
+        )
+        assert received >= sent - 1e-9
+        assert math.isinf(received) or received <= sent + 0.05
+        assert not (is_known and math.isinf(received))
+
+
+def test_message_of_an_earlier_version_has_no_views(monkeypatch):
+    read = BulletinStruct.read
+
+    def read_earlier(self, protocol):
+        read(self, protocol)
+        self.zone_views = None
+
+    data = gossip_codecs.encode(MESSAGE)
+    monkeypatch.setattr(BulletinStruct, "read", read_earlier)
+    assert gossip_codecs.decode(data).unwrap().zone_views == ()
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=200), st.integers(0, 400))
+def test_damaged_messages_are_rejected_without_an_exception(noise, position):
+    data = gossip_codecs.encode(
+        MESSAGE._replace(zone_views=(ZoneView("b", 1, (1.0,)),))
+    )
+    position = min(position, len(data))
+    damaged = data[:position] + noise + data[position + len(noise) :]
+    decoded = gossip_codecs.decode(damaged)
+    assert isinstance(decoded, Failure) or decoded.unwrap().zone is not None
--- a/trefoilpin/tests/gateway/test_large_fleets.py
+++ b/trefoilpin/tests/gateway/test_large_fleets.py
@@ -54,6 +54,17 @@
             assert len(views.pop()) == members.RELAYS_PER_ZONE
 
 
+def test_hosts_and_relays_keep_to_their_bytes_a_second(settled_fleet):
+    """Bounds of the size to design for, and of a link of 6 Mbit/s."""
+    before = {node: node.sent_bytes for node in settled_fleet.nodes.values()}
+    settled_fleet.run(OBSERVED_SECONDS)
+    rates = []
+    for node, sent_bytes in before.items():
+        rates.append((node.sent_bytes - sent_bytes) / OBSERVED_SECONDS)
+    assert sum(rates) / len(rates) <= 6_000
+    assert max(rates) <= 0.3 * 750_000
+
+
 def test_change_of_a_large_document_reaches_all_hosts_without_fetches(settled_fleet):
     """One of 300 upstreams leaves.
 
--- a/trefoilpin/tests/gateway/test_members.py
+++ b/trefoilpin/tests/gateway/test_members.py
@@ -2,6 +2,8 @@
 
 from types import SimpleNamespace
 
+import pytest
+
 from trefoilpin.fakes.gateways import create_host
 from trefoilpin.gateway import failure_detection, members
 from trefoilpin.gateway.messages import MemberRecord
@@ -128,3 +130,56 @@
     assert len(service.records()) == 2
     clock.time += 2
     assert len(service.records()) == 1
+
+
+def create_pair():
+    """Return a sender's members, and a receiver's with its clock; both know four."""
+    sender, _ = create_members()
+    receiver, clock = create_members()
+    for service in (sender, receiver):
+        for number in (2, 3, 4, 5):
+            service.merge_record(create_record(number, "b", age=0.2))
+    return sender, receiver, clock
+
+
+def view_of(service, zone):
+    return next(view for view in service.zone_views() if view.zone == zone)
+
+
+def test_ages_of_an_equal_view_refresh_all_hosts_of_a_zone():
+    sender, receiver, clock = create_pair()
+    clock.time += 4.0
+    receiver.merge_zone_view(view_of(sender, "b"))
+    clock.time += 4.0
+    assert len(receiver.live()) == 5
+    clock.time += 3.0
+    assert len(receiver.live()) == 1
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"incarnation": 6},
+        {"is_stopping": True},
+        {"is_serving": True},
+        {"capacity": 250.0},
+        {"configuration_age": 9.0},
+    ],
+)
+def test_ages_of_a_view_with_another_digest_are_not_taken(changed):
+    sender, receiver, clock = create_pair()
+    sender.merge_record(create_record(3, "b", age=0.0, **changed))
+    assert view_of(sender, "b").digest != view_of(receiver, "b").digest
+    clock.time += 4.0
+    receiver.merge_zone_view(view_of(sender, "b"))
+    clock.time += 4.0
+    assert len(receiver.live()) == 1
+
+
+def test_views_differ_while_one_host_knows_more_hosts():
+    sender, receiver, clock = create_pair()
+    sender.merge_record(create_record(9, "b", age=0.2))
+    clock.time += 4.0
+    receiver.merge_zone_view(view_of(sender, "b"))
+    clock.time += 4.0
+    assert len(receiver.live()) == 1
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -207,6 +207,85 @@
         return not (self == other)
 
 
+class ZoneViewStruct(object):
+    """
+    Attributes:
+     - zone
+     - digest
+     - ages
+
+    """
+
+
+    def __init__(self, zone=None, digest=None, ages=None,):
+        self.zone = zone
+        self.digest = digest
+        self.ages = ages
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.ages = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ZoneViewStruct')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 2)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.STRING, 3)
+            oprot.writeBinary(self.ages)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BulletinStruct(object):
     """
     Attributes:
@@ -233,11 +312,12 @@
      - knowledge_age
      - documents
      - tells_on
+     - zone_views
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -261,6 +341,7 @@
         self.knowledge_age = knowledge_age
         self.documents = documents
         self.tells_on = tells_on
+        self.zone_views = zone_views
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -443,6 +524,17 @@
                     self.tells_on = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.zone_views = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = ZoneViewStruct()
+                        _elem71.read(iprot)
+                        self.zone_views.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -492,8 +584,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter66 in self.stamps:
-                iter66.write(oprot)
+            for iter72 in self.stamps:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -503,64 +595,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter67 in self.outcome_upstreams:
-                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
+            for iter73 in self.outcome_upstreams:
+                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter68 in self.outcome_kinds:
-                oprot.writeByte(iter68)
+            for iter74 in self.outcome_kinds:
+                oprot.writeByte(iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter69 in self.outcome_numbers:
-                oprot.writeI64(iter69)
+            for iter75 in self.outcome_numbers:
+                oprot.writeI64(iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter70 in self.flight_upstreams:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter76 in self.flight_upstreams:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter71 in self.flight_counts:
-                oprot.writeI32(iter71)
+            for iter77 in self.flight_counts:
+                oprot.writeI32(iter77)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter72 in self.admitted_accounts:
-                oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
+            for iter78 in self.admitted_accounts:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter73 in self.admitted_counts:
-                oprot.writeI64(iter73)
+            for iter79 in self.admitted_counts:
+                oprot.writeI64(iter79)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter74 in self.broken_fingerprints:
-                oprot.writeI64(iter74)
+            for iter80 in self.broken_fingerprints:
+                oprot.writeI64(iter80)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter75 in self.broken_upstreams:
-                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
+            for iter81 in self.broken_upstreams:
+                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -570,14 +662,21 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter76 in self.documents:
-                iter76.write(oprot)
+            for iter82 in self.documents:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
             oprot.writeFieldBegin('tells_on', TType.BOOL, 23)
             oprot.writeBool(self.tells_on)
             oprot.writeFieldEnd()
+        if self.zone_views is not None:
+            oprot.writeFieldBegin('zone_views', TType.LIST, 24)
+            oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
+            for iter83 in self.zone_views:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -611,6 +710,13 @@
     (4, TType.STRING, 'document', 'BINARY', None, ),  # 4
     (5, TType.I64, 'base', None, None, ),  # 5
 )
+all_structs.append(ZoneViewStruct)
+ZoneViewStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'digest', None, None, ),  # 2
+    (3, TType.STRING, 'ages', 'BINARY', None, ),  # 3
+)
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
     None,  # 0
@@ -637,6 +743,7 @@
     (21, TType.DOUBLE, 'knowledge_age', None, None, ),  # 21
     (22, TType.LIST, 'documents', (TType.STRUCT, [DocumentStruct, None], False), None, ),  # 22
     (23, TType.BOOL, 'tells_on', None, None, ),  # 23
+    (24, TType.LIST, 'zone_views', (TType.STRUCT, [ZoneViewStruct, None], False), None, ),  # 24
 )
 fix_spec(all_structs)
 del all_structs
