Evidence on upstreams: from every host, early, and none from short deadlines

A 504 at a caller's deadline of 0.4 s counted as a failure of its upstream. Change: hosts with few requests send their outcomes to those of their zone that send many; a request that outlives fast failures counts as good at once, where most failures of its pool are fast; a deadline shorter than the usual work is no evidence; an upstream that joins gets its first request within a second.

--- a/trefoilpin/gateway/floors.py
+++ b/trefoilpin/gateway/floors.py
@@ -3,7 +3,7 @@
 Requests go to the upstreams that are known to be healthy, so one that failed and
 recovered may get nothing for long if its pool serves only requests that may not be
 repeated. While a pool leaves many requests unserved, each upstream that is not known to
-fail gets a request now and then.
+fail gets a request now and then. An upstream that joins gets its first request soon.
 """
 
 import math
@@ -20,6 +20,8 @@
 MIN_ATTEMPTS = 4.0
 # An upstream without a request for this time is due for one.
 MAX_IDLE_SECONDS = 1.0
+# An upstream that joined waits at most this long for a request that may be repeated.
+MAX_NEWCOMER_SECONDS = 1.0
 # Share of the requests that may not be repeated that go to an upstream that is due.
 NON_REPEATABLE_SHARE = 0.3
 
@@ -84,6 +86,11 @@
         return failed_share >= MIN_FAILED_SHARE
 
     def find_due(pool, healths, is_repeatable):
+        for health in healths:
+            uptime = now() - health.joined_at
+            if health.is_newcomer and (is_repeatable or uptime > MAX_NEWCOMER_SECONDS):
+                metrics.count("newcomer_requests")
+                return health
         if not is_at_risk(pool):
             return None
         if not is_repeatable and kernel.rng.random() >= NON_REPEATABLE_SHARE:
--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -3,8 +3,9 @@
 The roles decide who sends to whom. Every host sends heartbeats to the relays of its
 zone. A relay sends member records and documents to the hosts of its zone and to the
 other relays, at once after a change. The hosts that send requests to upstreams exchange
-outcomes, in-flight counts and admitted requests with each other. Gossip messages are
-datagrams; the next message repeats whatever was lost.
+outcomes, in-flight counts and admitted requests with each other. A host with few
+requests sends the outcomes of those to the hosts of its zone that send many. Gossip
+messages are datagrams; the next message repeats whatever was lost.
 """
 
 from functools import partial
@@ -46,7 +47,7 @@
 # for each seed.
 SEED_PROBABILITY = 0.25
 # Purposes of gossip messages; at most one message per purpose and host is queued.
-UPDATE, REPLY = "news", "reply"
+UPDATE, REPLY, OUTCOMES = "news", "reply", "outcomes"
 
 
 class GossipSettings(NamedTuple):
@@ -90,16 +91,27 @@
 
 
 class Peer:
-    """A target host, and the state of the task that sends to it."""
+    """A target host, and the state of the task that sends to it.
+
+    Attributes
+    ----------
+    members_sent_at, views_sent_at : float
+        When it was last sent member records that it lacks, and the views of all zones.
+    digest_by_zone : dict
+        Digests of its own views, as last reported by it.
+    """
 
     def __init__(self, host, create_event):
         self.address = host.address
         self.zone = host.zone
         self.in_mesh = False
         self.receives_documents = False
+        self.is_relay = False
         self.is_target = True
         self.wake_event = create_event()
         self.members_sent_at = float("-inf")
+        self.views_sent_at = float("-inf")
+        self.digest_by_zone: dict[str, int] = {}
         self.sent_digest_by_kind: dict[str, int] = {}
 
 
@@ -115,6 +127,7 @@
         self.seed_attempts = 0
         self.random_sent_at = float("-inf")
         self.last_update_at = float("-inf")
+        self.is_reporting_outcomes = False
         self.request_by_address: dict[str, tuple[float, tuple]] = {}
 
 
@@ -159,15 +172,16 @@
         is_new = members.record_message(address, message, age)
         for record in message.members:
             members.merge_record(record)
+        receive_zone_views(address, message.zone_views)
         for document in message.documents:
             document_fetchers.receive_document(address, document)
         if message.versions and message.sends_regularly:
             state.last_update_at = now() - age
         document_fetchers.handle_versions(address, message.versions)
         poison_requests.merge_breaks(message.broken_requests)
+        host = (address, message.incarnation)
+        upstreams.merge_outcomes(*host, message.outcomes)
         if message.is_serving or message.in_flight_by_upstream:
-            host = (address, message.incarnation)
-            upstreams.merge_outcomes(*host, message.outcomes)
             upstreams.merge_in_flight(address, message.in_flight_by_upstream)
             rate_limits.merge_counts(*host, message.admitted_by_account)
             queues.wake()
@@ -182,6 +196,14 @@
                 address, REPLY, lambda: build(records=gossip_builders.member_records())
             )
 
+    def receive_zone_views(address, zone_views):
+        for view in zone_views:
+            if view.ages:
+                members.merge_zone_view(view)
+        peer = state.peer_by_address.get(address)
+        if peer is not None and zone_views:
+            peer.digest_by_zone.update((view.zone, view.digest) for view in zone_views)
+
     def answer_waiting_hosts():
         """Send new documents to hosts that contacted this one before it had them."""
         for address, (requested_at, versions) in list(state.request_by_address.items()):
@@ -220,8 +242,8 @@
         for peer in state.peer_by_address.values():
             peer.in_mesh = roles.in_mesh and peer.address in roles.mesh_hosts
             is_same_zone = peer.zone == own.zone
-            is_relay = peer.address in roles.relays
-            peer.receives_documents = roles.is_relay and (is_same_zone or is_relay)
+            peer.is_relay = peer.address in roles.relays
+            peer.receives_documents = roles.is_relay and (is_same_zone or peer.is_relay)
         discover_hosts(members.live())
         gossip_builders.start_admission_period()
 
@@ -321,6 +343,21 @@
             if is_zone_peer and not peer.wake_event.ready():
                 peer.wake_event.send()
 
+    def on_outcome(is_urgent):
+        if state.roles.in_mesh:
+            if is_urgent:
+                wake_zone_peers()
+        elif not state.is_reporting_outcomes:
+            state.is_reporting_outcomes = True
+            kernel.spawn(report_outcomes)
+
+    def report_outcomes():
+        """Send outcomes of this host to those of its zone that send most requests."""
+        sleep(BATCH_SECONDS)
+        state.is_reporting_outcomes = False
+        for address in state.roles.zone_mesh_hosts:
+            send_queues.enqueue(address, OUTCOMES, gossip_builders.build_outcomes)
+
     def startup_delay():
         if own.address in settings.seeds():
             return 0.0
@@ -347,7 +384,7 @@
 
     for kind in KINDS:
         document_cache.subscribe(kind, on_new_document)
-    upstreams.on_urgent_outcome(wake_zone_peers)
+    upstreams.on_outcome(on_outcome)
     service = Gossip(
         receive,
         notify_all,
--- a/trefoilpin/gateway/gossip_builders.py
+++ b/trefoilpin/gateway/gossip_builders.py
@@ -7,8 +7,11 @@
 
 __all__ = ["GossipBuilders", "create"]
 
-# Period in which a peer gets all member records; every message has recent changes.
-FULL_MEMBERS_PERIOD_SECONDS = 1.0
+# A peer whose view of a zone differs gets the zone's member records at most once in
+# this time. Every message has the recent changes.
+MEMBERS_PERIOD_SECONDS = 1.0
+# Period in which a peer gets the views of all zones.
+VIEWS_PERIOD_SECONDS = 0.7
 # Member records are collected and encoded once for all messages within this time.
 MAX_CACHE_AGE_SECONDS = 0.1
 # With more accounts than this, a message holds only those with recent requests.
@@ -16,6 +19,8 @@
 # Whole documents up to this size are sent in gossip messages within a zone, and deltas
 # up to this size to all peers; larger ones are fetched.
 MAX_INLINE_BYTES = 6_000
+# Keys of cached parts of messages.
+ALL_RECORDS, CHANGED_RECORDS, ZONE_VIEWS = "records", "changed_records", "zone_views"
 
 
 class GossipBuilders(NamedTuple):
@@ -24,7 +29,7 @@
     ``build(with_versions, records, wants_reply)`` returns a message about this host
     with the given member records, ``build_introduction(versions)`` one for a host that
     has only the given document versions, and ``build_for_peer(peer)`` the regular one
-    for a ``Peer``.
+    for a ``Peer``. ``build_outcomes()`` returns one with recent outcomes only.
     ``member_records()`` returns the records of all hosts. ``build_document(kind,
     base)`` returns a ``Document`` for a host that holds the one with digest ``base``.
     ``drop_member_records()`` discards the cached records. ``start_admission_period()``
@@ -35,6 +40,7 @@
     build: Callable
     build_introduction: Callable[[tuple], GossipMessage]
     build_for_peer: Callable
+    build_outcomes: Callable[[], GossipMessage]
     build_document: Callable[[str, int], Document]
     member_records: Callable
     drop_member_records: Callable[[], None]
@@ -46,7 +52,7 @@
 
     def __init__(self):
         self.sequence = 0
-        self.records_by_function: dict = {}
+        self.cached_by_key: dict = {}
         self.admitted_at_period_start: dict[str, int] = {}
         self.encoded_by_key: dict[tuple[str, int], tuple[bytes, int]] = {}
 
@@ -69,6 +75,7 @@
     members = kernel.find("members")
     upstreams = kernel.find("upstreams")
     rate_limits = kernel.find("rate_limits")
+    metrics = kernel.find("metrics")
     poison_requests = kernel.find("poison_requests")
     own = members.own
 
@@ -101,36 +108,84 @@
             broken_requests=poison_requests.recent_breaks(),
         )
 
-    def cached_records(list_records):
-        """Return member records, the same ones for all messages within a short time."""
-        cached_at, records = state.records_by_function.get(
-            list_records, (float("-inf"), ())
-        )
+    def cached(key, create_value):
+        """Return a value, the same one for all messages within a short time."""
+        cached_at, value = state.cached_by_key.get(key, (float("-inf"), None))
         if now() - cached_at > MAX_CACHE_AGE_SECONDS:
-            # Ages must remain upper bounds for as long as the records are cached.
-            records = tuple(
-                record._replace(age=record.age + MAX_CACHE_AGE_SECONDS)
-                for record in list_records()
-            )
-            state.records_by_function[list_records] = (now(), records)
-        return records
+            value = create_value()
+            state.cached_by_key[key] = (now(), value)
+        return value
+
+    def list_records(function, *arguments):
+        """Return member records with ages that hold for as long as they are cached."""
+        return tuple(
+            record._replace(age=record.age + MAX_CACHE_AGE_SECONDS)
+            for record in function(*arguments)
+        )
 
     def member_records():
-        return cached_records(members.records)
+        return cached(ALL_RECORDS, lambda: list_records(members.records))
+
+    def changed_records(zone):
+        return cached(
+            (CHANGED_RECORDS, zone),
+            lambda: list_records(members.changed_records, zone),
+        )
+
+    def zone_views():
+        return cached(ZONE_VIEWS, list_views)
+
+    def list_views():
+        views = []
+        for view in members.zone_views():
+            ages = tuple(age + MAX_CACHE_AGE_SECONDS for age in view.ages)
+            views.append(view._replace(ages=ages))
+        return tuple(views)
 
     def records_for(peer):
-        """Return the records for a peer: periodically all, otherwise recent changes."""
-        if not peer.receives_documents:
-            return ()
-        if now() - peer.members_sent_at <= FULL_MEMBERS_PERIOD_SECONDS:
-            return cached_records(members.changed_records)
+        """Return recent changes, and records of zones that a peer sees otherwise."""
+        is_same_zone = peer.zone == own.zone
+        changed = changed_records(None if is_same_zone else own.zone)
+        if now() - peer.members_sent_at <= MEMBERS_PERIOD_SECONDS:
+            return changed
+        differing = frozenset(
+            view.zone
+            for view in zone_views()
+            if peer.digest_by_zone.get(view.zone) != view.digest
+        )
+        if not differing:
+            return changed
         peer.members_sent_at = now()
-        return member_records()
+        metrics.count("members_resent", len(differing))
+        records = cached(differing, lambda: list_records(members.records, differing))
+        sent = {record.address for record in records}
+        others = tuple(record for record in changed if record.address not in sent)
+        return (*records, *others)
+
+    def views_for(peer):
+        """Return the zone views for a peer: periodically all, otherwise the own one.
+
+        Hosts of the own zone need that one no sooner than the others.
+        """
+        if now() - peer.views_sent_at > VIEWS_PERIOD_SECONDS:
+            peer.views_sent_at = now()
+            return zone_views()
+        if peer.zone == own.zone:
+            return ()
+        return tuple(view for view in zone_views() if view.zone == own.zone)
+
+    def reported_views():
+        """Return the digests of the own views, for the relays."""
+        return tuple(view._replace(ages=()) for view in zone_views())
 
     def build_for_peer(peer):
         """Return the regular message for a peer."""
-        message = build(peer.receives_documents, records_for(peer))._replace(
-            sends_regularly=True
+        if peer.receives_documents:
+            records, views = records_for(peer), views_for(peer)
+        else:
+            records, views = (), reported_views() if peer.is_relay else ()
+        message = build(peer.receives_documents, records)._replace(
+            sends_regularly=True, zone_views=views
         )
         if peer.receives_documents:
             message = message._replace(documents=new_documents_for(peer))
@@ -145,6 +200,10 @@
             admitted_by_account=recent_admitted_counts(),
         )
 
+    def build_outcomes():
+        outcomes = upstreams.recent_outcomes(True)
+        return build(with_versions=False)._replace(outcomes=outcomes)
+
     def new_documents_for(peer):
         """Return small documents that are new since the last message to a peer."""
         documents = []
@@ -223,9 +282,10 @@
         build,
         build_introduction,
         build_for_peer,
+        build_outcomes,
         build_document,
         member_records,
-        state.records_by_function.clear,
+        state.cached_by_key.clear,
         start_admission_period,
     )
     kernel.register("gossip_builders", service)
--- a/trefoilpin/gateway/roles.py
+++ b/trefoilpin/gateway/roles.py
@@ -17,6 +17,8 @@
         Addresses of all relays, and of all hosts that send requests to upstreams.
     in_mesh : bool
         True when this host is one of ``mesh_hosts``.
+    zone_mesh_hosts : tuple of str
+        Addresses of the other ``mesh_hosts`` in this host's zone.
     gossip_targets : tuple of MemberRecord
         Hosts to which this one sends regularly.
     first_readers : tuple of str
@@ -28,11 +30,12 @@
     relays: frozenset[str]
     mesh_hosts: frozenset[str]
     in_mesh: bool
+    zone_mesh_hosts: tuple[str, ...]
     gossip_targets: tuple
     first_readers: tuple[str, ...]
 
 
-NO_ROLES = Roles(False, 0, frozenset(), frozenset(), False, (), ())
+NO_ROLES = Roles(False, 0, frozenset(), frozenset(), False, (), (), ())
 # The six relays of three zones, and as many hosts to replace them.
 MAX_FIRST_READERS = 12
 
@@ -74,7 +77,11 @@
     zones = sorted({member.zone for member in live})
     relays_by_zone = {zone: members.relays(zone) for zone in zones}
     relays = {host.address for hosts in relays_by_zone.values() for host in hosts}
-    mesh_hosts = {member.address for member in members.mesh_hosts()}
+    mesh_hosts, zone_mesh_hosts = set(), []
+    for member in members.mesh_hosts():
+        mesh_hosts.add(member.address)
+        if member.zone == own.zone and member.address != own.address:
+            zone_mesh_hosts.append(member.address)
     target_addresses = {host.address for host in relays_by_zone.get(own.zone, ())}
     if own.address in relays:
         target_addresses |= relays
@@ -91,6 +98,7 @@
         frozenset(relays),
         frozenset(mesh_hosts),
         own.address in mesh_hosts,
+        tuple(zone_mesh_hosts),
         tuple(host for host in live if host.address in target_addresses),
         tuple(order[:MAX_FIRST_READERS]),
     )
--- a/trefoilpin/gateway/upstream_health.py
+++ b/trefoilpin/gateway/upstream_health.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "COLD_BURST_REQUESTS",
+    "FAST_FAILURE_SECONDS",
     "InFlightRequest",
     "MIN_SLOW_SECONDS",
     "SLOW_FACTOR",
@@ -25,6 +26,9 @@
 COLD_BURST_REQUESTS = 1.5
 # HTTP status of an upstream that is not the one the request was intended for.
 MISDIRECTED_STATUS = 421
+GATEWAY_TIMEOUT_STATUS = 504
+# Failures show within this time where upstreams fail fast.
+FAST_FAILURE_SECONDS = 0.03
 
 
 class UpstreamHealth:
@@ -48,6 +52,11 @@
         True once one of its answers said that it is leaving.
     used_at : float
         Clock time at which a host was last known to send it a request.
+    joined_at : float
+        Clock time at which this host learned of it.
+    is_newcomer : bool
+        True for an upstream that joined since this host started, until a host is known
+        to have sent it a request.
     failed_connects : int
         Consecutive attempts that did not reach it.
     """
@@ -69,16 +78,27 @@
         self.paused_until = float("-inf")
         self.is_leaving = False
         self.used_at = now
+        self.is_newcomer = False
+        self.joined_at = now
 
 
 class InFlightRequest:
-    """A request in flight at an upstream."""
+    """A request in flight at an upstream.
+
+    Attributes
+    ----------
+    is_slow : bool
+        True once it was recorded as slow.
+    is_proven : bool
+        True once it was recorded as good, as it outlived the failures of its pool.
+    """
 
     def __init__(self, health, started_at, typical_seconds):
         self.health = health
         self.started_at = started_at
         self.typical_seconds = typical_seconds
         self.is_slow = False
+        self.is_proven = False
 
 
 def failure_probability(health, now):
@@ -126,15 +146,26 @@
         return None
     if attempt.shed:
         return Outcome.SHED
+    is_slow = attempt.seconds > max(typical_seconds * SLOW_FACTOR, MIN_SLOW_SECONDS)
+    if timed_out(attempt) and not is_slow:
+        # The caller's deadline was too short for the usual work.
+        return None
     if attempt.answer is None:
         return None if attempt.verdict is Verdict.NOT_RUN else Outcome.FAILED
     if attempt.answer.status >= 500:
         return Outcome.FAILED
-    if attempt.seconds > max(typical_seconds * SLOW_FACTOR, MIN_SLOW_SECONDS):
+    if is_slow:
         return Outcome.SLOW
     return Outcome.GOOD
 
 
+def timed_out(attempt):
+    """Tell whether an attempt ended at the deadline of its request."""
+    if attempt.answer is None:
+        return attempt.reason is Reason.UPSTREAM_TIMEOUT
+    return attempt.answer.status == GATEWAY_TIMEOUT_STATUS
+
+
 def is_misdirected(attempt):
     """Tell whether a different upstream than intended answered at the address."""
     return attempt.shed and attempt.answer.status == MISDIRECTED_STATUS
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -6,6 +6,7 @@
 under the same id begins with fresh state.
 """
 
+from collections import deque
 from typing import Callable, NamedTuple
 
 from returns.result import Failure, Success
@@ -49,6 +50,11 @@
 # In-flight counts of a host that no longer reports expire after this time.
 IN_FLIGHT_EXPIRY_SECONDS = 1.5
 RETRY_AFTER_SECONDS = 0.2
+# A request in flight counts as good evidence once it outlived fast failures, if at
+# least this share of its pool's failures is fast.
+MIN_FAST_SHARE = 0.6
+# Weight of a new failure in the moving average of that share.
+FAST_SHARE_WEIGHT = 0.2
 # A request waits for a pool that asked for a pause only if it ends within this time.
 MAX_PAUSE_WAIT_SECONDS = 0.25
 # Callers of a pool that pauses return over this multiple of its pause.
@@ -81,9 +87,9 @@
     ``merge_outcomes`` and ``merge_in_flight`` take what another host reports, and
     ``expire_in_flight()`` drops counts of hosts that no longer report.
     ``recent_outcomes(is_same_zone)`` and ``in_flight_counts(zone)`` return what to
-    report to others. ``on_urgent_outcome(function)`` has a function called when an
-    outcome should be sent at once. ``check_overdue()`` records requests that hang as
-    slow.
+    report to others. ``on_outcome(function)`` has ``function(is_urgent)`` called for
+    each outcome to be shared; an urgent one should be sent at once. ``check_overdue()``
+    records requests that hang as slow.
     ``pool_health(pool)`` returns the ``UpstreamHealth`` of each upstream of a pool.
     """
 
@@ -94,24 +100,34 @@
     expire_in_flight: Callable
     recent_outcomes: Callable
     in_flight_counts: Callable
-    on_urgent_outcome: Callable
+    on_outcome: Callable
     check_overdue: Callable
     pool_health: Callable
 
 
 class UpstreamState:
-    """Health by pool, requests in flight, and outcomes to share with others."""
+    """Health by pool, requests in flight, and outcomes to share with others.
+
+    Attributes
+    ----------
+    unproven : deque of int
+        Numbers of the requests in flight that may still fail fast, by their start.
+    fast_share_by_pool : dict
+        Moving average of the share of failures that are fast.
+    """
 
     def __init__(self):
         self.health_by_pool: dict[str, dict[str, upstream_health.UpstreamHealth]] = {}
         self.health_by_id: dict[str, upstream_health.UpstreamHealth] = {}
         self.in_flight_by_number: dict[int, upstream_health.InFlightRequest] = {}
+        self.unproven: deque[int] = deque()
+        self.fast_share_by_pool: dict[str, float] = {}
         self.in_flight_by_host: dict[str, tuple[float, dict[str, int]]] = {}
         self.recent_outcomes: list[tuple[float, UpstreamOutcome]] = []
         self.last_outcome_by_host: dict[tuple[str, int], int] = {}
         self.choice_number = 0
         self.outcome_number = 0
-        self.urgent_listeners = []
+        self.outcome_listeners = []
 
 
 def create(kernel, own_zone, sender_count):
@@ -143,6 +159,7 @@
             health = state.health_by_id.get(upstream.id)
             if health is None or health.upstream.born != upstream.born:
                 health = upstream_health.UpstreamHealth(upstream, now())
+                health.is_newcomer = bool(state.health_by_id)
             elif upstream.cold_remaining != health.upstream.cold_remaining:
                 health.cold_until = now() + upstream.cold_remaining
             if upstream.draining and not health.upstream.draining:
@@ -181,7 +198,28 @@
             health.slowness,
         )
 
+    def prove_survivors():
+        """Record requests as good that outlived fast failures."""
+        while state.unproven:
+            in_flight = state.in_flight_by_number.get(state.unproven[0])
+            if in_flight is not None:
+                age = now() - in_flight.started_at
+                if age < upstream_health.FAST_FAILURE_SECONDS:
+                    return
+                pool = in_flight.health.upstream.pool
+                if state.fast_share_by_pool.get(pool, 0.0) >= MIN_FAST_SHARE:
+                    in_flight.is_proven = True
+                    record_outcome(in_flight.health, Outcome.GOOD)
+            state.unproven.popleft()
+
+    def record_failure_time(pool, seconds):
+        fast_share = state.fast_share_by_pool.get(pool, 0.0)
+        is_fast = seconds < upstream_health.FAST_FAILURE_SECONDS
+        fast_share += (is_fast - fast_share) * FAST_SHARE_WEIGHT
+        state.fast_share_by_pool[pool] = fast_share
+
     def choose(pool_id, tried, retry_policy, typical_seconds):
+        prove_survivors()
         zones_out = document_cache.value(ZONES_OUT)
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
         cold_rate = pool.cold_rate if pool is not None else 0.0
@@ -226,15 +264,20 @@
 
     def reserve(pool_id, health, typical_seconds):
         health.own_in_flight += 1
-        health.used_at = now()
+        mark_used(health)
         if now() < health.cold_until:
             health.cold_tokens -= 1.0
         state.choice_number += 1
+        state.unproven.append(state.choice_number)
         state.in_flight_by_number[state.choice_number] = (
             upstream_health.InFlightRequest(health, now(), typical_seconds)
         )
         return Choice(health.upstream, pool_id, state.choice_number)
 
+    def mark_used(health):
+        health.used_at = now()
+        health.is_newcomer = False
+
     def release(choice, attempt, typical_seconds):
         in_flight = state.in_flight_by_number.pop(choice.number)
         health = in_flight.health
@@ -250,6 +293,8 @@
         if outcome is None:
             return
         floor.record(choice.pool, outcome is Outcome.FAILED)
+        if outcome is Outcome.FAILED:
+            record_failure_time(choice.pool, attempt.seconds)
         if outcome is Outcome.SHED:
             health.full_until = now() + FULL_AFTER_SHED_SECONDS
         if (
@@ -261,6 +306,9 @@
             health.slowness += (min(ratio, 8.0) - health.slowness) * SLOWNESS_WEIGHT
         if outcome is Outcome.SLOW and in_flight.is_slow:
             outcome = Outcome.GOOD
+        if outcome is Outcome.GOOD and in_flight.is_proven:
+            # Says no more of the upstream now than when it had outlived fast failures.
+            return
         record_outcome(health, outcome)
 
     def heed_answer(health, attempt):
@@ -310,9 +358,9 @@
         shared = UpstreamOutcome(state.outcome_number, health.upstream.id, outcome)
         state.recent_outcomes.append((now(), shared))
         del state.recent_outcomes[:-MAX_RECENT_OUTCOMES]
-        if outcome is not Outcome.GOOD or prior > URGENT_PROBABILITY:
-            for function in state.urgent_listeners:
-                function()
+        is_urgent = outcome is not Outcome.GOOD or prior > URGENT_PROBABILITY
+        for function in state.outcome_listeners:
+            function(is_urgent)
 
     def update_health(health, prior, outcome, source):
         health.failure_probability = failure_models.update(prior, outcome)
@@ -348,7 +396,7 @@
             health = state.health_by_id.get(upstream)
             if health is not None:
                 health.other_in_flight += count
-                health.used_at = now()
+                mark_used(health)
         state.in_flight_by_host[host] = (now(), count_by_upstream)
 
     def drop_in_flight(host):
@@ -387,6 +435,7 @@
 
     def check_overdue():
         """Record in-flight requests that take far too long as slow, once each."""
+        prove_survivors()
         for in_flight in list(state.in_flight_by_number.values()):
             limit = max(
                 in_flight.typical_seconds * upstream_health.SLOW_FACTOR,
@@ -408,7 +457,7 @@
         expire_in_flight,
         recent_outcomes,
         in_flight_counts,
-        state.urgent_listeners.append,
+        state.outcome_listeners.append,
         check_overdue,
         lambda pool_id: tuple(state.health_by_pool.get(pool_id, {}).values()),
     )
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -254,3 +254,70 @@
     assert len(used) >= floor * len(ids)
     if not floor:
         assert len(used) < 0.7 * len(ids)
+
+
+def test_upstream_that_joins_gets_its_first_request_soon(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    for _ in range(20):
+        clock.time += 0.05
+        send(service, GOOD)
+    put(UPSTREAMS, 2, table(upstream(1), upstream(2), upstream(3)))
+    sent = []
+    for _ in range(22):
+        clock.time += 0.05
+        sent.append(send(service, GOOD))
+    assert "u3" in sent
+
+
+def test_newcomer_that_another_host_uses_needs_no_request_of_this_one(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    send(service, GOOD)
+    put(UPSTREAMS, 2, table(upstream(1), upstream(2), upstream(3)))
+    service.merge_in_flight("h2", {"u3": 1})
+    for _ in range(40):
+        clock.time += 0.05
+        assert send(service, GOOD) != "u3"
+
+
+def test_deadline_too_short_for_the_usual_work_is_no_evidence(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1)))
+    before = service.pool_health("p")[0].failure_probability
+    reason = Reason.UPSTREAM_TIMEOUT
+    cut = Attempt(Verdict.MAY_HAVE_RUN, None, reason, "", TYPICAL_SECONDS)
+    send(service, cut)
+    send(service, BAD._replace(answer=Answer(504, (), b""), seconds=TYPICAL_SECONDS))
+    assert service.pool_health("p")[0].failure_probability == before
+    assert service.recent_outcomes(True) == ()
+    send(service, cut._replace(seconds=TYPICAL_SECONDS * 5))
+    assert service.pool_health("p")[0].failure_probability > 0.5
+
+
+def start_after_failures(host, seconds):
+    """Return a choice in flight, its health and the clock, after six failures."""
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(*(upstream(number) for number in range(1, 7))))
+    for _ in range(6):
+        send(service, BAD._replace(seconds=seconds))
+    clock.time += 20.0
+    choice = choose(service).unwrap()
+    clock.time += upstream_health.FAST_FAILURE_SECONDS + 0.01
+    service.check_overdue()
+    by_id = {health.upstream.id: health for health in service.pool_health("p")}
+    return choice, by_id[choice.upstream.id], clock
+
+
+def test_request_that_outlives_fast_failures_is_good_evidence_before_it_ends(host):
+    choice, health, clock = start_after_failures(host, 0.002)
+    assert health.failure_probability < 0.1
+    proven_at = health.updated_at
+    clock.time += 0.5
+    host[0].release(choice, GOOD._replace(seconds=0.5), 0.5)
+    assert health.updated_at == proven_at
+
+
+def test_request_proves_nothing_early_where_failures_are_slow(host):
+    _, health, clock = start_after_failures(host, 0.09)
+    assert health.updated_at < clock.time - 10
