Introduce new hosts with whole documents; spread the reads of isolated hosts

Documents of that size (over 6 KB) were fetched by each host over a connection to one of three seeds, and hosts that no seed had answered for a second all read the store at once. Change: the introduction holds documents up to 40 KB in all; an isolated host waits 1 to 2.5 s for its seeds. Test: test_fleet_that_starts_at_once: 125 fetches of 128 hosts before, passes now.

--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -36,7 +36,7 @@
 from trefoilpin.kernel import Clock, create_kernel
 from trefoilpin.services import Events
 
-__all__ = ["Fleet", "FleetSettings", "Link", "StoreContent"]
+__all__ = ["SEEDS", "Fleet", "FleetSettings", "Link", "StoreContent"]
 
 NETWORK_LATENCY_SECONDS = 0.001
 # Bytes that a fetch on its own connection needs beside the document, and processor
--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -42,6 +42,9 @@
 STARTUP_DELAY_SECONDS = 0.8
 # A running seed answers within milliseconds; without an answer a host reads the store.
 SEED_TIMEOUT_SECONDS = 1.0
+# Spread of that time, so that hosts that start together while the seeds are busy do not
+# all read the store.
+SEED_TIMEOUT_SPREAD_SECONDS = 1.5
 RANDOM_PERIOD_SECONDS = 1.0
 # Share of the random messages that go to a seed: with 460 hosts, some tens per second
 # for each seed.
@@ -151,6 +154,9 @@
     started_at = state.random_sent_at = kernel.clock.now()
     # Spreads the first contacts of all hosts evenly over the seeds.
     seed_offset = kernel.rng.getrandbits(8)
+    seed_timeout = (
+        SEED_TIMEOUT_SECONDS + SEED_TIMEOUT_SPREAD_SECONDS * kernel.rng.random()
+    )
     now, sleep = kernel.clock.now, kernel.clock.sleep
     document_fetchers = kernel.find("document_fetchers")
     send_queues = kernel.find("send_queues")
@@ -361,9 +367,7 @@
     def startup_delay():
         if own.address in settings.seeds():
             return 0.0
-        return (
-            SEED_TIMEOUT_SECONDS if len(members.live()) == 1 else STARTUP_DELAY_SECONDS
-        )
+        return seed_timeout if len(members.live()) == 1 else STARTUP_DELAY_SECONDS
 
     def share_read():
         """Send what this host has read from the store to the relays of its zone.
--- a/trefoilpin/gateway/gossip_builders.py
+++ b/trefoilpin/gateway/gossip_builders.py
@@ -19,6 +19,9 @@
 # Whole documents up to this size are sent in gossip messages within a zone, and deltas
 # up to this size to all peers; larger ones are fetched.
 MAX_INLINE_BYTES = 6_000
+# Documents in the introduction of a new host. After a restart of a whole fleet the
+# seeds answer hundreds of hosts, and a datagram costs them far less than a fetch.
+MAX_INTRODUCTION_BYTES = 40_000
 # Keys of cached parts of messages.
 ALL_RECORDS, CHANGED_RECORDS, ZONE_VIEWS = "records", "changed_records", "zone_views"
 
@@ -251,13 +254,15 @@
             if received.revision
         }
         documents = []
+        room = MAX_INTRODUCTION_BYTES
         for kind in KINDS:
             version = document_cache.version(kind)
             if not version.revision or (kind, version.digest) in known:
                 continue
             document = build_document(kind, NO_BASE)
-            if len(document.data) <= MAX_INLINE_BYTES:
+            if len(document.data) <= room:
                 documents.append(document)
+                room -= len(document.data)
         return build(records=member_records())._replace(documents=tuple(documents))
 
     def recent_admitted_counts():
--- a/trefoilpin/tests/gateway/test_large_fleets.py
+++ b/trefoilpin/tests/gateway/test_large_fleets.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from trefoilpin.fakes.gateway_fleets import Fleet, FleetSettings
+from trefoilpin.fakes.gateway_fleets import SEEDS, Fleet, FleetSettings, Link
 from trefoilpin.gateway import members
 from trefoilpin.gateway.document_cache import CONFIGURATION, ZONES_OUT
 
@@ -94,3 +94,24 @@
     settled_fleet.run(3.0)
     for node in settled_fleet.nodes.values():
         assert failed_relay not in [relay.address for relay in node.members.relays("b")]
+
+
+def test_fleet_that_starts_at_once_gets_large_documents_from_its_seeds():
+    """After a power cut: the seeds read the store, all others ask them."""
+    fleet = Fleet(FleetSettings(link=Link(750_000.0, 400_000), lost=0.01))
+    rng = random.Random(3)
+    rows = {f"t{number}": f"{rng.getrandbits(256):x}" for number in range(150)}
+    for number in range(1, HOSTS + 1):
+        fleet.start(number, ZONES[number % len(ZONES)])
+    fleet.run(0.05)
+    for seed in SEEDS:
+        document_cache = fleet.nodes[seed].document_cache
+        content = rows | {"value": "all"}
+        document_cache.apply_document(ZONES_OUT, 7, content, 0.0, "store")
+    fleet.run(1.5)
+    late = []
+    for node in fleet.nodes.values():
+        if node.document_cache.value(ZONES_OUT) != "all":
+            late.append(node.address)
+    assert late == []
+    assert fleet.fetch_count <= HOSTS // 5
