--- a/trefoilpin/gateway/floors.py
+++ b/trefoilpin/gateway/floors.py
@@ -13,17 +13,17 @@
 
 # Share of failed attempts from which on the floor holds. The floor is owed from a tenth
 # of unserved requests on.
-MIN_FAILED_SHARE = 0.06
+MIN_FAILED_SHARE = 0.09
 # Time constant of the moving sums of attempts; the floor is judged over 2 s.
-AVERAGE_SECONDS = 2.0
-# Attempts below which a share of failures says little.
-MIN_ATTEMPTS = 4.0
+AVERAGE_SECONDS = 3.0
+# Failed attempts below which their share says little.
+MIN_FAILED_ATTEMPTS = 3.0
 # An upstream without a request for this time is due for one.
 MAX_IDLE_SECONDS = 1.0
 # An upstream that joined waits at most this long for a request that may be repeated.
 MAX_NEWCOMER_SECONDS = 1.0
 # Share of the requests that may not be repeated that go to an upstream that is due.
-NON_REPEATABLE_SHARE = 0.3
+NON_REPEATABLE_SHARE = 0.2
 
 
 class Floors(NamedTuple):
@@ -82,8 +82,8 @@
         if attempts is None:
             return False
         attempts.decay(now())
-        failed_share = attempts.failed / max(attempts.attempts, MIN_ATTEMPTS)
-        return failed_share >= MIN_FAILED_SHARE
+        min_failed = max(attempts.attempts * MIN_FAILED_SHARE, MIN_FAILED_ATTEMPTS)
+        return attempts.failed >= min_failed
 
     def find_due(pool, healths, is_repeatable):
         for health in healths:
