--- a/trefoilpin/gateway/anti_entropy.py
+++ b/trefoilpin/gateway/anti_entropy.py
@@ -80,12 +80,15 @@
         doubled = state.pause_by_kind[kind] * 2
         state.pause_by_kind[kind] = min(doubled, MAX_PAUSE_SECONDS)
 
+    def step_pause():
+        """Return the time until this host could have been silent for too long."""
+        silence = now() - gossip.last_update_at()
+        return max(MAX_SILENCE_SECONDS - silence, STEP_INTERVAL_SECONDS)
+
     service = AntiEntropy(step)
     kernel.register(
         "anti_entropy",
         service,
-        lambda: kernel.spawn(
-            repeat, kernel.clock.sleep, lambda: STEP_INTERVAL_SECONDS, step
-        ),
+        lambda: kernel.spawn(repeat, kernel.clock.sleep, step_pause, step),
     )
     return service
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -251,6 +251,7 @@
     """Make collections rarer, as each pauses all requests."""
     gc.collect()
     gc.freeze()
+    gc.enable()
     gc.set_threshold(*GC_THRESHOLDS)
 
 
