Choose among the upstreams of the own zone before all others

Change: when the best of the own zone loses less than the traffic between zones costs, no other can be better, so the others are not looked at. In-flight counts are listed from the requests in flight.

--- /dev/null
+++ b/trefoilpin/gateway/pool_surveys.py
@@ -0,0 +1,126 @@
+"""Survey of a pool's upstreams: which of them may get a request now."""
+
+from typing import NamedTuple
+
+from trefoilpin.gateway import upstream_health, upstream_selection
+
+__all__ = ["MAX_ACCEPTED_PROBABILITY", "PoolSurvey", "SurveyRequest", "join", "survey"]
+
+# An upstream with a higher failure probability is used only if the pool has no
+# healthier one.
+MAX_ACCEPTED_PROBABILITY = 0.5
+
+
+class SurveyRequest(NamedTuple):
+    """What a survey is made for.
+
+    Attributes
+    ----------
+    now : float
+    own_zone : str
+    tried : frozenset of str
+        Upstreams that the request was sent to.
+    zones_out : frozenset of str
+    cold_share : float
+        Requests a second that this host may send to one cold upstream.
+    """
+
+    now: float
+    own_zone: str
+    tried: frozenset[str]
+    zones_out: frozenset[str]
+    cold_share: float
+
+
+class PoolSurvey(NamedTuple):
+    """Upstreams that may get a request, and what the others wait for.
+
+    Attributes
+    ----------
+    accepted, others : tuple of Candidate
+        With room; the others have a high failure probability.
+    accepted_health : tuple of UpstreamHealth
+        Of the accepted candidates.
+    has_accepted : bool
+        True when there are healthy upstreams, with or without room.
+    has_usable : bool
+    paused_until : float
+        Clock time at which the first upstream's pause ends, infinite without upstreams.
+    """
+
+    accepted: tuple
+    others: tuple
+    accepted_health: tuple
+    has_accepted: bool
+    has_usable: bool
+    paused_until: float
+
+
+def is_usable(health, zones_out):
+    """Tell whether an upstream may get any requests."""
+    upstream = health.upstream
+    is_departing = upstream.draining or health.is_leaving
+    return not is_departing and upstream.zone not in zones_out
+
+
+def create_candidate(health, request):
+    """Return an upstream as a candidate for a request."""
+    upstream = health.upstream
+    in_flight = health.own_in_flight + health.other_in_flight + 1
+    return upstream_selection.Candidate(
+        upstream.id,
+        upstream_health.failure_probability(health, request.now),
+        in_flight / max(upstream.slots, 1),
+        upstream.zone == request.own_zone,
+        health.slowness,
+    )
+
+
+def survey(healths, request):
+    """Return the ``PoolSurvey`` of some upstreams.
+
+    Parameters
+    ----------
+    healths : iterable of UpstreamHealth
+    request : SurveyRequest
+    """
+    accepted, others, accepted_health = [], [], []
+    has_accepted, has_usable = False, False
+    paused_until = float("inf")
+    for health in healths:
+        is_tried = health.upstream.id in request.tried
+        if is_tried or not is_usable(health, request.zones_out):
+            continue
+        has_usable = True
+        paused_until = min(paused_until, health.paused_until)
+        candidate = create_candidate(health, request)
+        is_accepted = candidate.failure_probability <= MAX_ACCEPTED_PROBABILITY
+        is_reachable = request.now >= health.avoided_until
+        has_accepted = has_accepted or (is_accepted and is_reachable)
+        if not upstream_health.has_room(health, request.now, request.cold_share):
+            continue
+        if is_accepted:
+            accepted.append(candidate)
+            accepted_health.append(health)
+        else:
+            others.append(candidate)
+    return PoolSurvey(
+        tuple(accepted),
+        tuple(others),
+        tuple(accepted_health),
+        has_accepted,
+        has_usable,
+        paused_until,
+    )
+
+
+def join(first, second):
+    """Return the survey of the upstreams of two surveys."""
+    return PoolSurvey(
+        first.accepted + second.accepted,
+        first.others + second.others,
+        first.accepted_health + second.accepted_health,
+        first.has_accepted or second.has_accepted,
+        first.has_usable or second.has_usable,
+        min(first.paused_until, second.paused_until),
+    )
--- a/trefoilpin/gateway/upstream_selection.py
+++ b/trefoilpin/gateway/upstream_selection.py
@@ -8,7 +8,15 @@
 
 from typing import NamedTuple
 
-__all__ = ["Candidate", "RetryPolicy", "choose", "loss"]
+__all__ = [
+    "CROSS_ZONE_LOSS",
+    "Candidate",
+    "RetryPolicy",
+    "choose",
+    "choose_best",
+    "choose_probe",
+    "loss",
+]
 
 # Cost of a request and its answer between zones, as a share of the request's value.
 CROSS_ZONE_LOSS = 0.05
@@ -90,14 +98,22 @@
     -------
     Candidate or None
     """
-    if (
-        retry_policy.is_idempotent
-        and retry_policy.can_retry
-        and rng.random() < PROBE_SHARE
-    ):
-        probed = find_uncertain(candidates, rng)
-        if probed is not None:
-            return probed
+    probed = choose_probe(candidates, retry_policy, rng)
+    if probed is not None:
+        return probed
+    return choose_best(candidates, retry_policy, rng)
+
+
+def choose_probe(candidates, retry_policy, rng):
+    """Return an uncertain candidate to probe with a repeatable request, or None."""
+    is_repeatable = retry_policy.is_idempotent and retry_policy.can_retry
+    if not is_repeatable or rng.random() >= PROBE_SHARE:
+        return None
+    return find_uncertain(candidates, rng)
+
+
+def choose_best(candidates, retry_policy, rng):
+    """Return the candidate with the least expected loss, or None without candidates."""
     best = None
     least_loss = float("inf")
     for candidate in candidates:
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -15,21 +15,20 @@
 from trefoilpin.gateway import (
     failure_models,
     floors,
+    pool_surveys,
     upstream_health,
     upstream_selection,
 )
 from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.failure_models import Outcome
 from trefoilpin.gateway.messages import UpstreamOutcome
+from trefoilpin.gateway.pool_surveys import MAX_ACCEPTED_PROBABILITY
 from trefoilpin.gateway.request_contexts import is_unreached
 from trefoilpin.messages import Choice
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
 __all__ = ["Upstreams", "create"]
 
-# An upstream with a higher failure probability is used only if the pool has no
-# healthier one.
-MAX_ACCEPTED_PROBABILITY = 0.5
 # Bounds of the exponential backoff from an upstream that this host can't reach.
 MIN_BACKOFF_SECONDS = 0.3
 MAX_BACKOFF_SECONDS = 2.0
@@ -110,6 +109,8 @@
 
     Attributes
     ----------
+    healths_by_pool_and_zone : dict
+        By pool, and True for the upstreams of the host's own zone.
     unproven : deque of int
         Numbers of the requests in flight that may still fail fast, by their start.
     fast_share_by_pool : dict
@@ -118,6 +119,7 @@
 
     def __init__(self):
         self.health_by_pool: dict[str, dict[str, upstream_health.UpstreamHealth]] = {}
+        self.healths_by_pool_and_zone: dict[tuple[str, bool], list] = {}
         self.health_by_id: dict[str, upstream_health.UpstreamHealth] = {}
         self.in_flight_by_number: dict[int, upstream_health.InFlightRequest] = {}
         self.unproven: deque[int] = deque()
@@ -154,6 +156,7 @@
 
     def rebuild(upstream_by_id):
         health_by_pool = {}
+        healths_by_pool_and_zone = {}
         health_by_id = {}
         for upstream in upstream_by_id.values():
             health = state.health_by_id.get(upstream.id)
@@ -171,33 +174,16 @@
                 )
             health.upstream = upstream
             health_by_pool.setdefault(upstream.pool, {})[upstream.id] = health
+            key = (upstream.pool, upstream.zone == own_zone)
+            healths_by_pool_and_zone.setdefault(key, []).append(health)
             health_by_id[upstream.id] = health
+        state.healths_by_pool_and_zone = healths_by_pool_and_zone
         state.health_by_pool = health_by_pool
         state.health_by_id = health_by_id
 
     def failure_probability(health):
         return upstream_health.failure_probability(health, now())
 
-    def is_usable(health, zones_out):
-        upstream = health.upstream
-        is_departing = upstream.draining or health.is_leaving
-        return not is_departing and upstream.zone not in zones_out
-
-    def has_room(health, cold_rate):
-        share = cold_rate / max(sender_count(), 1)
-        return upstream_health.has_room(health, now(), share)
-
-    def create_candidate(health):
-        upstream = health.upstream
-        return upstream_selection.Candidate(
-            upstream.id,
-            failure_probability(health),
-            (health.own_in_flight + health.other_in_flight + 1)
-            / max(upstream.slots, 1),
-            upstream.zone == own_zone,
-            health.slowness,
-        )
-
     def prove_survivors():
         """Record requests as good that outlived fast failures."""
         while state.unproven:
@@ -220,39 +206,66 @@
 
     def choose(pool_id, tried, retry_policy, typical_seconds):
         prove_survivors()
-        zones_out = document_cache.value(ZONES_OUT)
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
         cold_rate = pool.cold_rate if pool is not None else 0.0
-        accepted, others, has_accepted, has_usable = [], [], False, False
-        in_zone = []
-        paused_until = float("inf")
-        for health in state.health_by_pool.get(pool_id, {}).values():
-            if health.upstream.id in tried or not is_usable(health, zones_out):
-                continue
-            has_usable = True
-            paused_until = min(paused_until, health.paused_until)
-            candidate = create_candidate(health)
-            is_accepted = candidate.failure_probability <= MAX_ACCEPTED_PROBABILITY
-            is_reachable = now() >= health.avoided_until
-            has_accepted = has_accepted or (is_accepted and is_reachable)
-            if not has_room(health, cold_rate):
-                continue
-            (accepted if is_accepted else others).append(candidate)
-            if is_accepted and candidate.is_same_zone:
-                in_zone.append(health)
-        if not has_usable:
+        request = pool_surveys.SurveyRequest(
+            now(),
+            own_zone,
+            tried,
+            document_cache.value(ZONES_OUT),
+            cold_rate / max(sender_count(), 1),
+        )
+        in_zone = survey_zone(pool_id, request, True)
+        chosen = choose_in_zone(pool_id, in_zone, request, retry_policy)
+        if chosen is None:
+            elsewhere = survey_zone(pool_id, request, False)
+            outcome = choose_anywhere(in_zone, elsewhere, retry_policy)
+            if isinstance(outcome, Failure):
+                return outcome
+            chosen = outcome.unwrap()
+        return Success(reserve(pool_id, chosen, typical_seconds))
+
+    def survey_zone(pool_id, request, is_same_zone):
+        healths = state.healths_by_pool_and_zone.get((pool_id, is_same_zone), ())
+        return pool_surveys.survey(healths, request)
+
+    def choose_in_zone(pool_id, in_zone, request, retry_policy):
+        """Return the health of an upstream of the own zone, or None.
+
+        None when one of another zone may have a lower loss.
+        """
+        is_repeatable = retry_policy.is_idempotent and retry_policy.can_retry
+        if not request.tried:
+            # The hosts of a zone know from each other which upstreams are in use.
+            due = floor.find_due(pool_id, in_zone.accepted_health, is_repeatable)
+            if due is not None:
+                return due
+        probed = upstream_selection.choose_probe(in_zone.accepted, retry_policy, rng)
+        if probed is not None:
+            return state.health_by_id[probed.id]
+        best = upstream_selection.choose_best(in_zone.accepted, retry_policy, rng)
+        if best is None:
+            return None
+        loss = upstream_selection.loss(best, retry_policy)
+        if loss > upstream_selection.CROSS_ZONE_LOSS:
+            return None
+        return state.health_by_id[best.id]
+
+    def choose_anywhere(in_zone, elsewhere, retry_policy):
+        pool = pool_surveys.join(in_zone, elsewhere)
+        if not pool.has_usable:
             return NO_UPSTREAM
-        if paused_until - now() > MAX_PAUSE_WAIT_SECONDS:
-            return refuse_paused(paused_until - now())
-        if not accepted and (has_accepted or not others):
+        if pool.paused_until - now() > MAX_PAUSE_WAIT_SECONDS:
+            return refuse_paused(pool.paused_until - now())
+        if not pool.accepted and (pool.has_accepted or not pool.others):
             return SATURATED
-        # The hosts of a zone know from each other which of its upstreams are in use.
-        is_repeatable = retry_policy.is_idempotent and retry_policy.can_retry
-        due = None if tried else floor.find_due(pool_id, in_zone, is_repeatable)
-        if due is None:
-            chosen = upstream_selection.choose(accepted or others, retry_policy, rng)
-            due = state.health_by_id[chosen.id]
-        return Success(reserve(pool_id, due, typical_seconds))
+        # Those of the own zone were looked through for one to probe.
+        probed = upstream_selection.choose_probe(elsewhere.accepted, retry_policy, rng)
+        if probed is not None and not in_zone.accepted:
+            return Success(state.health_by_id[probed.id])
+        candidates = pool.accepted or pool.others
+        best = upstream_selection.choose_best(candidates, retry_policy, rng)
+        return Success(state.health_by_id[best.id])
 
     def refuse_paused(seconds):
         """Refuse a request whose whole pool asked for a pause; spread the returns."""
@@ -428,9 +441,12 @@
     def in_flight_counts(zone):
         """Return this host's in-flight requests by upstream, of one zone or all."""
         count_by_upstream = {}
-        for health in state.health_by_id.values():
-            if health.own_in_flight and zone in (None, health.upstream.zone):
-                count_by_upstream[health.upstream.id] = health.own_in_flight
+        for in_flight in state.in_flight_by_number.values():
+            health = in_flight.health
+            upstream = health.upstream
+            is_current = state.health_by_id.get(upstream.id) is health
+            if is_current and zone in (None, upstream.zone):
+                count_by_upstream[upstream.id] = health.own_in_flight
         return count_by_upstream
 
     def check_overdue():
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -321,3 +321,25 @@
 def test_request_proves_nothing_early_where_failures_are_slow(host):
     _, health, clock = start_after_failures(host, 0.09)
     assert health.updated_at < clock.time - 10
+
+
+def test_upstream_of_another_zone_is_used_while_those_of_the_own_zone_are_full(host):
+    service, put, clock = host
+    near, far = upstream(1, slots=4), upstream(2, zone="b", slots=20)
+    put(UPSTREAMS, 1, table(near, far))
+    used = [choose(service).unwrap().upstream.id for _ in range(12)]
+    assert used[0] == "u1" and 2 <= used.count("u1") <= 5
+    assert service.in_flight_counts("b") == {"u2": used.count("u2")}
+    assert service.in_flight_counts(None)["u1"] == used.count("u1")
+
+
+def test_pool_without_upstreams_in_the_own_zone_uses_the_others(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1, zone="b"), upstream(2, zone="c")))
+    repeatable = RetryPolicy(True, True)
+    used = set()
+    for _ in range(40):
+        outcome = choose(service, retry_policy=repeatable)
+        used.add(outcome.unwrap().upstream.id)
+        service.release(outcome.unwrap(), GOOD, TYPICAL_SECONDS)
+    assert used == {"u1", "u2"}
