Take failures for fast until they prove slow

Change: a pool without failures so far is taken to fail at once, as a request that outlived that is then good evidence.

--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -52,6 +52,9 @@
 # A request in flight counts as good evidence once it outlived fast failures, if at
 # least this share of its pool's failures is fast.
 MIN_FAST_SHARE = 0.6
+# Share assumed of a pool without failures so far: a connection that breaks or an error
+# at once is the common failure.
+INITIAL_FAST_SHARE = 0.6
 # Weight of a new failure in the moving average of that share.
 FAST_SHARE_WEIGHT = 0.2
 # A request waits for a pool that asked for a pause only if it ends within this time.
@@ -192,14 +195,17 @@
                 age = now() - in_flight.started_at
                 if age < upstream_health.FAST_FAILURE_SECONDS:
                     return
-                pool = in_flight.health.upstream.pool
-                if state.fast_share_by_pool.get(pool, 0.0) >= MIN_FAST_SHARE:
+                if has_fast_failures(in_flight.health.upstream.pool):
                     in_flight.is_proven = True
                     record_outcome(in_flight.health, Outcome.GOOD)
             state.unproven.popleft()
 
+    def has_fast_failures(pool):
+        share = state.fast_share_by_pool.get(pool, INITIAL_FAST_SHARE)
+        return share >= MIN_FAST_SHARE
+
     def record_failure_time(pool, seconds):
-        fast_share = state.fast_share_by_pool.get(pool, 0.0)
+        fast_share = state.fast_share_by_pool.get(pool, INITIAL_FAST_SHARE)
         is_fast = seconds < upstream_health.FAST_FAILURE_SECONDS
         fast_share += (is_fast - fast_share) * FAST_SHARE_WEIGHT
         state.fast_share_by_pool[pool] = fast_share
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -343,3 +343,22 @@
         used.add(outcome.unwrap().upstream.id)
         service.release(outcome.unwrap(), GOOD, TYPICAL_SECONDS)
     assert used == {"u1", "u2"}
+
+
+def test_first_requests_go_to_upstreams_that_did_not_fail_at_once(host):
+    """Half of a pool fails at once when traffic starts; answers take half a second.
+
+    At most a sixth of the first requests may find that out.
+    """
+    service, put, clock = host
+    numbers = range(1, 21)
+    put(UPSTREAMS, 1, table(*(upstream(number, slots=6) for number in numbers)))
+    failing = {f"u{number}" for number in numbers if number % 2}
+    failures = 0
+    for _ in range(50):
+        choice = choose(service).unwrap()
+        if choice.upstream.id in failing:
+            failures += 1
+            service.release(choice, BAD._replace(seconds=0.002), 0.5)
+        clock.time += 0.01
+    assert failures <= 50 / 6
