Counts of other hosts' requests in flight in a module of their own

Change: remote_in_flight.py; one entry a host, of its latest start. Measured: test_upstreams, test_proxies, test_gossip pass (79).

--- /dev/null
+++ b/trefoilpin/gateway/remote_in_flight.py
@@ -0,0 +1,61 @@
+"""Requests in flight at the upstreams from other hosts, as these report them."""
+
+from typing import Callable, NamedTuple
+
+__all__ = ["IN_FLIGHT_EXPIRY_SECONDS", "RemoteInFlight", "create"]
+
+# Counts of a host that no longer reports expire after this time.
+IN_FLIGHT_EXPIRY_SECONDS = 1.5
+
+
+class RemoteInFlight(NamedTuple):
+    """Counts in ``UpstreamHealth.other_in_flight``.
+
+    ``merge(host, count_by_upstream)`` replaces the counts of a host, and ``expire()``
+    drops those of hosts that no longer report.
+    """
+
+    merge: Callable[[str, dict], None]
+    expire: Callable[[], None]
+
+
+def create(now, find_health, mark_used):
+    """Create the functions that keep the counts.
+
+    Parameters
+    ----------
+    now : callable
+        Seconds of the kernel's clock.
+    find_health : callable
+        Returns the ``UpstreamHealth`` of an upstream's id, or None.
+    mark_used : callable
+        ``mark_used(health)`` is called for each upstream that is in use.
+
+    Returns
+    -------
+    RemoteInFlight
+    """
+    counts_by_host: dict[str, tuple[float, dict[str, int]]] = {}
+
+    def merge(host, count_by_upstream):
+        drop(host)
+        for upstream, count in count_by_upstream.items():
+            health = find_health(upstream)
+            if health is not None:
+                health.other_in_flight += count
+                mark_used(health)
+        counts_by_host[host] = (now(), count_by_upstream)
+
+    def drop(host):
+        _, counts = counts_by_host.pop(host, (0.0, {}))
+        for upstream, count in counts.items():
+            health = find_health(upstream)
+            if health is not None:
+                health.other_in_flight = max(health.other_in_flight - count, 0)
+
+    def expire():
+        for host, (reported_at, _) in list(counts_by_host.items()):
+            if now() - reported_at > IN_FLIGHT_EXPIRY_SECONDS:
+                drop(host)
+
+    return RemoteInFlight(merge, expire)
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -16,6 +16,7 @@
     failure_models,
     floors,
     pool_surveys,
+    remote_in_flight,
     upstream_health,
     upstream_selection,
 )
@@ -46,8 +47,6 @@
 SAME_ZONE_OUTCOME_SECONDS = 0.3
 OTHER_ZONE_OUTCOME_SECONDS = 1.0
 MAX_RECENT_OUTCOMES = 60
-# In-flight counts of a host that no longer reports expire after this time.
-IN_FLIGHT_EXPIRY_SECONDS = 1.5
 RETRY_AFTER_SECONDS = 0.2
 # A request in flight counts as good evidence once it outlived fast failures, if at
 # least this share of its pool's failures is fast.
@@ -127,9 +126,8 @@
         self.in_flight_by_number: dict[int, upstream_health.InFlightRequest] = {}
         self.unproven: deque[int] = deque()
         self.fast_share_by_pool: dict[str, float] = {}
-        self.in_flight_by_host: dict[str, tuple[float, dict[str, int]]] = {}
         self.recent_outcomes: list[tuple[float, UpstreamOutcome]] = []
-        self.last_outcome_by_host: dict[tuple[str, int], int] = {}
+        self.last_outcome_by_host: dict[str, tuple[int, int]] = {}
         self.choice_number = 0
         self.outcome_number = 0
         self.outcome_listeners = []
@@ -157,6 +155,14 @@
     document_cache = kernel.find("document_cache")
     floor = floors.create(kernel)
 
+    def mark_used(health):
+        health.used_at = now()
+        health.is_newcomer = False
+
+    others = remote_in_flight.create(
+        now, lambda upstream: state.health_by_id.get(upstream), mark_used
+    )
+
     def rebuild(upstream_by_id):
         health_by_pool = {}
         healths_by_pool_and_zone = {}
@@ -293,10 +299,6 @@
         )
         return Choice(health.upstream, pool_id, state.choice_number)
 
-    def mark_used(health):
-        health.used_at = now()
-        health.is_newcomer = False
-
     def release(choice, attempt, typical_seconds):
         in_flight = state.in_flight_by_number.pop(choice.number)
         health = in_flight.health
@@ -399,7 +401,11 @@
             )
 
     def merge_outcomes(host, incarnation, recent_outcomes):
-        last = state.last_outcome_by_host.get((host, incarnation), 0)
+        known_incarnation, last = state.last_outcome_by_host.get(host, (incarnation, 0))
+        if not recent_outcomes or incarnation < known_incarnation:
+            return
+        if incarnation > known_incarnation:
+            last = 0
         for shared in recent_outcomes:
             if shared.number <= last:
                 continue
@@ -407,28 +413,7 @@
             health = state.health_by_id.get(shared.upstream)
             if health is not None:
                 update_health(health, failure_probability(health), shared.outcome, host)
-        state.last_outcome_by_host[(host, incarnation)] = last
-
-    def merge_in_flight(host, count_by_upstream):
-        drop_in_flight(host)
-        for upstream, count in count_by_upstream.items():
-            health = state.health_by_id.get(upstream)
-            if health is not None:
-                health.other_in_flight += count
-                mark_used(health)
-        state.in_flight_by_host[host] = (now(), count_by_upstream)
-
-    def drop_in_flight(host):
-        _, counts = state.in_flight_by_host.pop(host, (0.0, {}))
-        for upstream, count in counts.items():
-            health = state.health_by_id.get(upstream)
-            if health is not None:
-                health.other_in_flight = max(health.other_in_flight - count, 0)
-
-    def expire_in_flight():
-        for host, (reported_at, _) in list(state.in_flight_by_host.items()):
-            if now() - reported_at > IN_FLIGHT_EXPIRY_SECONDS:
-                drop_in_flight(host)
+        state.last_outcome_by_host[host] = (incarnation, last)
 
     def recent_outcomes(is_same_zone):
         """Return the outcomes to share; other zones do not get the good ones."""
@@ -468,15 +453,15 @@
             if now() - in_flight.started_at > limit:
                 in_flight.is_slow = True
                 record_outcome(in_flight.health, Outcome.SLOW)
-        expire_in_flight()
+        others.expire()
 
     document_cache.subscribe(UPSTREAMS, rebuild)
     service = Upstreams(
         choose,
         release,
         merge_outcomes,
-        merge_in_flight,
-        expire_in_flight,
+        others.merge,
+        others.expire,
         recent_outcomes,
         in_flight_counts,
         state.outcome_listeners.append,
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -10,7 +10,7 @@
     table,
     upstream,
 )
-from trefoilpin.gateway import upstream_health, upstreams
+from trefoilpin.gateway import remote_in_flight, upstream_health, upstreams
 from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.failure_models import Outcome
 from trefoilpin.gateway.messages import UpstreamOutcome
@@ -74,7 +74,7 @@
     assert isinstance(choose(service), Success)
     outcome = choose(service)
     assert outcome.failure().reason is Reason.OVERLOADED
-    clock.time += upstreams.IN_FLIGHT_EXPIRY_SECONDS + 0.1
+    clock.time += remote_in_flight.IN_FLIGHT_EXPIRY_SECONDS + 0.1
     service.expire_in_flight()
     assert isinstance(choose(service), Success)
 
