Remember what an upstream said of itself while its entry is away

Cause: the store may forget entries in an outage; an upstream that had said that it leaves was listed again under the same birth and got requests. Change: the health of an upstream that is no longer listed is kept for ten minutes and used again for the same birth. Test: test_upstream_that_left_gets_nothing_when_its_entry_returns_after_an_outage.

--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -48,6 +48,8 @@
 OTHER_ZONE_OUTCOME_SECONDS = 1.0
 MAX_RECENT_OUTCOMES = 60
 RETRY_AFTER_SECONDS = 0.2
+# Longer than the store may forget entries in an outage.
+MAX_REMOVED_SECONDS = 600.0
 # A request in flight counts as good evidence once it outlived fast failures, if at
 # least this share of its pool's failures is fast.
 MIN_FAST_SHARE = 0.6
@@ -106,6 +108,13 @@
     pool_health: Callable
 
 
+class RemovedUpstream(NamedTuple):
+    """Health of an upstream that is no longer listed, and when it was removed."""
+
+    health: upstream_health.UpstreamHealth
+    removed_at: float
+
+
 class UpstreamState:
     """Health by pool, requests in flight, and outcomes to share with others.
 
@@ -124,6 +133,7 @@
         self.healths_by_pool_and_zone: dict[tuple[str, bool], list] = {}
         self.health_by_id: dict[str, upstream_health.UpstreamHealth] = {}
         self.in_flight_by_number: dict[int, upstream_health.InFlightRequest] = {}
+        self.removed_by_id: dict[str, RemovedUpstream] = {}
         self.unproven: deque[int] = deque()
         self.fast_share_by_pool: dict[str, float] = {}
         self.recent_outcomes: list[tuple[float, UpstreamOutcome]] = []
@@ -168,7 +178,7 @@
         healths_by_pool_and_zone = {}
         health_by_id = {}
         for upstream in upstream_by_id.values():
-            health = state.health_by_id.get(upstream.id)
+            health = known_health(upstream.id)
             if health is None or health.upstream.born != upstream.born:
                 health = upstream_health.UpstreamHealth(upstream, now())
                 health.is_newcomer = bool(state.health_by_id)
@@ -186,10 +196,32 @@
             key = (upstream.pool, upstream.zone == own_zone)
             healths_by_pool_and_zone.setdefault(key, []).append(health)
             health_by_id[upstream.id] = health
+        remember_removed(health_by_id)
         state.healths_by_pool_and_zone = healths_by_pool_and_zone
         state.health_by_pool = health_by_pool
         state.health_by_id = health_by_id
 
+    def known_health(upstream_id):
+        """Return the health of an upstream that is listed or was lately, or None."""
+        health = state.health_by_id.get(upstream_id)
+        if health is None and upstream_id in state.removed_by_id:
+            health = state.removed_by_id[upstream_id].health
+        return health
+
+    def remember_removed(health_by_id):
+        """Remember upstreams that are no longer listed, as their entries may return.
+
+        What they said of themselves, such as that they leave, still holds then.
+        """
+        for upstream_id, removed in list(state.removed_by_id.items()):
+            is_old = now() - removed.removed_at > MAX_REMOVED_SECONDS
+            if is_old or upstream_id in health_by_id:
+                del state.removed_by_id[upstream_id]
+        for upstream_id, health in state.health_by_id.items():
+            if upstream_id not in health_by_id:
+                removed = RemovedUpstream(health, now())
+                state.removed_by_id[upstream_id] = removed
+
     def failure_probability(health):
         return upstream_health.failure_probability(health, now())
 
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -194,6 +194,20 @@
     assert send(service, GOOD) == left
 
 
+def test_upstream_that_left_gets_nothing_when_its_entry_returns_after_an_outage(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    left = send(service, GOOD._replace(draining=True))
+    number = int(left[1:])
+    other = upstream(3 - number)
+    put(UPSTREAMS, 2, table(other))
+    clock.time += 30.0
+    put(UPSTREAMS, 3, table(upstream(number), other))
+    for _ in range(40):
+        clock.time += 0.5
+        assert send(service, GOOD) != left
+
+
 def test_upstream_gets_no_requests_while_the_pause_it_asked_for_lasts(host):
     service, put, clock = host
     put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
