Leave cold upstreams and newcomers to hosts that know which are in use

Change: a host outside the mesh sends to neither. Test: test_host_outside_the_mesh_leaves_newcomers_and_cold_upstreams_alone.

--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -183,6 +183,7 @@
         kernel,
         settings.own.zone,
         lambda: kernel.find("gossip").sender_count(),
+        lambda: kernel.find("gossip").is_sender(),
     )
 
 
--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -75,7 +75,8 @@
     queue for ``waited`` seconds. ``notify_all()`` sends updates to all targets now.
     ``reader_rank()`` is this host's position in the order of store readers, and
     ``startup_delay()`` the seconds after the start for which it leaves reading to the
-    others. ``sender_count()`` is the number of hosts that send requests to upstreams.
+    others. ``sender_count()`` is the number of hosts that send requests to upstreams,
+    and ``is_sender()`` tells whether this host is one of them.
     ``share_read()`` sends the relays what this host has just read from the store.
     ``step()`` recomputes the roles; a task calls it. ``last_update_at()`` is when a
     regular sender last reported its document versions, and ``first_readers()`` are the
@@ -87,6 +88,7 @@
     reader_rank: Callable
     startup_delay: Callable[[], float]
     sender_count: Callable
+    is_sender: Callable[[], bool]
     share_read: Callable[[], None]
     step: Callable[[], None]
     last_update_at: Callable[[], float]
@@ -395,6 +397,7 @@
         lambda: state.roles.rank,
         startup_delay,
         lambda: state.sender_count,
+        lambda: state.roles.in_mesh,
         share_read,
         step,
         lambda: state.last_update_at,
--- a/trefoilpin/gateway/pool_surveys.py
+++ b/trefoilpin/gateway/pool_surveys.py
@@ -21,15 +21,16 @@
     tried : frozenset of str
         Upstreams that the request was sent to.
     zones_out : frozenset of str
-    cold_share : float
-        Requests a second that this host may send to one cold upstream.
+    cold_share : float or None
+        Requests a second that this host may send to one cold upstream; None when it may
+        send none.
     """
 
     now: float
     own_zone: str
     tried: frozenset[str]
     zones_out: frozenset[str]
-    cold_share: float
+    cold_share: float | None
 
 
 class PoolSurvey(NamedTuple):
--- a/trefoilpin/gateway/upstream_health.py
+++ b/trefoilpin/gateway/upstream_health.py
@@ -113,15 +113,18 @@
     ----------
     health : UpstreamHealth
     now : float
-    cold_share : float
-        Requests a second that this host may send while the upstream is cold.
+    cold_share : float or None
+        Requests a second that this host may send while the upstream is cold; None when
+        it may send none.
     """
     if now < max(health.avoided_until, health.full_until, health.paused_until):
         return False
     in_flight = health.own_in_flight + health.other_in_flight
     if in_flight >= health.upstream.slots + MAX_QUEUED_REQUESTS:
         return False
-    return now >= health.cold_until or has_cold_token(health, now, cold_share)
+    if now >= health.cold_until:
+        return True
+    return cold_share is not None and has_cold_token(health, now, cold_share)
 
 
 def has_cold_token(health, now, cold_share):
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -143,7 +143,7 @@
         self.outcome_listeners = []
 
 
-def create(kernel, own_zone, sender_count):
+def create(kernel, own_zone, sender_count, is_sender=lambda: True):
     """Create the service ``upstreams``.
 
     Parameters
@@ -153,6 +153,9 @@
     sender_count : callable
         Returns the number of hosts that send requests to upstreams. Each of them may
         send an equal share of a cold upstream's rate.
+    is_sender : callable, optional
+        Tells whether this host is one of them. Others don't know which upstreams are in
+        use, so they leave cold ones and newcomers alone.
 
     Returns
     -------
@@ -257,7 +260,7 @@
             own_zone,
             tried,
             document_cache.value(ZONES_OUT),
-            cold_rate / max(sender_count(), 1),
+            cold_rate / max(sender_count(), 1) if is_sender() else None,
         )
         in_zone = survey_zone(pool_id, request, True)
         chosen = choose_in_zone(pool_id, in_zone, request, retry_policy)
@@ -279,7 +282,7 @@
         None when one of another zone may have a lower loss.
         """
         is_repeatable = retry_policy.is_idempotent and retry_policy.can_retry
-        if not request.tried:
+        if not request.tried and is_sender():
             # The hosts of a zone know from each other which upstreams are in use.
             due = floor.find_due(pool_id, in_zone.accepted_health, is_repeatable)
             if due is not None:
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -376,3 +376,23 @@
             service.release(choice, BAD._replace(seconds=0.002), 0.5)
         clock.time += 0.01
     assert failures <= 50 / 6
+
+
+def test_host_outside_the_mesh_leaves_newcomers_and_cold_upstreams_alone():
+    """Hundreds of such hosts would together send a cold upstream far over its rate."""
+    kernel, clock, _ = create_host()
+    _, put = create_document_cache(kernel)
+    service = upstreams.create(kernel, "a", lambda: 2, lambda: False)
+    put(CONFIGURATION, 1, configuration())
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    joined = upstream(3, cold=3.0)
+    put(UPSTREAMS, 2, table(upstream(1), upstream(2), joined, upstream(4)))
+    repeatable = RetryPolicy(True, True)
+    for _ in range(40):
+        clock.time += 0.05
+        choice = choose(service, retry_policy=repeatable).unwrap()
+        assert choice.upstream.id != "u3"
+        service.release(choice, GOOD, TYPICAL_SECONDS)
+    assert not isinstance(choose(service, frozenset(("u1", "u2", "u4"))), Success)
+    clock.time += 2.0
+    assert isinstance(choose(service, frozenset(("u1", "u2", "u4"))), Success)
