Gossip between zones: tell a host only what it lacks

Change: a host that asks for an introduction sends its digests and gets records of zones that differ; unknown hosts of another zone get all records only where nobody of their zone was known; relays send none to live hosts of other zones; three of four random messages stay in the zone; records are resent only when views have differed for a second. Tests: test_gossip, test_large_fleets and test_anti_entropy pass.

--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -49,6 +49,8 @@
 # Share of the random messages that go to a seed: with 460 hosts, some tens per second
 # for each seed.
 SEED_PROBABILITY = 0.25
+# Share of the others that go to a host of the own zone, as traffic between zones costs.
+OWN_ZONE_PROBABILITY = 0.75
 # Purposes of gossip messages; at most one message per purpose and host is queued.
 UPDATE, REPLY, OUTCOMES = "news", "reply", "outcomes"
 
@@ -104,6 +106,8 @@
         When it was last sent member records that it lacks, and the views of all zones.
     digest_by_zone : dict
         Digests of its own views, as last reported by it.
+    differs_since_by_zone : dict
+        When such a digest was first seen to differ from this host's.
     """
 
     def __init__(self, host, create_event):
@@ -117,6 +121,7 @@
         self.members_sent_at = float("-inf")
         self.views_sent_at = float("-inf")
         self.digest_by_zone: dict[str, int] = {}
+        self.differs_since_by_zone: dict[str, float] = {}
         self.sent_digest_by_kind: dict[str, int] = {}
 
 
@@ -177,6 +182,7 @@
             return
         age = waited + MAX_TRANSIT_SECONDS
         message = aged(message, age)
+        is_zone_known = bool(members.relays(message.zone))
         is_new = members.record_message(address, message, age)
         for record in message.members:
             members.merge_record(record)
@@ -194,12 +200,12 @@
             rate_limits.merge_counts(*host, message.admitted_by_account)
             queues.wake()
         if message.wants_reply:
-            state.request_by_address[address] = (now(), message.versions)
-            build_introduction = partial(
-                gossip_builders.build_introduction, message.versions
-            )
+            known = (message.versions, message.zone_views)
+            state.request_by_address[address] = (now(), known)
+            build_introduction = partial(gossip_builders.build_introduction, *known)
             send_queues.enqueue(address, REPLY, build_introduction)
-        elif is_new:
+        elif is_new and (message.zone == own.zone or not is_zone_known):
+            # A new host of another zone hears of the others from its own zone.
             send_queues.enqueue(
                 address, REPLY, lambda: build(records=gossip_builders.member_records())
             )
@@ -214,11 +220,11 @@
 
     def answer_waiting_hosts():
         """Send new documents to hosts that contacted this one before it had them."""
-        for address, (requested_at, versions) in list(state.request_by_address.items()):
+        for address, (requested_at, known) in list(state.request_by_address.items()):
             if now() - requested_at > MAX_REPLY_DELAY_SECONDS:
                 del state.request_by_address[address]
                 continue
-            build_introduction = partial(gossip_builders.build_introduction, versions)
+            build_introduction = partial(gossip_builders.build_introduction, *known)
             send_queues.enqueue(address, REPLY, build_introduction)
 
     def send_period(peer):
@@ -295,7 +301,11 @@
         state.random_sent_at = now()
         address = choose_random_host()
         if address is not None:
-            records = gossip_builders.member_records() if state.roles.is_relay else ()
+            is_informed = address in {
+                host.address for host in live if host.zone != own.zone
+            }
+            tells_members = state.roles.is_relay and not is_informed
+            records = gossip_builders.member_records() if tells_members else ()
             send(address, build(False, records))
 
     def choose_random_host():
@@ -306,8 +316,15 @@
         seeds = other_seeds()
         if seeds and kernel.rng.random() < SEED_PROBABILITY:
             return kernel.rng.choice(seeds)
-        addresses = [host.address for host in members.records()]
-        addresses.remove(own.address)
+        addresses, zone_addresses = [], []
+        for host in members.records():
+            if host.address == own.address:
+                continue
+            addresses.append(host.address)
+            if host.zone == own.zone:
+                zone_addresses.append(host.address)
+        if zone_addresses and kernel.rng.random() < OWN_ZONE_PROBABILITY:
+            return kernel.rng.choice(zone_addresses)
         return kernel.rng.choice(addresses) if addresses else None
 
     def other_seeds():
@@ -324,7 +341,7 @@
             targets = targets[(seed_offset + state.seed_attempts) % len(targets) :][:1]
         state.seed_attempts += 1
         for address in targets:
-            send(address, build(wants_reply=True))
+            send(address, gossip_builders.build_request())
 
     def step():
         update_roles()
--- a/trefoilpin/gateway/gossip_builders.py
+++ b/trefoilpin/gateway/gossip_builders.py
@@ -10,6 +10,8 @@
 # A peer whose view of a zone differs gets the zone's member records at most once in
 # this time. Every message has the recent changes.
 MEMBERS_PERIOD_SECONDS = 1.0
+# Recent changes make views equal within this time, unless datagrams are lost.
+MAX_DIFFERENCE_SECONDS = 1.0
 # Period in which a peer gets the views of all zones.
 VIEWS_PERIOD_SECONDS = 0.7
 # Member records are collected and encoded once for all messages within this time.
@@ -30,9 +32,10 @@
     """``gossip_builders``: builds gossip messages.
 
     ``build(with_versions, records, wants_reply)`` returns a message about this host
-    with the given member records, ``build_introduction(versions)`` one for a host that
-    has only the given document versions, and ``build_for_peer(peer)`` the regular one
-    for a ``Peer``. ``build_outcomes()`` returns one with recent outcomes only.
+    with the given member records, ``build_request()`` one that asks for an
+    introduction, ``build_introduction(versions, zone_views)`` one for a host that has
+    only the given document versions and views, and ``build_for_peer(peer)`` the regular
+    one for a ``Peer``. ``build_outcomes()`` returns one with recent outcomes only.
     ``member_records()`` returns the records of all hosts. ``build_document(kind,
     base)`` returns a ``Document`` for a host that holds the one with digest ``base``.
     ``drop_member_records()`` discards the cached records. ``start_admission_period()``
@@ -41,7 +44,8 @@
     """
 
     build: Callable
-    build_introduction: Callable[[tuple], GossipMessage]
+    build_request: Callable[[], GossipMessage]
+    build_introduction: Callable[[tuple, tuple], GossipMessage]
     build_for_peer: Callable
     build_outcomes: Callable[[], GossipMessage]
     build_document: Callable[[str, int], Document]
@@ -151,11 +155,7 @@
         changed = changed_records(None if is_same_zone else own.zone)
         if now() - peer.members_sent_at <= MEMBERS_PERIOD_SECONDS:
             return changed
-        differing = frozenset(
-            view.zone
-            for view in zone_views()
-            if peer.digest_by_zone.get(view.zone) != view.digest
-        )
+        differing = differing_zones(peer)
         if not differing:
             return changed
         peer.members_sent_at = now()
@@ -165,6 +165,19 @@
         others = tuple(record for record in changed if record.address not in sent)
         return (*records, *others)
 
+    def differing_zones(peer):
+        """Return the zones of which a peer has had another view for too long."""
+        differing = set()
+        for zone, digest, _ in zone_views():
+            if peer.digest_by_zone.get(zone) == digest:
+                peer.differs_since_by_zone.pop(zone, None)
+                continue
+            since = peer.differs_since_by_zone.setdefault(zone, now())
+            is_new = zone not in peer.digest_by_zone
+            if is_new or now() - since >= MAX_DIFFERENCE_SECONDS:
+                differing.add(zone)
+        return frozenset(differing)
+
     def views_for(peer):
         """Return the zone views for a peer: periodically all, otherwise the own one.
 
@@ -246,8 +259,12 @@
             if key[0] == kind:
                 del state.encoded_by_key[key]
 
-    def build_introduction(versions):
-        """Return a message for a new host with the documents that it does not have."""
+    def build_request():
+        """Return a message that asks for documents and members that this host lacks."""
+        return build(wants_reply=True)._replace(zone_views=reported_views())
+
+    def build_introduction(versions, received_views):
+        """Return a message for a new host with the documents and members it lacks."""
         known = {
             (received.kind, received.digest)
             for received in versions
@@ -263,7 +280,14 @@
             if len(document.data) <= room:
                 documents.append(document)
                 room -= len(document.data)
-        return build(records=member_records())._replace(documents=tuple(documents))
+        digest_by_zone = {view.zone: view.digest for view in received_views}
+        differing = frozenset(
+            view.zone
+            for view in zone_views()
+            if digest_by_zone.get(view.zone) != view.digest
+        )
+        records = cached(differing, lambda: list_records(members.records, differing))
+        return build(records=records)._replace(documents=tuple(documents))
 
     def recent_admitted_counts():
         counts = rate_limits.admitted_counts()
@@ -285,6 +309,7 @@
         )
     service = GossipBuilders(
         build,
+        build_request,
         build_introduction,
         build_for_peer,
         build_outcomes,
