A concurrency limit of exactly one grows while it is fully used

Cause: balancers passed the count without the ended request to caps.on_success, which counts it, so a limit of 1.0 never grew by success.

--- a/soak/fault_proxies.py
+++ b/soak/fault_proxies.py
@@ -9,7 +9,6 @@
 
 READ_BUFFER_BYTES = 65_536
 DELAY_SECONDS = 0.25
-STEP_SECONDS = 0.02
 RESET_LINGER = struct.pack("ii", 1, 0)
 # ``drop_responses`` drops what the target sends, ``blackhole`` what either side sends.
 # Both still accept new connections.
--- a/trefoilpin/balancers.py
+++ b/trefoilpin/balancers.py
@@ -252,7 +252,7 @@
         if attempt.shed:
             caps.on_shed(cap, now())
         elif attempt.answer is not None:
-            caps.on_success(cap, in_flight - 1, attempt.seconds, now())
+            caps.on_success(cap, in_flight, attempt.seconds, now())
 
     memberships.subscribe(on_membership_change)
     on_membership_change()
--- a/trefoilpin/fakes/calls.py
+++ b/trefoilpin/fakes/calls.py
@@ -40,7 +40,6 @@
     def __init__(self, loop_state):
         self.state = loop_state
         self.tasks: list[Task] = []
-        self.retired: list[Task] = []
         self.current = None
         self.hub = greenlet.getcurrent()
 
--- a/trefoilpin/health.py
+++ b/trefoilpin/health.py
@@ -29,7 +29,6 @@
         self.last_demand_at = 0.0
         self.unmet_requests = 0
         self.last_asked_at = 0.0
-        self.level = 1
 
 
 class HealthState:
--- a/trefoilpin/tests/test_balancers.py
+++ b/trefoilpin/tests/test_balancers.py
@@ -81,3 +81,15 @@
             chosen_ids.add(choice.unwrap().upstream.id)
         host_count_by_upstream.update(chosen_ids)
     assert set(host_count_by_upstream.values()) == {4}
+
+
+def test_limit_of_one_request_grows_while_it_is_fully_used():
+    world, service, pool = create(hosts=44)
+    for _ in range(300):
+        choices = []
+        while not isinstance(outcome := service.choose(pool, frozenset()), Failure):
+            choices.append(outcome.unwrap())
+        for choice in choices:
+            service.release(choice, SUCCESS, "A", "")
+        world.state.now += 0.5
+    assert len(choices) > len(pool.upstreams)
