Session test: wait for the first units before the first ticket

The line units_moved of a task that starts with the host came before or after the first ticket by chance; since requests take one more turn of the tasks the two are close.

--- a/trefoilpin/tests/sessions.py
+++ b/trefoilpin/tests/sessions.py
@@ -21,6 +21,7 @@
 
 logging.getLogger("trefoilpin").setLevel(logging.INFO)
 
+WAIT_SECONDS = 10.0
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 SECRET = "a secret of the fleet's own"
 PLACEHOLDERS = (
@@ -137,6 +138,15 @@
     return response
 
 
+def wait_for_line(session, text):
+    """Wait until a log line has a text, so that later lines always follow it."""
+    with eventlet.Timeout(WAIT_SECONDS):
+        while not any(text in line for line in session.log_lines):
+            for kernel in session.kernels:
+                kernel.find("events").flush()
+            eventlet.sleep(0.001)
+
+
 def submit(session, values, number, changes):
     """Submit a change ticket; record it with its answer."""
     row = {"number": number, "changes": codecs.encode_changes(changes)}
--- a/trefoilpin/tests/test_sessions.py
+++ b/trefoilpin/tests/test_sessions.py
@@ -49,6 +49,7 @@
     address = sessions.start_upstream(session, "u1")
     host = sessions.start_host(session)
     caller = host["host.caller_address"]
+    sessions.wait_for_line(session, " units_moved ")
     sessions.submit(session, host, 1, base_changes((Upstream("u1", address, "a", 6),)))
     sessions.call(session, caller, "GET", "/ponds/1?day=2", VALID_KEY)
     sessions.call(session, caller, "GET", "/ponds/1", {"X-Api-Key": "k1.wrong"})
