--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -401,6 +401,14 @@
     ("upstream", "stated", "seconds"),
     "An upstream stated an invalid or very long pause; seconds is what is followed.",
 )
+UPSTREAM_DUE = Event(
+    623,
+    "upstream_due",
+    logging.INFO,
+    ("pool", "upstream", "reason"),
+    "An upstream got a request as it joined, or was unused while many requests fail.",
+    sampled=True,
+)
 
 # 7xx: the gateway over a store that others write.
 GATEWAY_ANSWERED = Event(
--- a/trefoilpin/gateway/floors.py
+++ b/trefoilpin/gateway/floors.py
@@ -9,6 +9,8 @@
 import math
 from typing import Callable, NamedTuple
 
+from trefoilpin import events
+
 __all__ = ["Floors", "create"]
 
 # Share of failed attempts from which on the floor holds. The floor is owed from a tenth
@@ -66,6 +68,7 @@
     Floors
     """
     now = kernel.clock.now
+    emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
     attempts_by_pool: dict[str, PoolAttempts] = {}
 
@@ -90,7 +93,7 @@
             uptime = now() - health.joined_at
             if health.is_newcomer and (is_repeatable or uptime > MAX_NEWCOMER_SECONDS):
                 metrics.count("newcomer_requests")
-                return health
+                return report(health, "joined")
         if not is_at_risk(pool):
             return None
         if not is_repeatable and kernel.rng.random() >= NON_REPEATABLE_SHARE:
@@ -101,9 +104,21 @@
                 continue
             if due is None or health.used_at < due.used_at:
                 due = health
-        if due is not None:
-            metrics.count("floor_requests")
-        return due
+        if due is None:
+            return None
+        metrics.count("floor_requests")
+        return report(due, "unused")
+
+    def report(health, reason):
+        """Log why an upstream is due; return its health."""
+        upstream = health.upstream
+        emit(
+            events.UPSTREAM_DUE,
+            pool=upstream.pool,
+            upstream=upstream.id,
+            reason=reason,
+        )
+        return health
 
     service = Floors(record, find_due)
     kernel.register("floors", service)
--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -381,7 +381,10 @@
         sleep(BATCH_SECONDS)
         state.is_reporting_outcomes = False
         for address in state.roles.zone_mesh_hosts:
-            send_queues.enqueue(address, OUTCOMES, gossip_builders.build_outcomes)
+            # A relay that is sent heartbeats goes on expecting them.
+            is_peer = address in state.peer_by_address
+            build_outcomes = partial(gossip_builders.build_outcomes, is_peer)
+            send_queues.enqueue(address, OUTCOMES, build_outcomes)
 
     def startup_delay():
         if own.address in settings.seeds():
--- a/trefoilpin/gateway/gossip_builders.py
+++ b/trefoilpin/gateway/gossip_builders.py
@@ -1,5 +1,6 @@
 """Builds gossip messages according to the receiver and to recent changes."""
 
+from functools import partial
 from typing import Callable, NamedTuple
 
 from trefoilpin.gateway.document_cache import CONFIGURATION, KINDS
@@ -25,7 +26,8 @@
 # seeds answer hundreds of hosts, and a datagram costs them far less than a fetch.
 MAX_INTRODUCTION_BYTES = 40_000
 # Keys of cached parts of messages.
-ALL_RECORDS, CHANGED_RECORDS, ZONE_VIEWS = "records", "changed_records", "zone_views"
+ALL_RECORDS, CHANGED_RECORDS = "records", "changed_records"
+ZONE_RECORDS, ZONE_VIEWS = "zone_records", "zone_views"
 
 
 class GossipBuilders(NamedTuple):
@@ -35,7 +37,8 @@
     with the given member records, ``build_request()`` one that asks for an
     introduction, ``build_introduction(versions, zone_views)`` one for a host that has
     only the given document versions and views, and ``build_for_peer(peer)`` the regular
-    one for a ``Peer``. ``build_outcomes()`` returns one with recent outcomes only.
+    one for a ``Peer``. ``build_outcomes(sends_regularly)`` returns one with recent
+    outcomes only, for a host to which this one sends regularly or not.
     ``member_records()`` returns the records of all hosts. ``build_document(kind,
     base)`` returns a ``Document`` for a host that holds the one with digest ``base``.
     ``drop_member_records()`` discards the cached records. ``start_admission_period()``
@@ -47,7 +50,7 @@
     build_request: Callable[[], GossipMessage]
     build_introduction: Callable[[tuple, tuple], GossipMessage]
     build_for_peer: Callable
-    build_outcomes: Callable[[], GossipMessage]
+    build_outcomes: Callable[[bool], GossipMessage]
     build_document: Callable[[str, int], Document]
     member_records: Callable
     drop_member_records: Callable[[], None]
@@ -133,6 +136,16 @@
     def member_records():
         return cached(ALL_RECORDS, lambda: list_records(members.records))
 
+    def records_of_zones(zones):
+        """Return member records, cached by zone and not by set of zones."""
+        records = []
+        for zone in sorted(zones):
+            records.extend(cached((ZONE_RECORDS, zone), partial(list_zone, zone)))
+        return tuple(records)
+
+    def list_zone(zone):
+        return list_records(members.records, frozenset((zone,)))
+
     def changed_records(zone):
         return cached(
             (CHANGED_RECORDS, zone),
@@ -160,7 +173,7 @@
             return changed
         peer.members_sent_at = now()
         metrics.count("members_resent", len(differing))
-        records = cached(differing, lambda: list_records(members.records, differing))
+        records = records_of_zones(differing)
         sent = {record.address for record in records}
         others = tuple(record for record in changed if record.address not in sent)
         return (*records, *others)
@@ -216,9 +229,10 @@
             admitted_by_account=recent_admitted_counts(),
         )
 
-    def build_outcomes():
-        outcomes = upstreams.recent_outcomes(True)
-        return build(with_versions=False)._replace(outcomes=outcomes)
+    def build_outcomes(sends_regularly):
+        return build(with_versions=False)._replace(
+            sends_regularly=sends_regularly, outcomes=upstreams.recent_outcomes(True)
+        )
 
     def new_documents_for(peer):
         """Return small documents that are new since the last message to a peer."""
@@ -286,7 +300,7 @@
             for view in zone_views()
             if digest_by_zone.get(view.zone) != view.digest
         )
-        records = cached(differing, lambda: list_records(members.records, differing))
+        records = records_of_zones(differing)
         return build(records=records)._replace(documents=tuple(documents))
 
     def recent_admitted_counts():
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -165,6 +165,7 @@
     now = kernel.clock.now
     rng = kernel.rng
     emit = kernel.find("events").emit
+    metrics = kernel.find("metrics")
     document_cache = kernel.find("document_cache")
     floor = floors.create(kernel)
 
@@ -172,7 +173,7 @@
         health.used_at = now()
         health.is_newcomer = False
 
-    others = remote_in_flight.create(
+    remote_counts = remote_in_flight.create(
         now, lambda upstream: state.health_by_id.get(upstream), mark_used
     )
 
@@ -238,6 +239,7 @@
                     return
                 if has_fast_failures(in_flight.health.upstream.pool):
                     in_flight.is_proven = True
+                    metrics.count("early_good_outcomes")
                     record_outcome(in_flight.health, Outcome.GOOD)
             state.unproven.popleft()
 
@@ -344,7 +346,7 @@
             back_off(health)
             return
         health.failed_connects = 0
-        heed_answer(health, attempt)
+        record_announcements(health, attempt)
         outcome = upstream_health.classify_attempt(attempt, typical_seconds)
         if outcome is None:
             return
@@ -367,8 +369,8 @@
             return
         record_outcome(health, outcome)
 
-    def heed_answer(health, attempt):
-        """Follow what an answer says of its upstream: that it leaves, or a pause."""
+    def record_announcements(health, attempt):
+        """Record what an answer announces: that its upstream leaves, or a pause."""
         upstream = health.upstream
         if attempt.draining and not health.is_leaving:
             health.is_leaving = True
@@ -488,15 +490,15 @@
             if now() - in_flight.started_at > limit:
                 in_flight.is_slow = True
                 record_outcome(in_flight.health, Outcome.SLOW)
-        others.expire()
+        remote_counts.expire()
 
     document_cache.subscribe(UPSTREAMS, rebuild)
     service = Upstreams(
         choose,
         release,
         merge_outcomes,
-        others.merge,
-        others.expire,
+        remote_counts.merge,
+        remote_counts.expire,
         recent_outcomes,
         in_flight_counts,
         state.outcome_listeners.append,
--- a/trefoilpin/tests/gateway/test_gossip.py
+++ b/trefoilpin/tests/gateway/test_gossip.py
@@ -3,10 +3,14 @@
 import pytest
 from returns.result import Success
 
+from trefoilpin.fakes import gateway_fleets
 from trefoilpin.fakes.gateway_fleets import Fleet, FleetSettings, StoreContent
-from trefoilpin.fakes.gateways import ACCOUNT
+from trefoilpin.fakes.gateways import ACCOUNT, upstream
 from trefoilpin.gateway import failure_detection, gossip, members
-from trefoilpin.gateway.document_cache import CONFIGURATION
+from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS
+from trefoilpin.gateway.upstream_selection import RetryPolicy
+from trefoilpin.messages import Answer, Attempt
+from trefoilpin.verdicts import Verdict
 
 
 def start_fleet(lost=0.0):
@@ -200,3 +204,39 @@
     admitted = sum(isinstance(outcome, Success) for outcome in outcomes)
     spent = 8 - 1.6 * account.rate
     assert admitted <= account.burst - max(spent, 0) + 1
+
+
+def test_host_that_dies_after_it_sent_outcomes_is_still_suspected():
+    """A relay with callers gets heartbeats and outcomes of a host with few requests.
+
+    Of three hosts of a zone the first two have callers and the last two are relays.
+    """
+
+    def decode_upstreams(rows):
+        return Success({"u1": upstream(1)} if rows else {})
+
+    def decode_by_kind(emit):
+        decoders = gateway_fleets.decode_by_kind(emit)
+        decoders[UPSTREAMS] = decode_upstreams
+        return decoders
+
+    fleet = Fleet(FleetSettings(decode_by_kind=decode_by_kind))
+    for number in (1, 2, 3):
+        fleet.start(number, "a")
+    fleet.run(3.0)
+    known = fleet.nodes["10.0.0.1"].members
+    callers = {host.address for host in known.caller_hosts("a")}
+    (dying,) = {host.address for host in known.live()} - callers
+    (relay,) = callers & {host.address for host in known.relays("a")}
+    service = fleet.nodes[dying].kernel.find("upstreams")
+    fleet.nodes[dying].put(UPSTREAMS, 5, "any")
+    fleet.run(0.5)
+    choice = service.choose("p", frozenset(), RetryPolicy(False, False), 0.1).unwrap()
+    service.release(
+        choice, Attempt(Verdict.RAN, Answer(500, (), b""), None, "", 0.001), 0.1
+    )
+    fleet.run(gossip.BATCH_SECONDS + 0.02)
+    fleet.kill(dying)
+    fleet.run(failure_detection.SUSPICION_TIMEOUT_SECONDS + 0.6)
+    live = {host.address for host in fleet.nodes[relay].members.live()}
+    assert dying not in live
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -362,19 +362,32 @@
 def test_first_requests_go_to_upstreams_that_did_not_fail_at_once(host):
     """Half of a pool fails at once when traffic starts; answers take half a second.
 
-    At most a sixth of the first requests may find that out.
+    At most a sixth of the first requests may find that out, and once an upstream let a
+    request live longer, no untried one is used while it is at most half full.
     """
     service, put, clock = host
     numbers = range(1, 21)
     put(UPSTREAMS, 1, table(*(upstream(number, slots=6) for number in numbers)))
     failing = {f"u{number}" for number in numbers if number % 2}
-    failures = 0
+    started_by_id = {}
+    choices_beside_proven, failures = 0, 0
     for _ in range(50):
+        proven = set()
+        for upstream_id, starts in started_by_id.items():
+            has_outlived = clock.time - starts[0] > upstream_health.FAST_FAILURE_SECONDS
+            if has_outlived and len(starts) <= 3:
+                proven.add(upstream_id)
         choice = choose(service).unwrap()
+        if proven:
+            choices_beside_proven += 1
+            assert choice.upstream.id in started_by_id
         if choice.upstream.id in failing:
             failures += 1
             service.release(choice, BAD._replace(seconds=0.002), 0.5)
+        else:
+            started_by_id.setdefault(choice.upstream.id, []).append(clock.time)
         clock.time += 0.01
+    assert choices_beside_proven >= 10
     assert failures <= 50 / 6
 
 
