Reset the in-flight counts of an upstream whose entry returns

Change: the counts of other hosts begin at zero when the entry returns. Test: test_upstream_whose_entry_returns_has_no_requests_in_flight_from_before failed before.

--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -210,6 +210,8 @@
         health = state.health_by_id.get(upstream_id)
         if health is None and upstream_id in state.removed_by_id:
             health = state.removed_by_id[upstream_id].health
+            # Reports of other hosts were not counted while it was not listed.
+            health.other_in_flight = 0
         return health
 
     def remember_removed(health_by_id):
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -409,3 +409,13 @@
     assert not isinstance(choose(service, frozenset(("u1", "u2", "u4"))), Success)
     clock.time += 2.0
     assert isinstance(choose(service, frozenset(("u1", "u2", "u4"))), Success)
+
+
+def test_upstream_whose_entry_returns_has_no_requests_in_flight_from_before(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1, slots=2), upstream(2)))
+    service.merge_in_flight("h2", {"u1": 3})
+    put(UPSTREAMS, 2, table(upstream(2)))
+    service.merge_in_flight("h2", {})
+    put(UPSTREAMS, 3, table(upstream(1, slots=2), upstream(2)))
+    assert isinstance(choose(service, frozenset(("u2",))), Success)
