--- a/trefoilpin/gateway/upstream_health.py
+++ b/trefoilpin/gateway/upstream_health.py
@@ -6,7 +6,6 @@
 
 __all__ = [
     "COLD_BURST_REQUESTS",
-    "FAST_FAILURE_SECONDS",
     "InFlightRequest",
     "MIN_SLOW_SECONDS",
     "SLOW_FACTOR",
@@ -27,8 +26,6 @@
 # HTTP status of an upstream that is not the one the request was intended for.
 MISDIRECTED_STATUS = 421
 GATEWAY_TIMEOUT_STATUS = 504
-# Failures show within this time where upstreams fail fast.
-FAST_FAILURE_SECONDS = 0.03
 
 
 class UpstreamHealth:
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -6,27 +6,32 @@
 under the same id begins with fresh state.
 """
 
-from collections import deque
 from typing import Callable, NamedTuple
 
 from returns.result import Failure, Success
 
 from trefoilpin import events
 from trefoilpin.gateway import (
+    early_evidence,
     failure_models,
     floors,
+    outcome_log,
     pool_surveys,
     remote_in_flight,
+    removed_upstreams,
     upstream_health,
     upstream_selection,
 )
 from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.failure_models import Outcome
-from trefoilpin.gateway.messages import UpstreamOutcome
+from trefoilpin.gateway.pool_refusals import (
+    NO_UPSTREAM,
+    SATURATED,
+    refuse_paused,
+)
 from trefoilpin.gateway.pool_surveys import MAX_ACCEPTED_PROBABILITY
 from trefoilpin.gateway.request_contexts import is_unreached
 from trefoilpin.messages import Choice
-from trefoilpin.verdicts import Reason, Refusal, Verdict
 
 __all__ = ["Upstreams", "create"]
 
@@ -43,42 +48,8 @@
 SHARE_INTERVAL_SECONDS = 0.15
 # A good outcome of an upstream with a higher failure probability is sent at once.
 URGENT_PROBABILITY = 0.3
-# An outcome is sent repeatedly for this time, as datagrams may be lost.
-SAME_ZONE_OUTCOME_SECONDS = 0.3
-OTHER_ZONE_OUTCOME_SECONDS = 1.0
-MAX_RECENT_OUTCOMES = 60
-RETRY_AFTER_SECONDS = 0.2
-# Longer than the store may forget entries in an outage.
-MAX_REMOVED_SECONDS = 600.0
-# A request in flight counts as good evidence once it outlived fast failures, if at
-# least this share of its pool's failures is fast.
-MIN_FAST_SHARE = 0.6
-# Share assumed of a pool without failures so far: a connection that breaks or an error
-# at once is the common failure.
-INITIAL_FAST_SHARE = 0.6
-# Weight of a new failure in the moving average of that share.
-FAST_SHARE_WEIGHT = 0.2
 # A request waits for a pool that asked for a pause only if it ends within this time.
 MAX_PAUSE_WAIT_SECONDS = 0.25
-# Callers of a pool that pauses return over this multiple of its pause.
-PAUSE_SPREAD = 0.5
-
-SATURATED = Failure(
-    Refusal(
-        Reason.OVERLOADED,
-        Verdict.NOT_RUN,
-        "every upstream of the pool is at its limit",
-        RETRY_AFTER_SECONDS,
-    )
-)
-NO_UPSTREAM = Failure(
-    Refusal(
-        Reason.NO_UPSTREAM,
-        Verdict.NOT_RUN,
-        "no upstream of the pool can be used",
-        RETRY_AFTER_SECONDS,
-    )
-)
 
 
 class Upstreams(NamedTuple):
@@ -108,24 +79,13 @@
     pool_health: Callable
 
 
-class RemovedUpstream(NamedTuple):
-    """Health of an upstream that is no longer listed, and when it was removed."""
-
-    health: upstream_health.UpstreamHealth
-    removed_at: float
-
-
 class UpstreamState:
-    """Health by pool, requests in flight, and outcomes to share with others.
+    """Health by pool, requests in flight, and who is told of outcomes.
 
     Attributes
     ----------
     healths_by_pool_and_zone : dict
         By pool, and True for the upstreams of the host's own zone.
-    unproven : deque of int
-        Numbers of the requests in flight that may still fail fast, by their start.
-    fast_share_by_pool : dict
-        Moving average of the share of failures that are fast.
     """
 
     def __init__(self):
@@ -133,13 +93,7 @@
         self.healths_by_pool_and_zone: dict[tuple[str, bool], list] = {}
         self.health_by_id: dict[str, upstream_health.UpstreamHealth] = {}
         self.in_flight_by_number: dict[int, upstream_health.InFlightRequest] = {}
-        self.removed_by_id: dict[str, RemovedUpstream] = {}
-        self.unproven: deque[int] = deque()
-        self.fast_share_by_pool: dict[str, float] = {}
-        self.recent_outcomes: list[tuple[float, UpstreamOutcome]] = []
-        self.last_outcome_by_host: dict[str, tuple[int, int]] = {}
         self.choice_number = 0
-        self.outcome_number = 0
         self.outcome_listeners = []
 
 
@@ -177,12 +131,17 @@
         now, lambda upstream: state.health_by_id.get(upstream), mark_used
     )
 
+    early = early_evidence.create(now, state.in_flight_by_number.get)
+    log = outcome_log.create(now)
+    removed = removed_upstreams.create(now)
+
     def rebuild(upstream_by_id):
         health_by_pool = {}
         healths_by_pool_and_zone = {}
         health_by_id = {}
         for upstream in upstream_by_id.values():
-            health = known_health(upstream.id)
+            health = state.health_by_id.get(upstream.id)
+            health = health or removed.find(upstream.id)
             if health is None or health.upstream.born != upstream.born:
                 health = upstream_health.UpstreamHealth(upstream, now())
                 health.is_newcomer = bool(state.health_by_id)
@@ -200,63 +159,23 @@
             key = (upstream.pool, upstream.zone == own_zone)
             healths_by_pool_and_zone.setdefault(key, []).append(health)
             health_by_id[upstream.id] = health
-        remember_removed(health_by_id)
+        removed.update(state.health_by_id, health_by_id)
         state.healths_by_pool_and_zone = healths_by_pool_and_zone
         state.health_by_pool = health_by_pool
         state.health_by_id = health_by_id
 
-    def known_health(upstream_id):
-        """Return the health of an upstream that is listed or was lately, or None."""
-        health = state.health_by_id.get(upstream_id)
-        if health is None and upstream_id in state.removed_by_id:
-            health = state.removed_by_id[upstream_id].health
-            # Reports of other hosts were not counted while it was not listed.
-            health.other_in_flight = 0
-        return health
-
-    def remember_removed(health_by_id):
-        """Remember upstreams that are no longer listed, as their entries may return.
-
-        What they said of themselves, such as that they leave, still holds then.
-        """
-        for upstream_id, removed in list(state.removed_by_id.items()):
-            is_old = now() - removed.removed_at > MAX_REMOVED_SECONDS
-            if is_old or upstream_id in health_by_id:
-                del state.removed_by_id[upstream_id]
-        for upstream_id, health in state.health_by_id.items():
-            if upstream_id not in health_by_id:
-                removed = RemovedUpstream(health, now())
-                state.removed_by_id[upstream_id] = removed
-
     def failure_probability(health):
         return upstream_health.failure_probability(health, now())
 
-    def prove_survivors():
-        """Record requests as good that outlived fast failures."""
-        while state.unproven:
-            in_flight = state.in_flight_by_number.get(state.unproven[0])
-            if in_flight is not None:
-                age = now() - in_flight.started_at
-                if age < upstream_health.FAST_FAILURE_SECONDS:
-                    return
-                if has_fast_failures(in_flight.health.upstream.pool):
-                    in_flight.is_proven = True
-                    metrics.count("early_good_outcomes")
-                    record_outcome(in_flight.health, Outcome.GOOD)
-            state.unproven.popleft()
-
-    def has_fast_failures(pool):
-        share = state.fast_share_by_pool.get(pool, INITIAL_FAST_SHARE)
-        return share >= MIN_FAST_SHARE
-
-    def record_failure_time(pool, seconds):
-        fast_share = state.fast_share_by_pool.get(pool, INITIAL_FAST_SHARE)
-        is_fast = seconds < upstream_health.FAST_FAILURE_SECONDS
-        fast_share += (is_fast - fast_share) * FAST_SHARE_WEIGHT
-        state.fast_share_by_pool[pool] = fast_share
+    def record_survivors():
+        """Record requests in flight as good that outlived fast failures."""
+        for in_flight in early.take_survivors():
+            in_flight.is_proven = True
+            metrics.count("early_good_outcomes")
+            record_outcome(in_flight.health, Outcome.GOOD)
 
     def choose(pool_id, tried, retry_policy, typical_seconds):
-        prove_survivors()
+        record_survivors()
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
         cold_rate = pool.cold_rate if pool is not None else 0.0
         request = pool_surveys.SurveyRequest(
@@ -307,7 +226,7 @@
         if not pool.has_usable:
             return NO_UPSTREAM
         if pool.paused_until - now() > MAX_PAUSE_WAIT_SECONDS:
-            return refuse_paused(pool.paused_until - now())
+            return refuse_paused(pool.paused_until - now(), rng)
         if not pool.accepted and (pool.has_accepted or not pool.others):
             return SATURATED
         # Those of the own zone were looked through for one to probe.
@@ -318,21 +237,13 @@
         best = upstream_selection.choose_best(candidates, retry_policy, rng)
         return Success(state.health_by_id[best.id])
 
-    def refuse_paused(seconds):
-        """Refuse a request whose whole pool asked for a pause; spread the returns."""
-        retry_after = seconds * (1.0 + PAUSE_SPREAD * rng.random())
-        detail = "every upstream of the pool asked for a pause"
-        return Failure(
-            Refusal(Reason.NO_UPSTREAM, Verdict.NOT_RUN, detail, retry_after)
-        )
-
     def reserve(pool_id, health, typical_seconds):
         health.own_in_flight += 1
         mark_used(health)
         if now() < health.cold_until:
             health.cold_tokens -= 1.0
         state.choice_number += 1
-        state.unproven.append(state.choice_number)
+        early.add(state.choice_number)
         state.in_flight_by_number[state.choice_number] = (
             upstream_health.InFlightRequest(health, now(), typical_seconds)
         )
@@ -354,7 +265,7 @@
             return
         floor.record(choice.pool, outcome is Outcome.FAILED)
         if outcome is Outcome.FAILED:
-            record_failure_time(choice.pool, attempt.seconds)
+            early.record_failure(choice.pool, attempt.seconds)
         if outcome is Outcome.SHED:
             health.full_until = now() + FULL_AFTER_SHED_SECONDS
         if (
@@ -414,10 +325,7 @@
         if outcome is Outcome.GOOD and (prior < MIN_SHARED_PROBABILITY or is_recent):
             return
         health.shared_at = now()
-        state.outcome_number += 1
-        shared = UpstreamOutcome(state.outcome_number, health.upstream.id, outcome)
-        state.recent_outcomes.append((now(), shared))
-        del state.recent_outcomes[:-MAX_RECENT_OUTCOMES]
+        log.add(health.upstream.id, outcome)
         is_urgent = outcome is not Outcome.GOOD or prior > URGENT_PROBABILITY
         for function in state.outcome_listeners:
             function(is_urgent)
@@ -440,33 +348,10 @@
             )
 
     def merge_outcomes(host, incarnation, recent_outcomes):
-        known_incarnation, last = state.last_outcome_by_host.get(host, (incarnation, 0))
-        if not recent_outcomes or incarnation < known_incarnation:
-            return
-        if incarnation > known_incarnation:
-            last = 0
-        for shared in recent_outcomes:
-            if shared.number <= last:
-                continue
-            last = shared.number
+        for shared in log.take_new(host, incarnation, recent_outcomes):
             health = state.health_by_id.get(shared.upstream)
             if health is not None:
                 update_health(health, failure_probability(health), shared.outcome, host)
-        state.last_outcome_by_host[host] = (incarnation, last)
-
-    def recent_outcomes(is_same_zone):
-        """Return the outcomes to share; other zones do not get the good ones."""
-        outcomes = []
-        for recorded_at, shared in state.recent_outcomes:
-            if now() - recorded_at > (
-                SAME_ZONE_OUTCOME_SECONDS
-                if is_same_zone
-                else OTHER_ZONE_OUTCOME_SECONDS
-            ):
-                continue
-            if is_same_zone or shared.outcome is not Outcome.GOOD:
-                outcomes.append(shared)
-        return tuple(outcomes)
 
     def in_flight_counts(zone):
         """Return this host's in-flight requests by upstream, of one zone or all."""
@@ -481,7 +366,7 @@
 
     def check_overdue():
         """Record in-flight requests that take far too long as slow, once each."""
-        prove_survivors()
+        record_survivors()
         for in_flight in list(state.in_flight_by_number.values()):
             limit = max(
                 in_flight.typical_seconds * upstream_health.SLOW_FACTOR,
@@ -501,7 +386,7 @@
         merge_outcomes,
         remote_counts.merge,
         remote_counts.expire,
-        recent_outcomes,
+        log.recent,
         in_flight_counts,
         state.outcome_listeners.append,
         check_overdue,
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -10,7 +10,12 @@
     table,
     upstream,
 )
-from trefoilpin.gateway import remote_in_flight, upstream_health, upstreams
+from trefoilpin.gateway import (
+    early_evidence,
+    remote_in_flight,
+    upstream_health,
+    upstreams,
+)
 from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS, ZONES_OUT
 from trefoilpin.gateway.failure_models import Outcome
 from trefoilpin.gateway.messages import UpstreamOutcome
@@ -317,7 +322,7 @@
         send(service, BAD._replace(seconds=seconds))
     clock.time += 20.0
     choice = choose(service).unwrap()
-    clock.time += upstream_health.FAST_FAILURE_SECONDS + 0.01
+    clock.time += early_evidence.FAST_FAILURE_SECONDS + 0.01
     service.check_overdue()
     by_id = {health.upstream.id: health for health in service.pool_health("p")}
     return choice, by_id[choice.upstream.id], clock
@@ -374,7 +379,7 @@
     for _ in range(50):
         proven = set()
         for upstream_id, starts in started_by_id.items():
-            has_outlived = clock.time - starts[0] > upstream_health.FAST_FAILURE_SECONDS
+            has_outlived = clock.time - starts[0] > early_evidence.FAST_FAILURE_SECONDS
             if has_outlived and len(starts) <= 3:
                 proven.add(upstream_id)
         choice = choose(service).unwrap()
