--- a/trefoilpin/gateway/members.py
+++ b/trefoilpin/gateway/members.py
@@ -7,17 +7,16 @@
 of the store and forward its documents to their zone.
 """
 
-import functools
-import zlib
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
-from trefoilpin.gateway import failure_detection
+from trefoilpin.gateway import failure_detection, zone_views
 from trefoilpin.gateway.failure_detection import (
     MAX_CONFIGURATION_AGE_SECONDS,
     SUSPICION_TIMEOUT_SECONDS,
 )
-from trefoilpin.gateway.messages import MemberRecord, ZoneView
+from trefoilpin.gateway.membership_views import MembershipView
+from trefoilpin.gateway.messages import MemberRecord
 
 __all__ = ["Members", "OwnHost", "create"]
 
@@ -28,7 +27,6 @@
 MAX_CALLER_HOST_AGE_SECONDS = 2.5
 # Ages and loads change little while a computed view is reused.
 MAX_VIEW_CACHE_AGE_SECONDS = 0.2
-MAX_CACHED_HASHES = 4096
 # A changed record is included in every gossip message for this time.
 MAX_RECENT_CHANGE_AGE_SECONDS = 1.0
 CALLER_HOSTS_PER_ZONE = 2
@@ -41,8 +39,6 @@
 SERVING_TIMEOUT_SECONDS = 12.0
 # Requests per second; hosts that receive no callers stay below this.
 MIN_SERVING_LOAD = 3.0
-# Digests are sent as signed 64-bit integers.
-DIGEST_MASK = (1 << 63) - 1
 # Time constant of the moving average of the load.
 LOAD_AVERAGE_SECONDS = 2.0
 
@@ -113,37 +109,6 @@
     is_serving: Callable[[], bool]
 
 
-class MembershipView:
-    """The live hosts at one instant, and what was derived from them since.
-
-    Attributes
-    ----------
-    computed_at : float
-    live : tuple of MemberRecord
-    live_by_zone : dict
-        In the order of ``rank_key``.
-    ordered_by_zone : dict
-        In the order of the addresses.
-    digest_by_zone : dict
-        As in ``ZoneView``.
-    callers_by_zone : dict
-        Hosts that callers of a zone should use.
-    is_store_unreachable : bool or None
-        None until it is needed.
-    """
-
-    def __init__(self, computed_at, live):
-        self.computed_at = computed_at
-        self.live = tuple(live)
-        self.live_by_zone: dict[str, list[MemberRecord]] = {}
-        for host in sorted(live, key=rank_key):
-            self.live_by_zone.setdefault(host.zone, []).append(host)
-        self.ordered_by_zone: dict[str, list[MemberRecord]] = {}
-        self.digest_by_zone: dict[str, int] = {}
-        self.callers_by_zone: dict[str, list[MemberRecord]] = {}
-        self.is_store_unreachable: bool | None = None
-
-
 class MembershipState:
     """The known members, and the load of this host."""
 
@@ -155,20 +120,6 @@
         self.load = 0.0
 
 
-def rank_key(member):
-    """Return the sort key of hosts in their zone: by capacity, then by address hash.
-
-    Gossip messages carry capacities as integers, so all hosts must rank by these.
-    """
-    return -int(member.capacity), address_hash(member.address), member.address
-
-
-@functools.lru_cache(maxsize=MAX_CACHED_HASHES)
-def address_hash(address):
-    """Return a hash of an address, the same on every host."""
-    return zlib.crc32(address.encode())
-
-
 def create(kernel, own, configuration_age):
     """Create the service ``members``.
 
@@ -279,53 +230,6 @@
                     by_address[host.address] = member
         return tuple(member_record(member) for member in by_address.values())
 
-    def live_members(zone):
-        """Return the live hosts of a zone in the order of their addresses."""
-        ordered_by_zone = view().ordered_by_zone
-        if zone not in ordered_by_zone:
-            ordered = sorted(live_in_zone(zone), key=lambda host: host.address)
-            ordered_by_zone[zone] = ordered
-        return ordered_by_zone[zone]
-
-    def zone_digest(zone):
-        digest_by_zone = view().digest_by_zone
-        if zone not in digest_by_zone:
-            digest_by_zone[zone] = compute_digest(live_members(zone))
-        return digest_by_zone[zone]
-
-    def compute_digest(hosts):
-        total = 0
-        for host in hosts:
-            member = state.member_by_address.get(host.address)
-            if member is None:
-                total += failure_detection.record_digest(host)
-            else:
-                total += failure_detection.member_digest(member)
-        return total & DIGEST_MASK
-
-    def zone_views():
-        """Return the view of each zone with the ages of its hosts."""
-        views = []
-        for zone in zones():
-            hosts = live_members(zone)
-            ages = []
-            for host in hosts:
-                member = state.member_by_address.get(host.address)
-                ages.append(0.0 if member is None else age(member))
-            views.append(ZoneView(zone, zone_digest(zone), tuple(ages)))
-        return tuple(views)
-
-    def merge_zone_view(view):
-        """Take the ages of a view if its hosts are the ones that this host knows."""
-        hosts = live_members(view.zone)
-        if len(hosts) != len(view.ages) or zone_digest(view.zone) != view.digest:
-            return
-        for host, host_age in zip(hosts, view.ages):
-            member = state.member_by_address.get(host.address)
-            if member is not None:
-                alive_at = now() - host_age
-                member.last_alive_at = max(member.last_alive_at, alive_at)
-
     def live():
         return view().live
 
@@ -453,6 +357,7 @@
                 emit(events.MEMBER_SILENT, host=address, zone=member.record.zone)
         return is_changed
 
+    views = zone_views.create(view, state.member_by_address.get, now)
     service = Members(
         own,
         record_message,
@@ -465,8 +370,8 @@
         expect_heartbeats,
         records,
         changed_records,
-        zone_views,
-        merge_zone_view,
+        views.list_all,
+        views.merge,
         lambda: state.is_stopping,
         stop,
         count_request,
