--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -11,7 +11,8 @@
 from functools import partial
 from typing import Callable, NamedTuple
 
-from trefoilpin.gateway.document_cache import CONFIGURATION, KINDS
+from trefoilpin.gateway import discovery
+from trefoilpin.gateway.document_cache import KINDS
 from trefoilpin.gateway.loops import repeat
 from trefoilpin.gateway.messages import aged
 from trefoilpin.gateway.roles import NO_ROLES, compute_roles
@@ -28,12 +29,6 @@
 MAX_TRANSIT_SECONDS = 0.05
 # Outcomes within this time are sent in one message.
 BATCH_SECONDS = 0.015
-MIN_SEED_PAUSE_SECONDS = 0.15
-# Once other hosts are known, the pause between contacts of seeds doubles up to this.
-MAX_SEED_PAUSE_SECONDS = 2.4
-# The first seeds that answer may know few hosts, so a host contacts seeds for this time
-# after its start; hosts that start together find each other meanwhile.
-BOOTSTRAP_SECONDS = 5.0
 # A host that contacted this one before it had a configuration is still sent one within
 # this time; after that it makes contact again.
 MAX_REPLY_DELAY_SECONDS = 1.0
@@ -45,12 +40,6 @@
 # Spread of that time, so that hosts that start together while the seeds are busy do not
 # all read the store.
 SEED_TIMEOUT_SPREAD_SECONDS = 1.5
-RANDOM_PERIOD_SECONDS = 1.0
-# Share of the random messages that go to a seed: with 460 hosts, some tens per second
-# for each seed.
-SEED_PROBABILITY = 0.25
-# Share of the others that go to a host of the own zone, as traffic between zones costs.
-OWN_ZONE_PROBABILITY = 0.75
 # Purposes of gossip messages; at most one message per purpose and host is queued.
 UPDATE, REPLY, OUTCOMES = "news", "reply", "outcomes"
 
@@ -132,10 +121,6 @@
         self.peer_by_address: dict[str, Peer] = {}
         self.roles = NO_ROLES
         self.sender_count = 1
-        self.seeds_contacted_at = float("-inf")
-        self.seed_pause = MIN_SEED_PAUSE_SECONDS
-        self.seed_attempts = 0
-        self.random_sent_at = float("-inf")
         self.last_update_at = float("-inf")
         self.is_reporting_outcomes = False
         self.request_by_address: dict[str, tuple[float, tuple]] = {}
@@ -158,9 +143,7 @@
     Gossip
     """
     state = GossipState()
-    started_at = state.random_sent_at = kernel.clock.now()
-    # Spreads the first contacts of all hosts evenly over the seeds.
-    seed_offset = kernel.rng.getrandbits(8)
+    discover = discovery.create(kernel, settings.seeds, send)
     seed_timeout = (
         SEED_TIMEOUT_SECONDS + SEED_TIMEOUT_SPREAD_SECONDS * kernel.rng.random()
     )
@@ -258,7 +241,7 @@
             is_same_zone = peer.zone == own.zone
             peer.is_relay = peer.address in roles.relays
             peer.receives_documents = roles.is_relay and (is_same_zone or peer.is_relay)
-        discover_hosts(members.live())
+        discover(roles.is_relay)
         gossip_builders.start_admission_period()
 
     def update_peers(hosts):
@@ -278,71 +261,6 @@
             # Ends the regular sending, so that the peer does not suspect this host.
             send(address, build(with_versions=False))
 
-    def discover_hosts(live):
-        """Contact seeds while few hosts are known, and periodically a random host."""
-        is_isolated = len(live) == 1
-        is_starting = now() - started_at < BOOTSTRAP_SECONDS
-        needs_seeds = (
-            is_starting
-            or is_isolated
-            or not document_cache.version(CONFIGURATION).revision
-        )
-        if (
-            needs_seeds
-            and settings.seeds()
-            and now() - state.seeds_contacted_at > state.seed_pause
-        ):
-            state.seeds_contacted_at = now()
-            if not is_isolated:
-                state.seed_pause = min(state.seed_pause * 2, MAX_SEED_PAUSE_SECONDS)
-            contact_seeds(is_isolated)
-        if now() - state.random_sent_at < RANDOM_PERIOD_SECONDS:
-            return
-        state.random_sent_at = now()
-        address = choose_random_host()
-        if address is not None:
-            is_informed = address in {
-                host.address for host in live if host.zone != own.zone
-            }
-            tells_members = state.roles.is_relay and not is_informed
-            records = gossip_builders.member_records() if tells_members else ()
-            send(address, build(False, records))
-
-    def choose_random_host():
-        """Return a random known host or seed; a silent host may know no other host.
-
-        Seeds are included so that partitions that do not know of each other merge.
-        """
-        seeds = other_seeds()
-        if seeds and kernel.rng.random() < SEED_PROBABILITY:
-            return kernel.rng.choice(seeds)
-        addresses, zone_addresses = [], []
-        for host in members.records():
-            if host.address == own.address:
-                continue
-            addresses.append(host.address)
-            if host.zone == own.zone:
-                zone_addresses.append(host.address)
-        if zone_addresses and kernel.rng.random() < OWN_ZONE_PROBABILITY:
-            return kernel.rng.choice(zone_addresses)
-        return kernel.rng.choice(addresses) if addresses else None
-
-    def other_seeds():
-        return [address for address in settings.seeds() if address != own.address]
-
-    def contact_seeds(is_isolated):
-        """Contact the next seed, or all of them once each was tried without an answer.
-
-        A seed contacts all others, as each may know different hosts.
-        """
-        targets = other_seeds()
-        try_all = is_isolated and state.seed_attempts >= len(targets)
-        if own.address not in settings.seeds() and not try_all:
-            targets = targets[(seed_offset + state.seed_attempts) % len(targets) :][:1]
-        state.seed_attempts += 1
-        for address in targets:
-            send(address, gossip_builders.build_request())
-
     def step():
         update_roles()
         upstreams.check_overdue()
