Floor: judge it by the failures of all hosts that send requests

Each of six senders judged the floor by its own attempts, some 20 in 2 s, over 3 s: too few and too late. Change: failures that other senders report count as well, over 0.8 s, against this host's attempts times the senders; hosts with few requests send wherever and don't count. The own share stays as it was.

--- a/trefoilpin/gateway/floors.py
+++ b/trefoilpin/gateway/floors.py
@@ -16,8 +16,12 @@
 # Share of failed attempts from which on the floor holds. The floor is owed from a tenth
 # of unserved requests on.
 MIN_FAILED_SHARE = 0.09
-# Time constant of the moving sums of attempts; the floor is judged over 2 s.
+# The same for the attempts of all hosts, which tell more.
+MIN_FLEET_FAILED_SHARE = 0.08
+# Time constants of the moving sums of attempts. The floor is owed in any 2 s, so the
+# failures of all hosts have to count well before these are over.
 AVERAGE_SECONDS = 3.0
+FLEET_AVERAGE_SECONDS = 0.8
 # Failed attempts below which their share says little.
 MIN_FAILED_ATTEMPTS = 3.0
 # An upstream without a request for this time is due for one.
@@ -31,37 +35,54 @@
 class Floors(NamedTuple):
     """``floors``: keeps a pool's requests spread while many of them fail.
 
-    ``record(pool, is_failed)`` counts an attempt of this host. ``find_due(pool,
+    ``record(pool, is_failed)`` counts an attempt of this host, and
+    ``record_remote_failure(pool)`` a failed one of another host that sends requests;
+    their other attempts are taken to be as many as those of this host. ``find_due(pool,
     healths, is_repeatable)`` returns the ``UpstreamHealth`` that is due for a request,
     or None.
     """
 
     record: Callable[[str, bool], None]
+    record_remote_failure: Callable[[str], None]
     find_due: Callable
 
 
 class PoolAttempts:
-    """Moving sums of a pool's attempts and of the failed ones."""
+    """Moving sums of this host's attempts at a pool, and of the failed ones.
 
-    def __init__(self, now):
+    Attributes
+    ----------
+    seconds : float
+        Time constant of the sums.
+    """
+
+    def __init__(self, now, seconds):
         self.attempts = 0.0
         self.failed = 0.0
+        self.seconds = seconds
         self.updated_at = now
 
     def decay(self, now):
         """Let the sums decay until now."""
-        factor = math.exp(-(now - self.updated_at) / AVERAGE_SECONDS)
+        factor = math.exp(-(now - self.updated_at) / self.seconds)
         self.attempts *= factor
         self.failed *= factor
         self.updated_at = now
 
+    def is_failing(self, share, hosts):
+        """Tell whether a share failed, with this host's attempts made by all hosts."""
+        min_failed = max(self.attempts * hosts * share, MIN_FAILED_ATTEMPTS)
+        return self.failed >= min_failed
+
 
-def create(kernel):
+def create(kernel, sender_count):
     """Create the service ``floors``.
 
     Parameters
     ----------
     kernel : Kernel
+    sender_count : callable
+        Returns the number of hosts that send requests to upstreams.
 
     Returns
     -------
@@ -70,23 +91,35 @@
     now = kernel.clock.now
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
-    attempts_by_pool: dict[str, PoolAttempts] = {}
+    own_by_pool: dict[str, PoolAttempts] = {}
+    fleet_by_pool: dict[str, PoolAttempts] = {}
 
-    def record(pool, is_failed):
+    def current(attempts_by_pool, pool, seconds):
         attempts = attempts_by_pool.get(pool)
         if attempts is None:
-            attempts = attempts_by_pool[pool] = PoolAttempts(now())
+            attempts = attempts_by_pool[pool] = PoolAttempts(now(), seconds)
         attempts.decay(now())
-        attempts.attempts += 1.0
-        attempts.failed += is_failed
+        return attempts
+
+    def own_attempts(pool):
+        return current(own_by_pool, pool, AVERAGE_SECONDS)
+
+    def fleet_attempts(pool):
+        return current(fleet_by_pool, pool, FLEET_AVERAGE_SECONDS)
+
+    def record(pool, is_failed):
+        for attempts in (own_attempts(pool), fleet_attempts(pool)):
+            attempts.attempts += 1.0
+            attempts.failed += is_failed
+
+    def record_remote_failure(pool):
+        fleet_attempts(pool).failed += 1.0
 
     def is_at_risk(pool):
-        attempts = attempts_by_pool.get(pool)
-        if attempts is None:
-            return False
-        attempts.decay(now())
-        min_failed = max(attempts.attempts * MIN_FAILED_SHARE, MIN_FAILED_ATTEMPTS)
-        return attempts.failed >= min_failed
+        if own_attempts(pool).is_failing(MIN_FAILED_SHARE, 1):
+            return True
+        hosts = max(sender_count(), 1)
+        return fleet_attempts(pool).is_failing(MIN_FLEET_FAILED_SHARE, hosts)
 
     def find_due(pool, healths, is_repeatable):
         for health in healths:
@@ -120,6 +153,6 @@
         )
         return health
 
-    service = Floors(record, find_due)
+    service = Floors(record, record_remote_failure, find_due)
     kernel.register("floors", service)
     return service
--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -177,8 +177,9 @@
         document_fetchers.handle_versions(address, message.versions)
         poison_requests.merge_breaks(message.broken_requests)
         host = (address, message.incarnation)
-        upstreams.merge_outcomes(*host, message.outcomes)
-        if message.is_serving or message.in_flight_by_upstream:
+        is_sender = message.is_serving or bool(message.in_flight_by_upstream)
+        upstreams.merge_outcomes(*host, message.outcomes, is_sender)
+        if is_sender:
             upstreams.merge_in_flight(address, message.in_flight_by_upstream)
             rate_limits.merge_counts(*host, message.admitted_by_account)
             queues.wake()
--- a/trefoilpin/gateway/upstreams.py
+++ b/trefoilpin/gateway/upstreams.py
@@ -58,7 +58,8 @@
     ``choose(pool, tried, retry_policy, typical_seconds)`` returns a ``Choice`` or a
     ``Refusal``, where ``typical_seconds`` is the typical duration of the route's
     requests; ``release(choice, attempt, typical_seconds)`` records the outcome.
-    ``merge_outcomes`` and ``merge_in_flight`` take what another host reports, and
+    ``merge_outcomes`` and ``merge_in_flight`` take what another host reports, of which
+    ``merge_outcomes`` is told whether it is one of the hosts that send requests, and
     ``expire_in_flight()`` drops counts of hosts that no longer report.
     ``recent_outcomes(is_same_zone)`` and ``in_flight_counts(zone)`` return what to
     report to others. ``on_outcome(function)`` has ``function(is_urgent)`` called for
@@ -121,7 +122,7 @@
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
     document_cache = kernel.find("document_cache")
-    floor = floors.create(kernel)
+    floor = floors.create(kernel, sender_count)
 
     def mark_used(health):
         health.used_at = now()
@@ -347,11 +348,14 @@
                 source=source,
             )
 
-    def merge_outcomes(host, incarnation, recent_outcomes):
+    def merge_outcomes(host, incarnation, recent_outcomes, is_remote_sender=True):
         for shared in log.take_new(host, incarnation, recent_outcomes):
             health = state.health_by_id.get(shared.upstream)
-            if health is not None:
-                update_health(health, failure_probability(health), shared.outcome, host)
+            if health is None:
+                continue
+            update_health(health, failure_probability(health), shared.outcome, host)
+            if is_remote_sender and shared.outcome is Outcome.FAILED:
+                floor.record_remote_failure(health.upstream.pool)
 
     def in_flight_counts(zone):
         """Return this host's in-flight requests by upstream, of one zone or all."""
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -424,3 +424,27 @@
     service.merge_in_flight("h2", {})
     put(UPSTREAMS, 3, table(upstream(1, slots=2), upstream(2)))
     assert isinstance(choose(service, frozenset(("u2",))), Success)
+
+
+@pytest.mark.parametrize("is_sender, floor", [(True, 0.7), (False, 0.0)])
+def test_floor_holds_by_the_failures_of_all_senders(host, is_sender, floor):
+    """Each of two senders has a share of the failures that says little by itself.
+
+    Within the 2 s in which the floor is owed, this host has to use what is due. Hosts
+    with few requests send wherever, so their failures say nothing of what is served.
+    """
+    service, put, clock = host
+    numbers = range(1, 11)
+    put(UPSTREAMS, 1, table(*(upstream(number) for number in numbers)))
+    old = [UpstreamOutcome(n, f"u{n}", Outcome.FAILED) for n in numbers[:7]]
+    service.merge_outcomes("h9", 1, tuple(old), False)
+    send_for(service, clock, 4.0, lambda number: False)
+    used = set()
+    # 13 of 100 requests a second, of which this host sends half.
+    for number in range(1, 26):
+        failed = UpstreamOutcome(number, "u10", Outcome.FAILED)
+        service.merge_outcomes("h2", 1, (failed,), is_sender)
+        used |= send_for(service, clock, 0.08, lambda number: False)
+    assert len(used) >= floor * len(numbers)
+    if not floor:
+        assert len(used) < 0.7 * len(numbers)
