--- a/review/standins.py
+++ b/review/standins.py
@@ -160,12 +160,13 @@
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
     length = int(headers.get("content-length", 0))
-    while len(buffer) < length:
-        part = sock.recv(65536)
+    body = bytearray(buffer)
+    while len(body) < length:
+        part = sock.recv(1 << 20)
         if not part:
             return None
-        buffer += part
-    return lines[0], headers, buffer[:length], buffer[length:]
+        body += part
+    return lines[0], headers, bytes(body[:length]), bytes(body[length:])
 
 
 class Endpoint:
@@ -403,6 +404,7 @@
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.processes = {}
+        self.before_exec = None
         self.paths = {}
         front, ready, directory, control, peer = free_ports(5)
         self.front, self.ready_port, self.directory = front, ready, directory
@@ -461,12 +463,25 @@
         """Start all hosts and wait until they are ready."""
         if not (ROOT / "target" / "deps").is_dir():
             raise CannotRun("target/deps is missing: run the deploy file's build")
-        for ip, path in self.paths.items():
-            env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
-            env["TREFOILPIN_CONFIG"] = str(path)
-            env["PYTHONPATH"] = str(ROOT / "target" / "deps")
-            env["EVENTLET_NO_GREENDNS"] = "yes"
-            log = open(path.with_suffix(".log"), "wb")
+        self.before_exec = before_exec
+        for ip in self.ips:
+            self.launch(ip)
+        for ip in self.ips:
+            deadline = time.monotonic() + 15
+            while not self.is_ready(ip):
+                if time.monotonic() > deadline:
+                    raise CannotRun(f"host {ip} did not become ready")
+                time.sleep(0.1)
+        time.sleep(2.0)
+
+    def launch(self, ip):
+        """Start the process of a host with the command of the deploy file."""
+        path = self.paths[ip]
+        env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        env["TREFOILPIN_CONFIG"] = str(path)
+        env["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        env["EVENTLET_NO_GREENDNS"] = "yes"
+        with open(path.with_suffix(".log"), "ab") as log:
             self.processes[ip] = subprocess.Popen(
                 ["python3", "-OO", "platform/edge.py"],
                 cwd=ROOT,
@@ -474,15 +489,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=before_exec,
+                preexec_fn=self.before_exec,
             )
-        for ip in self.ips:
-            deadline = time.monotonic() + 15
-            while not self.is_ready(ip):
-                if time.monotonic() > deadline:
-                    raise CannotRun(f"host {ip} did not become ready")
-                time.sleep(0.1)
-        time.sleep(2.0)
 
     def is_ready(self, ip):
         """Tell whether /readyz answers 200."""
