--- a/review/standins.py
+++ b/review/standins.py
@@ -86,6 +86,8 @@
 
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
+        # A host that is killed in a call is no fault of the store.
+        self.server.handle_error = lambda request, client_address: None
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
@@ -97,7 +99,12 @@
             return {"items": items, "more": len(names) > PAGE, "currentRev": self.revision}
 
     def put(self, kind, name, spec):
+        """Create or replace an object; a new ``sequence`` alone is no change."""
         with self.lock:
+            found = self.objects.get(kind, {}).get(name)
+            if found is not None and {**found["spec"], "sequence": 0} == {**spec, "sequence": 0}:
+                found["spec"] = spec
+                return
             self.revision += 1
             metadata = {"name": name, "revision": self.revision, "created": 1, "finalizers": [], "deleting": False}
             self.objects.setdefault(kind, {})[name] = {"metadata": metadata, "spec": spec, "status": None}
@@ -187,11 +194,13 @@
         self.sequence = 0
         self.address = None
         self.is_up = False
+        self.state = "ready"
         self.start()
 
     def start(self, name=None):
         """Start a new incarnation at the same address."""
         self.name = name or self.name
+        self.state = "ready"
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         port = int(self.address.rpartition(":")[2]) if self.address else 0
@@ -215,7 +224,7 @@
                 "zone": self.zone,
                 "configVersion": "v1",
                 "slots": self.slot_count,
-                "state": "ready",
+                "state": self.state,
                 "coldRemaining": "0ms",
                 "sequence": self.sequence,
                 "born": self.born,
@@ -228,6 +237,11 @@
             if self.is_up and self.born == born:
                 self.beat()
 
+    def leave(self):
+        """Report that it is draining; it goes on serving."""
+        self.state = "draining"
+        self.beat()
+
     def crash(self):
         """End at once, as a process that was killed does; its entry stays until it expires."""
         self.is_up = False
