--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Fault: a few large uploads at once, each within the operator's limits, take hosts over their memory limit."""
+"""DRAIN: after a pause of the hosts an endpoint whose entry is gone stays in use until something else changes."""
 
 import pathlib
 import signal
@@ -10,119 +10,109 @@
 import standins as s  # noqa: E402
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-MEMORY_MB = 300
-# Within maxBodyBytes, 67,108,864 bytes.
-BODY_BYTES = 60_000_000
-UPLOADS = 5 if s.TROUBLE else 1
-LIMIT_SECONDS = 12.0
-ROUNDS = 3
-RESTART_SECONDS = 1.0
+DRAIN, CONTACT = 2.0, 3.0
+ENDPOINTS = 12
+LEAVING = 3
+# Both hosts are suspended for this long; the entries go in the middle of it.
+FREEZE_SECONDS = 4.0
+REMOVED_AT = 2.0
+# The clients are quiet until the hosts have been calm for longer than ``contact``.
+BUSY_FROM = FREEZE_SECONDS + CONTACT + 1.0
+EXITS_AT = 14.0
+PER_SECOND = 50.0
 
 
-def work(endpoint, request, sock):
-    time.sleep(0.3)
-    sock.sendall(s.signed(request, b"kept"))
-    return True
+class Work:
+    """What the endpoints do; those in ``leaving`` say in their answers that they leave."""
 
+    def __init__(self):
+        self.leaving = set()
 
-def resident_mb(pid):
-    """Return the resident memory of a process in MB, or 0 when it has ended."""
-    try:
-        for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
-
-
-class Platform:
-    """Kills a process that exceeds its memory limit and starts it again after a short delay."""
-
-    def __init__(self, record, fleet):
-        self.record, self.fleet = record, fleet
-        self.peak = {ip: 0.0 for ip in fleet.ips}
-        self.kills = {ip: 0 for ip in fleet.ips}
-        threading.Thread(target=self.watch, daemon=True).start()
-
-    def watch(self):
-        while True:
-            time.sleep(0.02)
-            for ip in self.fleet.ips:
-                process = self.fleet.processes[ip]
-                if process.poll() is not None:
-                    continue
-                used = resident_mb(process.pid)
-                self.peak[ip] = max(self.peak[ip], used)
-                if used > MEMORY_MB:
-                    self.kills[ip] += 1
-                    self.record.write(f"platform: host {ip} uses {used:.0f} MB of {MEMORY_MB}: killed")
-                    self.fleet.signal(ip, signal.SIGKILL)
-                    process.wait()
-                    threading.Thread(target=self.restart, args=(ip,), daemon=True).start()
-
-    def restart(self, ip):
-        time.sleep(RESTART_SECONDS)
-        self.fleet.launch(ip)
-        self.record.write(f"platform: host {ip} is started again")
+    def work(self, endpoint, request, sock):
+        time.sleep(0.3)
+        extra = (("Server-Leaving", "1"),) if endpoint.name in self.leaving else ()
+        headers = (("Trefoilpin-Response-Signature", s.SIGNATURE), *extra)
+        sock.sendall(s.answer(200, request.id, b"booked", headers))
+        return True
 
 
 def play(record):
     store = s.Store()
-    endpoints = [s.Endpoint(record, store, f"i-{n:06d}", "huvo11a", work) for n in range(6)]
-    rules = [s.rule("r-puxsr7i", "unsafe", "/pufi791/", "huvo11a", 12000, 3000)]
+    work = Work()
+    endpoints = [s.Endpoint(record, store, f"i-{n:06d}", "huvo11a", work.work) for n in range(ENDPOINTS)]
+    rules = [s.rule("r-puxsr7i", "unsafe", "/pufi791/", "huvo11a", 3000, 800)]
     store.put("config", "main", s.configuration(rules, ["huvo11a"]))
     fleet = s.Fleet(record, store)
     try:
         fleet.start()
-        return judge(record, fleet, Platform(record, fleet), endpoints)
+        return judge(record, store, fleet, endpoints, work)
     finally:
         fleet.end()
 
 
-def judge(record, fleet, platform, endpoints):
-    body = bytes(BODY_BYTES)
-    small, ends = [], threading.Event()
+def judge(record, store, fleet, endpoints, work):
+    answers, ends = [], threading.Event()
 
-    def send(ip, request_id, content, kept):
-        got = s.send_request(fleet.address(ip), "POST", "/pufi791/2f", request_id, LIMIT_SECONDS, content)
-        kept.append((request_id, got))
+    def send(ip, request_id):
+        got = s.send_request(fleet.address(ip), "POST", "/pufi791/2f", request_id, 3.0, b"ice")
+        answers.append(got)
         record.write(f"client: {request_id} ended, status {got.status} {got.detail}")
 
-    def small_forever(ip):
-        number = 0
-        while not ends.is_set():
-            name = f"small{ip[-1]}-{number:04d}"
-            threading.Thread(target=send, args=(ip, name, b"log", small), daemon=True).start()
+    def send_forever(ip, label, seconds):
+        number, until = 0, time.monotonic() + seconds
+        while time.monotonic() < until:
+            name = f"{label}{ip[-1]}-{number:04d}"
+            threading.Thread(target=send, args=(ip, name), daemon=True).start()
             number += 1
-            time.sleep(0.2)
+            time.sleep(1 / PER_SECOND)
 
-    for ip in fleet.ips:
-        threading.Thread(target=small_forever, args=(ip,), daemon=True).start()
-    large = []
-    for number in range(ROUNDS):
-        threads = []
-        for ip in fleet.ips:
-            for k in range(UPLOADS):
-                name = f"large{ip[-1]}-{number}-{k}"
-                threads.append(threading.Thread(target=send, args=(ip, name, body, large), daemon=True))
+    def send_from_all(label, seconds):
+        threads = [threading.Thread(target=send_forever, args=(ip, label, seconds), daemon=True) for ip in fleet.ips]
         for thread in threads:
             thread.start()
         for thread in threads:
-            thread.join(LIMIT_SECONDS + 2)
-        time.sleep(5.0)
-    ends.set()
-    time.sleep(2.0)
-    ran = {request.id for endpoint in endpoints for _, request in endpoint.run}
-    lost = [name for name, got in small if name in ran and not got.whole]
-    line = (
-        f"uploads {len(large)}, served {sum(got.status == 200 for _, got in large)}; small requests {len(small)}, served "
-        f"{sum(got.status == 200 for _, got in small)}, run and cut {len(lost)}; kills for memory {platform.kills}, "
-        f"peak MB { {ip: round(mb) for ip, mb in platform.peak.items()} }"
-    )
+            thread.join()
+
+    send_from_all("before", 3.0)
+    time.sleep(1.0)
+    started_at = time.monotonic()
+
+    def wait_until(seconds):
+        time.sleep(max(started_at + seconds - time.monotonic(), 0))
+
+    if s.TROUBLE:
+        for ip in fleet.ips:
+            fleet.signal(ip, signal.SIGSTOP)
+    wait_until(REMOVED_AT)
+    gone = endpoints[3 : 3 + LEAVING]
+    for endpoint in gone:
+        work.leaving.add(endpoint.name)
+        endpoint.is_up = False
+        store.remove("servers", endpoint.name)
+        record.write(f"store: the entry of {endpoint.name} is removed; it goes on serving")
+    removed_at = time.monotonic()
+    wait_until(FREEZE_SECONDS)
+    if s.TROUBLE:
+        for ip in fleet.ips:
+            fleet.signal(ip, signal.SIGCONT)
+    wait_until(BUSY_FROM)
+    send_from_all("after", EXITS_AT - BUSY_FROM - 1.0)
+    wait_until(EXITS_AT)
+    for endpoint in gone:
+        endpoint.crash()
+        record.write(f"endpoint {endpoint.name} exits")
+    late = []
+    for endpoint in gone:
+        late += [(at, request.id, endpoint.name) for at, request in endpoint.arrived if at > removed_at + DRAIN]
+    for at, request_id, name in late:
+        record.write(f"late: {request_id} reached {name} {at - removed_at:.2f} s after the store removed its entry")
+    served = sum(got.status == 200 for got in answers)
+    line = f"requests {len(answers)}, served {served}, sent to endpoints later than drain after they were gone {len(late)}"
     record.write(line)
     print(line)
-    return sum(count >= 3 for count in platform.kills.values()) >= 2
+    if served < len(answers) / 2:
+        raise s.CannotRun("the requests were not served")
+    return bool(late)
 
 
 s.run_case(FOLDER, play)
