--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,14 +11,17 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 DRAIN, CONTACT = 2.0, 3.0
-ENDPOINTS = 12
+ENDPOINTS = 15
 LEAVING = 3
+# The pause comes once more, with other endpoints that leave, when the first one made no difference.
+PAUSES = 3
 # Both hosts are suspended for this long; the entries go in the middle of it.
 FREEZE_SECONDS = 4.0
 REMOVED_AT = 2.0
 # The clients are quiet until the hosts have been calm for longer than ``contact``.
 BUSY_FROM = FREEZE_SECONDS + CONTACT + 1.0
 EXITS_AT = 14.0
+BUSY_SECONDS = EXITS_AT - BUSY_FROM - 1.0
 PER_SECOND = 50.0
 
 
@@ -50,31 +53,8 @@
         fleet.end()
 
 
-def judge(record, store, fleet, endpoints, work):
-    answers, ends = [], threading.Event()
-
-    def send(ip, request_id):
-        got = s.send_request(fleet.address(ip), "POST", "/pufi791/2f", request_id, 3.0, b"ice")
-        answers.append(got)
-        record.write(f"client: {request_id} ended, status {got.status} {got.detail}")
-
-    def send_forever(ip, label, seconds):
-        number, until = 0, time.monotonic() + seconds
-        while time.monotonic() < until:
-            name = f"{label}{ip[-1]}-{number:04d}"
-            threading.Thread(target=send, args=(ip, name), daemon=True).start()
-            number += 1
-            time.sleep(1 / PER_SECOND)
-
-    def send_from_all(label, seconds):
-        threads = [threading.Thread(target=send_forever, args=(ip, label, seconds), daemon=True) for ip in fleet.ips]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-
-    send_from_all("before", 3.0)
-    time.sleep(1.0)
+def pause_once(record, store, fleet, gone, work, send):
+    """Suspend the hosts once while some endpoints leave; return the requests that reach these too late."""
     started_at = time.monotonic()
 
     def wait_until(seconds):
@@ -84,7 +64,6 @@
         for ip in fleet.ips:
             fleet.signal(ip, signal.SIGSTOP)
     wait_until(REMOVED_AT)
-    gone = endpoints[3 : 3 + LEAVING]
     for endpoint in gone:
         work.leaving.add(endpoint.name)
         endpoint.is_up = False
@@ -96,16 +75,49 @@
         for ip in fleet.ips:
             fleet.signal(ip, signal.SIGCONT)
     wait_until(BUSY_FROM)
-    send_from_all("after", EXITS_AT - BUSY_FROM - 1.0)
+    send()
     wait_until(EXITS_AT)
+    late = []
     for endpoint in gone:
         endpoint.crash()
         record.write(f"endpoint {endpoint.name} exits")
-    late = []
-    for endpoint in gone:
         late += [(at, request.id, endpoint.name) for at, request in endpoint.arrived if at > removed_at + DRAIN]
     for at, request_id, name in late:
         record.write(f"late: {request_id} reached {name} {at - removed_at:.2f} s after the store removed its entry")
+    return late
+
+
+def judge(record, store, fleet, endpoints, work):
+    answers = []
+
+    def send(ip, request_id):
+        got = s.send_request(fleet.address(ip), "POST", "/pufi791/2f", request_id, 3.0, b"ice")
+        answers.append(got)
+        record.write(f"client: {request_id} ended, status {got.status} {got.detail}")
+
+    def send_forever(ip, label, seconds):
+        number, until = 0, time.monotonic() + seconds
+        while time.monotonic() < until:
+            name = f"{label}{ip[-1]}-{number:04d}"
+            threading.Thread(target=send, args=(ip, name), daemon=True).start()
+            number += 1
+            time.sleep(1 / PER_SECOND)
+
+    def send_from_all(label, seconds):
+        threads = [threading.Thread(target=send_forever, args=(ip, label, seconds), daemon=True) for ip in fleet.ips]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    late = []
+    for number in range(PAUSES if s.TROUBLE else 1):
+        send_from_all(f"before{number}-", 3.0)
+        time.sleep(1.0)
+        gone = endpoints[LEAVING * number : LEAVING * (number + 1)]
+        late = pause_once(record, store, fleet, gone, work, lambda: send_from_all(f"after{number}-", BUSY_SECONDS))
+        if late:
+            break
     served = sum(got.status == 200 for got in answers)
     line = f"requests {len(answers)}, served {served}, sent to endpoints later than drain after they were gone {len(late)}"
     record.write(line)
