Replace a document by one of the same revision that was read later

Cause: only a higher revision replaced a document. A reader that keeps entries after an outage writes them into the document under the revision of the list; when it leaves them out again the revision is often the same, so the list was dropped, from the store as from hosts. The age was not refreshed either, so each further list counted as the first after an outage and kept more. Two entries left at 9.11 and 9.30 s and got requests until after 11.7 s. From 10.8 s on the age passes the takeover bound on every host and some 30 hosts read the same list each 0.6 s. Change: at the same revision the document that was read later holds, by the same rule for lists, documents and deltas of hosts, and advertised versions. Tests that failed before: test_retained_entry_is_dropped_while_the_revision_of_the_store_stands_still, test_document_read_later_replaces_one_with_the_same_revision (store, host), test_delta_read_later_is_applied_at_the_same_revision: 4 failed, 23 passed; now 27 passed.

--- a/trefoilpin/gateway/document_cache.py
+++ b/trefoilpin/gateway/document_cache.py
@@ -1,9 +1,10 @@
 """Documents read from the store, with their revision and age.
 
 There is one document of each kind. Only a newer revision replaces a document, in
-whatever order messages arrive, so no host reverts to an earlier state. The age is an
-upper bound in seconds since the store held exactly this document; it is measured by a
-clock that keeps running while the host is suspended.
+whatever order messages arrive, so no host reverts to an earlier state. Of two documents
+with the same revision the one that was read later holds. The age is an upper bound in
+seconds since the store held exactly this document; it is measured by a clock that keeps
+running while the host is suspended.
 """
 
 from collections import deque
@@ -139,7 +140,7 @@
 
     def apply_document(kind, revision, rows, age, source):
         document = document_by_kind[kind]
-        if revision < document.revision:
+        if not is_newer(document, revision, age):
             return False
         delta = diff(document.rows, rows)
         if document.revision and not (delta.changed or delta.removed):
@@ -156,13 +157,19 @@
             detail = "the rows after the delta do not match the given digest"
             emit(events.DOCUMENT_MALFORMED, kind=kind, revision=revision, detail=detail)
             return False
+        if not is_newer(document, revision, age):
+            return False
         return apply(kind, revision, delta, age, source)
 
+    def is_newer(document, revision, age):
+        """Tell whether the store held a document later than the current one."""
+        if revision != document.revision:
+            return revision > document.revision
+        return now() - age > document.held_at
+
     def apply(kind, revision, delta, age, source):
-        """Apply a delta; return False when it is outdated or can't be decoded."""
+        """Apply a delta; return False when it can't be decoded."""
         document = document_by_kind[kind]
-        if revision <= document.revision:
-            return False
         rows = patch(document.rows, delta)
         decoded = decode_by_kind[kind](rows)
         if isinstance(decoded, Failure):
@@ -214,7 +221,7 @@
         if document.revision and remote.digest == document.digest:
             refresh(document, remote.revision, remote.age)
             return False
-        return remote.revision > document.revision
+        return is_newer(document, remote.revision, remote.age)
 
     def age(kind):
         return now() - document_by_kind[kind].held_at
--- a/trefoilpin/gateway/document_fetchers.py
+++ b/trefoilpin/gateway/document_fetchers.py
@@ -95,7 +95,7 @@
             receive_delta(address, document)
 
     def receive_whole(address, document):
-        if document.revision <= document_cache.version(document.kind).revision:
+        if document.revision < document_cache.version(document.kind).revision:
             return
         decoded = codec.decode_rows(document.data)
         if isinstance(decoded, Failure):
--- a/trefoilpin/tests/gateway/test_document_cache.py
+++ b/trefoilpin/tests/gateway/test_document_cache.py
@@ -1,5 +1,6 @@
 """Documents never revert to an earlier revision, and ages are upper bounds."""
 
+import pytest
 from returns.result import Success
 
 from trefoilpin import events
@@ -125,3 +126,32 @@
     assert document_cache.delta_since(CONFIGURATION, first)
     document_cache.apply_document(CONFIGURATION, 999, {"a": "last"}, 0.0, "store")
     assert document_cache.delta_since(CONFIGURATION, first) is None
+
+
+@pytest.mark.parametrize("source", ["store", "10.0.0.7"])
+def test_document_read_later_replaces_one_with_the_same_revision(source):
+    """Guards against rows that stay in use while the store's revision stands still."""
+    document_cache, _ = create_row_cache()
+    first, second = {"a": "1", "b": "2"}, {"a": "1"}
+    document_cache.apply_document(CONFIGURATION, 5, first, 0.4, "store")
+    other = DocumentVersion(CONFIGURATION, 5, rows.digest(second), 0.6)
+    assert not document_cache.confirm(other)
+    assert not document_cache.apply_document(CONFIGURATION, 5, second, 0.6, source)
+    assert document_cache.confirm(other._replace(age=0.2))
+    assert document_cache.apply_document(CONFIGURATION, 5, second, 0.2, source)
+    assert document_cache.value(CONFIGURATION) == second
+    assert document_cache.age(CONFIGURATION) == pytest.approx(0.2)
+
+
+def test_delta_read_later_is_applied_at_the_same_revision():
+    document_cache, _ = create_row_cache()
+    document_cache.apply_document(CONFIGURATION, 5, {"a": "1", "b": "2"}, 0.4, "store")
+    base = document_cache.version(CONFIGURATION).digest
+    delta_and_digest = Delta({}, ("b",)), rows.digest({"a": "1"})
+    assert not document_cache.apply_delta(
+        CONFIGURATION, 5, base, delta_and_digest, 0.6, "h"
+    )
+    assert document_cache.apply_delta(
+        CONFIGURATION, 5, base, delta_and_digest, 0.2, "h"
+    )
+    assert document_cache.value(CONFIGURATION) == {"a": "1"}
--- a/trefoilpin/tests/gateway/test_store_readers.py
+++ b/trefoilpin/tests/gateway/test_store_readers.py
@@ -165,6 +165,26 @@
     assert set(cache.value(UPSTREAMS)) == {"u1"}
 
 
+def test_retained_entry_is_dropped_while_the_revision_of_the_store_stands_still(reader):
+    """Guards against requests to upstreams that left while the hosts were suspended."""
+    service, cache, script, clock, _, _ = reader
+    script.answers = [listing(5, u1={"x": 1}, u2={"x": 2})]
+    service.step(UPSTREAMS)
+    clock.time += 4.0
+    script.answers = [listing(9, u1={"x": 1})] * 9
+    service.step(UPSTREAMS)
+    assert set(cache.value(UPSTREAMS)) == {"u1", "u2"}
+    for _ in range(4):
+        clock.time += 0.8
+        service.step(UPSTREAMS)
+        assert cache.age(UPSTREAMS) == 0.0
+    assert set(cache.value(UPSTREAMS)) == {"u1"}
+    script.answers = [listing(10)]
+    clock.time += 0.8
+    service.step(UPSTREAMS)
+    assert not cache.value(UPSTREAMS)
+
+
 def test_entry_removed_while_the_store_is_available_is_removed_at_once(reader):
     service, cache, script, clock, _, _ = reader
     script.answers = [listing(5, u1={"x": 1}, u2={"x": 2})]
