Keep entries that may have expired in an outage at the host that knew them

Cause: a host took any document older than 2.5 s for an outage of the store, also when only it had been away, and kept the entries missing in the next list inside the document. The document went on to hosts that had dropped these entries already, with the newest revision. Change: documents hold exactly what the store held. Each version says for how long the store was read without an outage, as known to its sender, and hosts join these spans: one that was away learns that there was no outage. After an outage each host keeps what it knew for 2.2 s after the first read, and a task releases it also while nothing changes. New events rows_retained and retention_ended. Messages of hosts without the new field are taken as before. Tests that failed before: test_hosts_that_return_from_a_cut_bring_back_no_upstream_that_left (6 of 6), test_entries_that_expired_in_an_outage_stay_in_use_on_every_host_for_a_while, test_other_hosts_are_sent_only_what_the_store_held, test_host_that_was_cut_off_learns_that_there_was_no_outage, test_host_that_was_sent_a_document_after_an_outage_retains_entries_too.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -587,6 +587,21 @@
     ("seconds",),
     "A periodic task ran late, which indicates a shortage of processor time.",
 )
+ROWS_RETAINED = Event(
+    726,
+    "rows_retained",
+    logging.INFO,
+    ("kind", "revision", "rows", "seconds"),
+    "The store was available again after an outage and some entries were missing;"
+    " they stay in use for a while, as their writers may write them again.",
+)
+RETENTION_ENDED = Event(
+    727,
+    "retention_ended",
+    logging.INFO,
+    ("kind", "revision"),
+    "Entries that are still missing are out of use.",
+)
 SOUNDNESS_CHANGED = Event(
     730,
     "soundness_changed",
--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -106,7 +106,10 @@
 
 
 class StoreContent:
-    """Objects of the fake store; while ``is_down``, every call fails."""
+    """Objects of the fake store; while ``is_down``, every call fails.
+
+    Calls of the hosts in ``refused`` fail while the store answers the others.
+    """
 
     def __init__(self):
         self.revision = 1
@@ -114,6 +117,7 @@
             kind: {} for kind in document_cache.KINDS
         }
         self.is_down = False
+        self.refused: frozenset[str] = frozenset()
         self.calls = 0
 
     def put(self, kind, name, content):
@@ -121,6 +125,12 @@
         objects = self.objects_by_kind[kind]
         self.objects_by_kind[kind] = objects | {name: content}
 
+    def remove(self, kind, name):
+        self.revision += 1
+        objects = dict(self.objects_by_kind[kind])
+        del objects[name]
+        self.objects_by_kind[kind] = objects
+
 
 class Node:
     """One host: its services, and when its link, reader and server are free again."""
@@ -258,12 +268,12 @@
         self.tasks.sleep(self.reserve_link(node, size))
         return Success(document)
 
-    def list_all(self, kind):
-        """List the objects of a kind in the store."""
+    def list_all(self, address, kind):
+        """List the objects of a kind in the store for a host."""
         content = self.content
         content.calls += 1
         self.tasks.sleep(STORE_LATENCY_SECONDS)
-        if content.is_down:
+        if content.is_down or address in content.refused:
             return Failure(StoreFailure("store unavailable"))
         listing = Listing(content.objects_by_kind[kind], content.revision)
         self.tasks.sleep(len(json.dumps(listing)) / self.settings.link.rate)
@@ -298,7 +308,7 @@
     node.directories = directories.create(kernel)
     anti_entropy.create(kernel)
     if fleet.content is not None:
-        kernel.register("store", Store(fleet.list_all))
+        kernel.register("store", Store(partial(fleet.list_all, node.address)))
         store_readers.create(
             kernel,
             documents.CODEC,
--- a/trefoilpin/gateway/document_cache.py
+++ b/trefoilpin/gateway/document_cache.py
@@ -5,6 +5,10 @@
 with the same revision the one that was read later holds. The age is an upper bound in
 seconds since the store held exactly this document; it is measured by a clock that keeps
 running while the host is suspended.
+
+Other hosts are sent exactly what the store held. Rows that may be missing only because
+they expired in an outage of the store are retained for a while in the value that this
+host uses, and nowhere else.
 """
 
 from collections import deque
@@ -15,6 +19,13 @@
 from trefoilpin import events
 from trefoilpin.gateway.records import EMPTY_CONFIGURATION
 from trefoilpin.gateway.rows import Delta, diff, digest_after, patch
+from trefoilpin.gateway.store_outages import (
+    NO_READS,
+    REREGISTRATION_SECONDS,
+    ReadSpan,
+    join,
+    may_lack_entries,
+)
 
 __all__ = [
     "CONFIGURATION",
@@ -30,7 +41,10 @@
 UPSTREAMS = "upstreams"
 ZONES_OUT = "zones_out"
 KINDS = (CONFIGURATION, UPSTREAMS, ZONES_OUT)
+# Kinds whose objects the store removes when their writer is silent.
+EXPIRING_KINDS = frozenset((UPSTREAMS,))
 NEVER_READ = 0
+MIN_RETENTION_PAUSE_SECONDS = 0.05
 # A host that missed some deltas is sent these instead of the whole document; with
 # frequent changes they cover a few minutes.
 MAX_DELTAS = 64
@@ -47,32 +61,37 @@
     digest : int
     age : float
         Upper bound in seconds since the store held exactly this document.
+    unbroken_seconds : float
+        Lower bound for how long the store has been read without an outage; 0 for kinds
+        whose objects do not expire.
     """
 
     kind: str
     revision: int
     digest: int
     age: float
+    unbroken_seconds: float = 0.0
 
 
 class DocumentCache(NamedTuple):
     """``document_cache``: documents by kind.
 
-    ``apply_document(kind, revision, rows, age, source)`` takes the rows of a whole
-    document, from a host or the store. ``apply_delta(kind, revision, base,
-    delta_and_digest, age, source)`` takes a ``Delta`` for the document with digest
-    ``base`` and the digest after it. Both return True when the document changed.
-    ``confirm(version)`` refreshes the age when another host holds the same document,
-    and returns True when that host has a newer one.
-
-    ``value(kind)`` is the decoded document, ``version(kind)`` and ``rows(kind)`` are
-    what other hosts are sent. ``delta_since(kind, digest)`` is the delta from an
-    earlier document, or None when it is no longer kept, and ``age(kind)`` the age in
-    seconds. ``subscribe(kind, function)`` has the function called with each new value.
+    ``apply_document(kind, revision, rows, age, source, unbroken_seconds)`` takes the
+    rows of a whole document, from a host or the store. ``apply_delta(kind, revision,
+    base, delta_and_digest, age, source, unbroken_seconds)`` takes a ``Delta`` for the
+    document with digest ``base`` and the digest after it. Both return True when the
+    document changed. ``confirm(version)`` refreshes the age when another host holds the
+    same document, and returns True when that host has a newer one.
+
+    ``value(kind)`` is the decoded document with the retained rows, ``version(kind)``
+    and ``rows(kind)`` are what other hosts are sent. ``delta_since(kind, digest)`` is
+    the delta from an earlier document, or None when it is no longer kept, and
+    ``age(kind)`` the age in seconds. ``subscribe(kind, function)`` has the function
+    called with each new value.
     """
 
-    apply_document: Callable[[str, int, Mapping, float, str], bool]
-    apply_delta: Callable[[str, int, int, tuple, float, str], bool]
+    apply_document: Callable[..., bool]
+    apply_delta: Callable[..., bool]
     confirm: Callable[[DocumentVersion], bool]
     value: Callable[[str], Any]
     version: Callable[[str], DocumentVersion]
@@ -98,7 +117,17 @@
 
 
 class CachedDocument:
-    """A document with its revision and its most recent deltas."""
+    """A document with its revision, its most recent deltas and its retained rows.
+
+    Attributes
+    ----------
+    known_since : float or None
+        When the store held the first document that this host had.
+    read_span : ReadSpan
+        Kept for kinds whose objects expire.
+    retained_rows : Mapping
+        Rows that are missing in ``rows`` but still in use.
+    """
 
     def __init__(self, value):
         self.revision = NEVER_READ
@@ -106,6 +135,9 @@
         self.digest = 0
         self.value = value
         self.held_at = float("-inf")
+        self.known_since = None
+        self.read_span = NO_READS
+        self.retained_rows: Mapping[str, str] = {}
         self.deltas: deque[AppliedDelta] = deque(maxlen=MAX_DELTAS)
         self.subscribers = []
 
@@ -138,17 +170,20 @@
         ZONES_OUT: CachedDocument(frozenset()),
     }
 
-    def apply_document(kind, revision, rows, age, source):
+    def apply_document(kind, revision, rows, age, source, unbroken_seconds=0.0):
         document = document_by_kind[kind]
         if not is_newer(document, revision, age):
             return False
+        version = DocumentVersion(kind, revision, 0, age, unbroken_seconds)
         delta = diff(document.rows, rows)
         if document.revision and not (delta.changed or delta.removed):
-            refresh(document, revision, age)
+            refresh(document, version)
             return False
-        return apply(kind, revision, delta, age, source)
+        return apply(version, delta, source)
 
-    def apply_delta(kind, revision, base, delta_and_digest, age, source):
+    def apply_delta(
+        kind, revision, base, delta_and_digest, age, source, unbroken_seconds=0.0
+    ):
         document = document_by_kind[kind]
         delta, digest = delta_and_digest
         if not document.revision or base != document.digest:
@@ -159,7 +194,8 @@
             return False
         if not is_newer(document, revision, age):
             return False
-        return apply(kind, revision, delta, age, source)
+        version = DocumentVersion(kind, revision, digest, age, unbroken_seconds)
+        return apply(version, delta, source)
 
     def is_newer(document, revision, age):
         """Tell whether the store held a document later than the current one."""
@@ -167,33 +203,97 @@
             return revision > document.revision
         return now() - age > document.held_at
 
-    def apply(kind, revision, delta, age, source):
+    def apply(version, delta, source):
         """Apply a delta; return False when it can't be decoded."""
+        kind = version.kind
         document = document_by_kind[kind]
         rows = patch(document.rows, delta)
-        decoded = decode_by_kind[kind](rows)
+        read_span = joined_span(document, version)
+        retained_rows = rows_to_retain(document, rows, read_span)
+        decoded = decode_by_kind[kind]({**rows, **retained_rows})
         if isinstance(decoded, Failure):
-            detail = decoded.failure()
-            emit(events.DOCUMENT_MALFORMED, kind=kind, revision=revision, detail=detail)
+            report_malformed(version, decoded.failure())
             return False
         row_names = frozenset((*delta.changed, *delta.removed))
         document.deltas.append(AppliedDelta(document.digest, row_names))
         document.digest = digest_after(document.digest, document.rows, delta)
         document.rows = rows
         document.value = decoded.unwrap()
-        refresh(document, revision, age)
-        metrics.time(f"{kind}_age_when_taken_seconds", age)
+        is_retaining = bool(document.retained_rows)
+        document.retained_rows = retained_rows
+        refresh(document, version)
+        metrics.time(f"{kind}_age_when_taken_seconds", version.age)
         emit(
             events.KNOWLEDGE_CHANGED,
             kind=kind,
-            revision=revision,
-            age=round(age, 3),
+            revision=version.revision,
+            age=round(version.age, 3),
             source=source,
             rows=len(row_names),
         )
+        if retained_rows and not is_retaining:
+            start_retention(kind)
+        notify(document)
+        return True
+
+    def report_malformed(version, detail):
+        emit(
+            events.DOCUMENT_MALFORMED,
+            kind=version.kind,
+            revision=version.revision,
+            detail=detail,
+        )
+
+    def notify(document):
         for subscriber in document.subscribers:
             subscriber(document.value)
-        return True
+
+    def rows_to_retain(document, rows, read_span):
+        """Return the rows in use that may have expired in an outage."""
+        known_since = document.known_since
+        if known_since is None or not may_lack_entries(read_span, known_since, now()):
+            return {}
+        retained_rows = {}
+        for name, text in (*document.rows.items(), *document.retained_rows.items()):
+            if name not in rows:
+                retained_rows[name] = text
+        return retained_rows
+
+    def start_retention(kind):
+        document = document_by_kind[kind]
+        until = document.read_span.started_at + REREGISTRATION_SECONDS
+        emit(
+            events.ROWS_RETAINED,
+            kind=kind,
+            revision=document.revision,
+            rows=len(document.retained_rows),
+            seconds=round(until - now(), 3),
+        )
+        kernel.spawn(end_retention, kind)
+
+    def end_retention(kind):
+        """Release the retained rows in time, also when nothing else changes."""
+        document = document_by_kind[kind]
+        while document.retained_rows:
+            until = document.read_span.started_at + REREGISTRATION_SECONDS
+            kernel.clock.sleep(max(until - now(), MIN_RETENTION_PAUSE_SECONDS))
+            release_if_due(kind)
+
+    def release_if_due(kind):
+        """Drop the retained rows once entries that expired have been written again."""
+        document = document_by_kind[kind]
+        if not document.retained_rows:
+            return
+        if may_lack_entries(document.read_span, document.known_since, now()):
+            return
+        document.retained_rows = {}
+        decoded = decode_by_kind[kind](document.rows)
+        if isinstance(decoded, Failure):
+            report_malformed(version(kind), decoded.failure())
+            return
+        document.value = decoded.unwrap()
+        emit(events.RETENTION_ENDED, kind=kind, revision=document.revision)
+        notify(document)
 
     def delta_since(kind, digest):
         document = document_by_kind[kind]
@@ -206,20 +306,34 @@
                 return delta_to_current(document.rows, row_names)
         return None
 
-    def refresh(document, revision, age):
-        document.revision = revision
-        document.held_at = max(document.held_at, now() - age)
+    def refresh(document, version):
+        document.revision = version.revision
+        document.held_at = max(document.held_at, now() - version.age)
+        if document.known_since is None:
+            document.known_since = document.held_at
+        extend_span(document, version)
+
+    def extend_span(document, version):
+        document.read_span = joined_span(document, version)
+        release_if_due(version.kind)
+
+    def joined_span(document, version):
+        """Return the read span of a document with what another version tells of it."""
+        if version.kind not in EXPIRING_KINDS:
+            return NO_READS
+        read_span = ReadSpan(now() - version.unbroken_seconds, now() - version.age)
+        return join(document.read_span, read_span)
 
     def confirm(remote):
         document = document_by_kind.get(remote.kind)
-        if (
-            document is None
-            or remote.revision < document.revision
-            or not remote.revision
-        ):
+        if document is None or not remote.revision:
+            return False
+        # Also a host with an older document may have read the store without an outage.
+        extend_span(document, remote)
+        if remote.revision < document.revision:
             return False
         if document.revision and remote.digest == document.digest:
-            refresh(document, remote.revision, remote.age)
+            refresh(document, remote)
             return False
         return is_newer(document, remote.revision, remote.age)
 
@@ -228,7 +342,11 @@
 
     def version(kind):
         document = document_by_kind[kind]
-        return DocumentVersion(kind, document.revision, document.digest, age(kind))
+        started_at = document.read_span.started_at
+        unbroken_seconds = now() - started_at if document.read_span != NO_READS else 0.0
+        return DocumentVersion(
+            kind, document.revision, document.digest, age(kind), unbroken_seconds
+        )
 
     for kind in KINDS:
         metrics.gauge(f"{kind}_age_seconds", lambda kind=kind: age(kind))
--- a/trefoilpin/gateway/document_fetchers.py
+++ b/trefoilpin/gateway/document_fetchers.py
@@ -103,7 +103,12 @@
             return
         rows = decoded.unwrap()
         document_cache.apply_document(
-            document.kind, document.revision, rows, document.age, address
+            document.kind,
+            document.revision,
+            rows,
+            document.age,
+            address,
+            document.unbroken_seconds,
         )
 
     def receive_delta(address, document):
@@ -117,7 +122,11 @@
             return
         delta_and_digest = decoded.unwrap()
         if delta_and_digest[1] == version.digest:
-            confirmed = version._replace(revision=document.revision, age=document.age)
+            confirmed = version._replace(
+                revision=document.revision,
+                age=document.age,
+                unbroken_seconds=document.unbroken_seconds,
+            )
             document_cache.confirm(confirmed)
             return
         document_cache.apply_delta(
@@ -127,6 +136,7 @@
             delta_and_digest,
             document.age,
             address,
+            document.unbroken_seconds,
         )
 
     def report_malformed(document, detail):
--- a/trefoilpin/gateway/gossip_builders.py
+++ b/trefoilpin/gateway/gossip_builders.py
@@ -260,7 +260,14 @@
                 kind, base, version.digest
             )
         data, known_base = state.encoded_by_key[kind, base]
-        return Document(kind, version.revision, version.age, data, known_base)
+        return Document(
+            kind,
+            version.revision,
+            version.age,
+            data,
+            known_base,
+            version.unbroken_seconds,
+        )
 
     def encode_document(kind, base, digest):
         delta = None if base == NO_BASE else document_cache.delta_since(kind, base)
--- a/trefoilpin/gateway/gossip_codecs.py
+++ b/trefoilpin/gateway/gossip_codecs.py
@@ -173,7 +173,7 @@
         wants_reply=gossip_message.wants_reply,
         tells_on=gossip_message.sends_regularly,
         knowledge_age=gossip_message.configuration_age,
-        stamps=[StampStruct(*version) for version in gossip_message.versions],
+        stamps=[to_stamp(version) for version in gossip_message.versions],
         members=pack_members(gossip_message.members),
         outcome_upstreams=[item.upstream for item in outcomes],
         outcome_kinds=[item.outcome.value for item in outcomes],
@@ -182,7 +182,9 @@
         flight_counts=list(gossip_message.in_flight_by_upstream.values()),
         admitted_accounts=list(gossip_message.admitted_by_account),
         admitted_counts=list(gossip_message.admitted_by_account.values()),
-        documents=[DocumentStruct(*document) for document in gossip_message.documents],
+        documents=[
+            to_document_struct(document) for document in gossip_message.documents
+        ],
         broken_fingerprints=[
             fingerprint for fingerprint, _ in gossip_message.broken_requests
         ],
@@ -197,7 +199,19 @@
 
 def encode_document(document):
     """Return a document as bytes."""
-    return serialize(DocumentStruct(*document))
+    return serialize(to_document_struct(document))
+
+
+def to_stamp(version):
+    """Convert a version to a generated struct; zeros are left out."""
+    unbroken = version.unbroken_seconds or None
+    return StampStruct(*version._replace(unbroken_seconds=unbroken))
+
+
+def to_document_struct(document):
+    """Convert a document to a generated struct; zeros are left out."""
+    unbroken = document.unbroken_seconds or None
+    return DocumentStruct(*document._replace(unbroken_seconds=unbroken))
 
 
 def serialize(message):
@@ -249,7 +263,12 @@
     """Convert a generated struct to a document."""
     data = bytes(generated.document)
     return Document(
-        generated.kind, generated.revision, generated.age, data, generated.base
+        generated.kind,
+        generated.revision,
+        generated.age,
+        data,
+        generated.base,
+        generated.unbroken or 0.0,
     )
 
 
@@ -272,7 +291,14 @@
     versions = []
     for version in message.stamps:
         versions.append(
-            DocumentVersion(version.kind, version.revision, version.digest, version.age)
+            DocumentVersion(
+                version.kind,
+                version.revision,
+                version.digest,
+                version.age,
+                # Missing in messages of hosts that run an earlier version.
+                version.unbroken or 0.0,
+            )
         )
     # Missing in messages of hosts that run an earlier version.
     zone_views = []
--- a/trefoilpin/gateway/messages.py
+++ b/trefoilpin/gateway/messages.py
@@ -101,6 +101,8 @@
     data : bytes
     base : int
         Digest of the document to which the delta applies, or ``NO_BASE``.
+    unbroken_seconds : float
+        As in ``DocumentVersion``.
     """
 
     kind: str
@@ -108,6 +110,7 @@
     age: float
     data: bytes
     base: int = NO_BASE
+    unbroken_seconds: float = 0.0
 
 
 class GossipMessage(NamedTuple):
@@ -167,7 +170,10 @@
 
 
 def aged(message, seconds):
-    """Return a gossip message with its ages increased by its time in transit."""
+    """Return a gossip message with its ages increased by its time in transit.
+
+    Lower bounds stay as they are.
+    """
     versions = [
         version._replace(age=version.age + seconds) for version in message.versions
     ]
--- a/trefoilpin/gateway/store_readers.py
+++ b/trefoilpin/gateway/store_readers.py
@@ -22,19 +22,10 @@
     ZONES_OUT,
 )
 from trefoilpin.gateway.loops import repeat
+from trefoilpin.gateway.store_outages import MIN_OUTAGE_SECONDS
+
+__all__ = ["ReadSettings", "StoreReaders", "create"]
 
-__all__ = [
-    "REREGISTRATION_SECONDS",
-    "MIN_OUTAGE_AGE_SECONDS",
-    "ReadSettings",
-    "StoreReaders",
-    "create",
-]
-
-# Upstreams whose entries expired in an outage write them again within this time.
-REREGISTRATION_SECONDS = 2.2
-# A document older than this means an outage in which entries may have expired.
-MIN_OUTAGE_AGE_SECONDS = 2.5
 # After a failure the first hosts in the order retry soon, so that the end of an outage
 # is noticed at once. The others are sent the result and would only add load.
 MIN_RETRY_DELAY_SECONDS = 0.2
@@ -91,8 +82,6 @@
     def __init__(self):
         self.failures_by_kind = dict.fromkeys(KINDS, 0)
         self.paused_until_by_kind = dict.fromkeys(KINDS, 0.0)
-        self.retained_until_by_name: dict[str, float] = {}
-        self.retain_until = float("-inf")
         self.parsed_by_name_by_kind: dict[str, dict[str, ParsedObject]] = {}
         self.is_reachable = True
 
@@ -159,25 +148,21 @@
             return True
         record_success(kind)
         log_read(kind, outcome.unwrap(), now() - started)
-        # Includes documents that other hosts sent during the call.
-        before = document_cache.rows(kind)
-        if kind == UPSTREAMS and before and age_before > MIN_OUTAGE_AGE_SECONDS:
-            state.retain_until = now() + REREGISTRATION_SECONDS
-        apply_listing(kind, outcome.unwrap(), before, started)
+        is_unbroken = age_before <= MIN_OUTAGE_SECONDS
+        apply_listing(kind, outcome.unwrap(), started, is_unbroken)
         share()
         pause(kind, SETTINGS_BY_KIND[kind].period - STEP_INTERVAL_SECONDS)
         return True
 
-    def apply_listing(kind, listing, before, started):
-        after, parsed_by_name = {}, {}
+    def apply_listing(kind, listing, started, is_unbroken):
+        rows, parsed_by_name = {}, {}
         for name, content in listing.content_by_name.items():
             parsed_by_name[name] = parse_if_changed(kind, name, content)
-            after.update(parsed_by_name[name].rows)
+            rows.update(parsed_by_name[name].rows)
         state.parsed_by_name_by_kind[kind] = parsed_by_name
-        if kind == UPSTREAMS:
-            retain_missing(before, after)
+        unbroken = document_cache.version(kind).unbroken_seconds if is_unbroken else 0.0
         document_cache.apply_document(
-            kind, listing.revision, after, now() - started, "store"
+            kind, listing.revision, rows, now() - started, "store", unbroken
         )
 
     def parse_if_changed(kind, name, content):
@@ -199,25 +184,6 @@
                 emit(events.OBJECT_MALFORMED, kind=kind, object=name, detail=detail)
             return ParsedObject(content, {})
 
-    def retain_missing(before, after):
-        """Keep upstreams for a while whose entries may have expired in an outage.
-
-        Parameters
-        ----------
-        before, after : dict
-            Rows before the read and as just read; ``after`` is modified.
-        """
-        retained = state.retained_until_by_name
-        if now() < state.retain_until:
-            for name in before:
-                if name not in after:
-                    retained.setdefault(name, state.retain_until)
-        for name, until in list(retained.items()):
-            if name in after or now() >= until:
-                del retained[name]
-            elif name in before:
-                after[name] = before[name]
-
     def log_read(kind, listing, seconds):
         metrics.time("store_list_seconds", seconds)
         emit(
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -5,6 +5,7 @@
   2: i64 revision
   3: i64 digest
   4: double age
+  5: double unbroken
 }
 
 struct DocumentStruct {
@@ -13,6 +14,7 @@
   3: double age
   4: binary document
   5: i64 base
+  6: double unbroken
 }
 
 struct ZoneViewStruct {
--- a/trefoilpin/tests/gateway/test_document_cache.py
+++ b/trefoilpin/tests/gateway/test_document_cache.py
@@ -7,7 +7,7 @@
 from trefoilpin.fakes.gateways import create_document_cache, create_host, named
 from trefoilpin.gateway import document_cache as cache_module
 from trefoilpin.gateway import rows
-from trefoilpin.gateway.document_cache import CONFIGURATION, DocumentVersion
+from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS, DocumentVersion
 from trefoilpin.gateway.rows import Delta
 
 
@@ -155,3 +155,34 @@
         CONFIGURATION, 5, base, delta_and_digest, 0.2, "h"
     )
     assert document_cache.value(CONFIGURATION) == {"a": "1"}
+
+
+def test_other_hosts_are_sent_only_what_the_store_held():
+    """Guards against a host that returns and has others use upstreams that left."""
+    document_cache, lines = create_row_cache()
+    document_cache.apply_document(UPSTREAMS, 5, {"a": "1", "b": "2"}, 6.0, "store")
+    document_cache.apply_document(UPSTREAMS, 9, {"a": "1"}, 0.0, "store")
+    assert document_cache.value(UPSTREAMS) == {"a": "1", "b": "2"}
+    assert document_cache.rows(UPSTREAMS) == {"a": "1"}
+    assert document_cache.version(UPSTREAMS).digest == rows.digest({"a": "1"})
+    assert len(named(lines, events.ROWS_RETAINED)) == 1
+
+
+def test_host_that_was_cut_off_learns_that_there_was_no_outage():
+    """Guards against a pause or cut of a host that is taken for an outage."""
+    document_cache, lines = create_row_cache()
+    document_cache.apply_document(UPSTREAMS, 5, {"a": "1", "b": "2"}, 6.0, "store")
+    document_cache.apply_document(UPSTREAMS, 9, {"a": "1"}, 0.0, "store")
+    remote = document_cache.version(UPSTREAMS)._replace(age=0.3, unbroken_seconds=60.0)
+    document_cache.confirm(remote._replace(revision=8, digest=17))
+    assert document_cache.value(UPSTREAMS) == {"a": "1"}
+    assert len(named(lines, events.RETENTION_ENDED)) == 1
+    document_cache.apply_document(UPSTREAMS, 10, {}, 0.0, "store")
+    assert document_cache.value(UPSTREAMS) == {}
+
+
+def test_host_that_was_sent_a_document_after_an_outage_retains_entries_too():
+    document_cache, _ = create_row_cache()
+    document_cache.apply_document(UPSTREAMS, 5, {"a": "1"}, 6.0, "store")
+    document_cache.apply_document(UPSTREAMS, 9, {}, 0.2, "10.0.0.7", 0.1)
+    assert document_cache.value(UPSTREAMS) == {"a": "1"}
--- a/trefoilpin/tests/gateway/test_gossip.py
+++ b/trefoilpin/tests/gateway/test_gossip.py
@@ -5,9 +5,11 @@
 
 from trefoilpin.fakes import gateway_fleets
 from trefoilpin.fakes.gateway_fleets import Fleet, FleetSettings, StoreContent
-from trefoilpin.fakes.gateways import ACCOUNT, upstream
+from trefoilpin.fakes.gateways import ACCOUNT, table, upstream
 from trefoilpin.gateway import failure_detection, gossip, members
-from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS
+from trefoilpin.gateway.document_cache import CONFIGURATION, KINDS, UPSTREAMS
+from trefoilpin.gateway.store_outages import REREGISTRATION_SECONDS
+from trefoilpin.gateway.store_readers import MAX_RETRY_DELAY_SECONDS
 from trefoilpin.gateway.upstream_selection import RetryPolicy
 from trefoilpin.messages import Answer, Attempt
 from trefoilpin.verdicts import Verdict
@@ -240,3 +242,90 @@
     fleet.run(failure_detection.SUSPICION_TIMEOUT_SECONDS + 0.6)
     live = {host.address for host in fleet.nodes[relay].members.live()}
     assert dying not in live
+
+
+def decode_rows(emit):
+    """Return decoders whose values are the rows."""
+    decoders = dict.fromkeys(KINDS, lambda rows: Success(rows.get("value")))
+    decoders[UPSTREAMS] = lambda rows: Success(
+        table(*(upstream(int(name[1:])) for name in rows))
+    )
+    return decoders
+
+
+def start_fleet_with_upstreams(seed=5):
+    """Return a fleet of twelve hosts that has read three upstreams, and the store."""
+    content = StoreContent()
+    for number in range(3):
+        content.put(UPSTREAMS, f"u{number}", number)
+    fleet = Fleet(FleetSettings(seed=seed, decode_by_kind=decode_rows), content)
+    for number in range(1, 13):
+        fleet.start(number, "abc"[number % 3])
+    fleet.run(6.0)
+    for node in fleet.nodes.values():
+        assert len(node.document_cache.value(UPSTREAMS)) == 3
+    return fleet, content
+
+
+def hosts_that_use(fleet, upstream_id):
+    """Return the addresses of the hosts that use an upstream."""
+    return {
+        address
+        for address, node in fleet.nodes.items()
+        if upstream_id in node.document_cache.value(UPSTREAMS)
+    }
+
+
+def test_restarted_hosts_use_no_upstream_that_left():
+    fleet, content = start_fleet_with_upstreams()
+    content.remove(UPSTREAMS, "u1")
+    for number in (1, 4, 5):
+        fleet.kill(f"10.0.0.{number}")
+        fleet.start(number, "abc"[number % 3], incarnation=2)
+    fleet.run(2.0)
+    assert hosts_that_use(fleet, "u2") == set(fleet.nodes)
+    assert not hosts_that_use(fleet, "u1")
+
+
+@pytest.mark.parametrize("moves_on", [False, True])
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_hosts_that_return_from_a_cut_bring_back_no_upstream_that_left(seed, moves_on):
+    """Guards against a cut of some hosts that is taken for an outage of the store.
+
+    The revision of the store moves on just before the end of the cut, or stands still.
+    """
+    fleet, content = start_fleet_with_upstreams(seed)
+    returning = frozenset(a for a, node in fleet.nodes.items() if node.zone == "a")
+    others = frozenset(fleet.nodes) - returning
+    fleet.cut = content.refused = returning
+    fleet.run(1.0)
+    content.remove(UPSTREAMS, "u1")
+    fleet.run(4.0)
+    assert hosts_that_use(fleet, "u1") == returning
+    if moves_on:
+        content.put(CONFIGURATION, "value", {})
+    fleet.cut = content.refused = frozenset()
+    for _ in range(60):
+        fleet.run(0.05)
+        assert not hosts_that_use(fleet, "u1") & others
+    assert not hosts_that_use(fleet, "u1")
+
+
+def test_entries_that_expired_in_an_outage_stay_in_use_on_every_host_for_a_while():
+    """The revision stands still once the store is back, and one entry returns."""
+    fleet, content = start_fleet_with_upstreams()
+    content.is_down = True
+    fleet.run(6.0)
+    for number in range(3):
+        content.remove(UPSTREAMS, f"u{number}")
+    fleet.run(1.0)
+    content.is_down = False
+    back_at = fleet.now()
+    fleet.run(1.5)
+    for number in range(3):
+        assert hosts_that_use(fleet, f"u{number}") == set(fleet.nodes)
+    content.put(UPSTREAMS, "u0", 0)
+    fleet.run(MAX_RETRY_DELAY_SECONDS + REREGISTRATION_SECONDS + back_at - fleet.now())
+    fleet.run(0.5)
+    assert hosts_that_use(fleet, "u0") == set(fleet.nodes)
+    assert not hosts_that_use(fleet, "u1") | hosts_that_use(fleet, "u2")
--- a/trefoilpin/tests/gateway/test_store_readers.py
+++ b/trefoilpin/tests/gateway/test_store_readers.py
@@ -11,6 +11,7 @@
 from trefoilpin.gateway import store_readers
 from trefoilpin.gateway.document_cache import CONFIGURATION, UPSTREAMS
 from trefoilpin.gateway.documents import CODEC
+from trefoilpin.gateway.store_outages import REREGISTRATION_SECONDS
 from trefoilpin.gateway.stores import Listing, Store, StoreFailure
 
 # Age bound of draining upstreams and of the configuration.
@@ -159,7 +160,7 @@
     script.answers = [listing(10, u1={"x": 1})]
     service.step(UPSTREAMS)
     assert set(cache.value(UPSTREAMS)) == {"u1", "u2"}
-    clock.time += store_readers.REREGISTRATION_SECONDS
+    clock.time += REREGISTRATION_SECONDS
     script.answers = [listing(11, u1={"x": 1})]
     service.step(UPSTREAMS)
     assert set(cache.value(UPSTREAMS)) == {"u1"}
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -23,15 +23,17 @@
      - revision
      - digest
      - age
+     - unbroken
 
     """
 
 
-    def __init__(self, kind=None, revision=None, digest=None, age=None,):
+    def __init__(self, kind=None, revision=None, digest=None, age=None, unbroken=None,):
         self.kind = kind
         self.revision = revision
         self.digest = digest
         self.age = age
+        self.unbroken = unbroken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -62,6 +64,11 @@
                     self.age = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.unbroken = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -88,6 +95,10 @@
             oprot.writeFieldBegin('age', TType.DOUBLE, 4)
             oprot.writeDouble(self.age)
             oprot.writeFieldEnd()
+        if self.unbroken is not None:
+            oprot.writeFieldBegin('unbroken', TType.DOUBLE, 5)
+            oprot.writeDouble(self.unbroken)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -114,16 +125,18 @@
      - age
      - document
      - base
+     - unbroken
 
     """
 
 
-    def __init__(self, kind=None, revision=None, age=None, document=None, base=None,):
+    def __init__(self, kind=None, revision=None, age=None, document=None, base=None, unbroken=None,):
         self.kind = kind
         self.revision = revision
         self.age = age
         self.document = document
         self.base = base
+        self.unbroken = unbroken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -159,6 +172,11 @@
                     self.base = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.unbroken = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -189,6 +207,10 @@
             oprot.writeFieldBegin('base', TType.I64, 5)
             oprot.writeI64(self.base)
             oprot.writeFieldEnd()
+        if self.unbroken is not None:
+            oprot.writeFieldBegin('unbroken', TType.DOUBLE, 6)
+            oprot.writeDouble(self.unbroken)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -700,6 +722,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.I64, 'digest', None, None, ),  # 3
     (4, TType.DOUBLE, 'age', None, None, ),  # 4
+    (5, TType.DOUBLE, 'unbroken', None, None, ),  # 5
 )
 all_structs.append(DocumentStruct)
 DocumentStruct.thrift_spec = (
@@ -709,6 +732,7 @@
     (3, TType.DOUBLE, 'age', None, None, ),  # 3
     (4, TType.STRING, 'document', 'BINARY', None, ),  # 4
     (5, TType.I64, 'base', None, None, ),  # 5
+    (6, TType.DOUBLE, 'unbroken', None, None, ),  # 6
 )
 all_structs.append(ZoneViewStruct)
 ZoneViewStruct.thrift_spec = (
