Bound the memory for an answer without end

What callers saw, by the report of another operator: a faulty upstream sent bytes without end, the host kept them until its memory was full, and the requests of other callers ended with it. Here: nothing was kept without any bound, but up to 100 header lines of 64 KB each were (6.7 MB for a request), and a buffer of 1 MiB of two-byte chunks took 13.1 MB until it was joined. With 300 MB for a host and some dozens of requests at such an upstream that is the same end. Change: a head, with the 1xx answers before it, has 64 KiB at most; chunks are joined 8 KiB at a time. Test: test_memory_for_an_endless_answer_is_bounded (16 kinds of answers, bound 3.3 MB: 200 MB for 60 requests).

--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -31,8 +31,12 @@
 ]
 
 READ_BYTES = 65_536
+# Chunks that are joined at a time.
+JOINED_BYTES = 8_192
 # Reads of 8 KB; other tasks wait a few milliseconds meanwhile.
 READS_PER_YIELD = 8
+# Status line and headers of an answer, with those of the 1xx answers before it.
+MAX_HEAD_BYTES = 65_536
 METHODS_WITHOUT_BODY = frozenset(("DELETE", "GET", "HEAD", "OPTIONS"))
 INFORMATIONAL = range(100, 200)
 SWITCHING_PROTOCOLS = 101
@@ -79,7 +83,8 @@
     may_repeat_refusal : bool
         True once a refusal that names no request arrived on it. A copy of it could be
         taken for the answer to a later request.
-    is_reading_head : bool
+    head_bytes_left : int or None
+        How much longer the head that is being read may be; None outside of a head.
     """
 
     def __init__(self, address, http_connection):
@@ -93,7 +98,7 @@
         self.max_idle = None
         self.is_suspect = False
         self.may_repeat_refusal = False
-        self.is_reading_head = False
+        self.head_bytes_left = None
 
 
 def set_dead_peer_timeouts(sock):
@@ -138,7 +143,7 @@
 
 
 def create_strict_readline(connection):
-    """Return a ``readline`` that raises on a head that ends early.
+    """Return a ``readline`` that raises on a head that is too long or ends early.
 
     The response class takes the end of the stream for the end of the headers, and so
     an answer that was cut there for one with an empty body.
@@ -147,8 +152,11 @@
 
     def readline(limit):
         line = reader.readline(limit)
-        if not connection.is_reading_head:
+        if connection.head_bytes_left is None:
             return line
+        connection.head_bytes_left -= len(line)
+        if connection.head_bytes_left < 0:
+            raise http.client.HTTPException("the head is too long")
         if not line.endswith(b"\n") and len(line) < limit:
             raise http.client.HTTPException("the head ended early")
         return line
@@ -268,12 +276,12 @@
     OSError, http.client.HTTPException
         When the connection broke, or the answer is malformed or ends in its head.
     """
-    connection.is_reading_head = True
+    connection.head_bytes_left = MAX_HEAD_BYTES
     response = http.client.HTTPConnection.getresponse(connection.http_connection)
     while response.status in INFORMATIONAL and response.status != SWITCHING_PROTOCOLS:
         response.headers = None
         response.begin()
-    connection.is_reading_head = False
+    connection.head_bytes_left = None
     return response
 
 
@@ -285,10 +293,10 @@
     OSError, http.client.HTTPException
         When the connection broke, or the answer is malformed or ends in its head.
     """
-    connection.is_reading_head = True
+    connection.head_bytes_left = MAX_HEAD_BYTES
     response = connection.http_connection.response_class(connection.sock, method=method)
     response.begin()
-    connection.is_reading_head = False
+    connection.head_bytes_left = None
     return response
 
 
@@ -341,8 +349,7 @@
         When the body ends before its length or final chunk.
     """
     if response.chunked:
-        body = response.read(max_buffered + 1)
-        return body, response.isclosed()
+        return read_chunks(response, max_buffered + 1), response.isclosed()
     if response.length is None:
         body = response.read(max_buffered + 1)
         return body, len(body) <= max_buffered
@@ -354,6 +361,18 @@
     return body, False
 
 
+def read_chunks(response, size):
+    """Read up to a number of bytes of a chunked body.
+
+    Small chunks need many times their size in memory until they are joined, so that is
+    done for a part of the body at a time.
+    """
+    body = bytearray()
+    while not response.isclosed() and len(body) < size:
+        body += response.read(min(JOINED_BYTES, size - len(body)))
+    return bytes(body)
+
+
 def read_rest(response):
     """Read the next part of a body that was not buffered, empty at its end.
 
@@ -364,8 +383,10 @@
     """
     if response.isclosed():
         return b""
+    if response.chunked:
+        return read_chunks(response, READ_BYTES)
     expected = response.length
     part = response.read(READ_BYTES)
-    if not response.chunked and not part and expected:
+    if not part and expected:
         raise http.client.IncompleteRead(part, expected)
     return part
--- a/trefoilpin/fakes/endless_upstreams.py
+++ b/trefoilpin/fakes/endless_upstreams.py
@@ -23,6 +23,11 @@
     "interim_answers_drip": (b"", INTERIM_RESPONSE, 0.02),
     "interim_answers_flood": (b"", INTERIM_RESPONSE * 1000, 0.0),
     "header_lines_flood": (OK_STATUS_LINE, HEADER_LINE * 1000, 0.0),
+    "long_header_lines_flood": (
+        OK_STATUS_LINE,
+        b"X-Odd: " + b"x" * 65_000 + b"\r\n",
+        0.0,
+    ),
     "one_header_line_floods": (OK_STATUS_LINE + b"X-Odd: ", b"x" * 65_536, 0.0),
     "body_drips": (OK_STATUS_LINE + b"\r\n", b"x", 0.02),
     "body_floods": (OK_STATUS_LINE + b"\r\n", b"x" * 65_536, 0.0),
@@ -31,6 +36,7 @@
     "chunks_drip": (CHUNKED_HEAD, b"1\r\nx\r\n", 0.02),
     "chunks_flood": (CHUNKED_HEAD, CHUNK * 60, 0.0),
     "tiny_chunks_flood": (CHUNKED_HEAD, b"1\r\nx\r\n" * 10_000, 0.0),
+    "two_byte_chunks_flood": (CHUNKED_HEAD, b"2\r\nxx\r\n" * 10_000, 0.0),
     "trailers_drip": (CHUNKED_HEAD + CHUNK + b"0\r\n", HEADER_LINE, 0.02),
     "trailers_flood": (CHUNKED_HEAD + CHUNK + b"0\r\n", HEADER_LINE * 6_000, 0.0),
 }
--- a/trefoilpin/tests/test_endless_answers.py
+++ b/trefoilpin/tests/test_endless_answers.py
@@ -2,7 +2,8 @@
 
 Guards against an upstream that sends without end and keeps the host's event loop
 busy: a caller must have its final answer within half a second after its route's
-timeout, and the other tasks of the host must go on running meanwhile.
+timeout, and the other tasks of the host must go on running meanwhile. Such an answer
+must also not fill the host's memory, which would end the requests of other callers.
 """
 
 import pathlib
@@ -10,6 +11,7 @@
 import subprocess
 import sys
 import time
+import tracemalloc
 
 import eventlet
 import pytest
@@ -17,6 +19,7 @@
 from trefoilpin import clocks, forwarders
 from trefoilpin.dialects import DEFAULT
 from trefoilpin.fakes.endless_upstreams import RESPONSE_BY_SCENARIO
+from trefoilpin.gateway.daemons import MAX_BUFFERED_BYTES
 from trefoilpin.kernel import create_kernel
 from trefoilpin.messages import CallerRequest
 from trefoilpin.records import Upstream
@@ -29,6 +32,10 @@
 MAX_GAP_SECONDS = 0.25
 TICK_INTERVAL_SECONDS = 0.01
 MAX_BUFFERED = 100_000
+# A host has 300 MB and needs 100 MB of them; 60 requests at a faulty upstream must fit.
+MAX_PEAK_BYTES = 200_000_000 // 60
+# Time to receive a whole buffer of small chunks while allocations are traced.
+MEMORY_DEADLINE_SECONDS = 3.0
 
 
 class EndlessUpstream:
@@ -44,7 +51,7 @@
         self.process.communicate()
 
 
-def time_request(upstream):
+def time_request(upstream, max_buffered=MAX_BUFFERED, seconds=DEADLINE_SECONDS):
     """Return the seconds that a request and its answer, read to the end, take."""
     kernel = create_kernel(
         clocks.system_clock(eventlet.sleep), lambda *task: None, random.Random(1)
@@ -52,13 +59,13 @@
     kernel.register("events", Events(lambda *event, **fields: None, lambda: None))
     dialect = DEFAULT._replace(allows_unframed=True)
     service = forwarders.create(
-        kernel, forwarders.ForwarderBounds(MAX_BUFFERED), dialect
+        kernel, forwarders.ForwarderBounds(max_buffered), dialect
     )
     request = CallerRequest(
         "r1", "GET", "h", "/", "", (), b"", "127.0.0.1", 0.0, lambda: False
     )
     began = clocks.boot_seconds()
-    deadline = began + DEADLINE_SECONDS
+    deadline = began + seconds
     target = Upstream("u", upstream.address, "a", 1)
     attempt = service.exchange(target, request, deadline, True)
     if attempt.answer is not None and attempt.answer.rest is not None:
@@ -89,3 +96,18 @@
     assert seconds <= DEADLINE_SECONDS + MAX_OVERRUN_SECONDS
     gaps = [later - earlier for earlier, later in zip(ticks, ticks[1:])]
     assert max(gaps) <= MAX_GAP_SECONDS
+
+
+@pytest.mark.parametrize("behavior", RESPONSE_BY_SCENARIO)
+def test_memory_for_an_endless_answer_is_bounded(behavior):
+    """Guards against a host that keeps all that a faulty upstream sends."""
+    upstream = EndlessUpstream(behavior)
+    tracemalloc.start()
+    try:
+        with eventlet.Timeout(10 * DEADLINE_SECONDS):
+            time_request(upstream, MAX_BUFFERED_BYTES, MEMORY_DEADLINE_SECONDS)
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+        upstream.stop()
+    assert peak <= MAX_PEAK_BYTES
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -196,6 +196,15 @@
         assert attempt.reason is Reason.UPSTREAM_BROKEN
 
 
+def test_head_beyond_the_limit_is_dropped(upstream):
+    """Guards against a host whose memory is filled by heads of a faulty upstream."""
+    line = b"X-Odd: " + b"x" * 1000 + b"\r\n"
+    upstream.steps = [b"HTTP/1.1 200 OK\r\n" + line * 66 + b"Content-Length: 0\r\n\r\n"]
+    attempt = upstream.call()
+    assert attempt.answer is None
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN
+
+
 def test_answer_without_request_id_after_one_with_it_is_dropped(upstream):
     upstream.steps = [COMPLETE_WITH_ID, COMPLETE]
     assert upstream.call().answer.body == b"ok"
