Wait in a planned stop until all answers were written

Cause: the stop waited for requests without an answer. That count falls when the head of an answer is there; what is streamed later, or read slowly by its caller, was not waited for. Change: it waits for requests whose answer was not written completely, as the connections count them.

--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -90,12 +90,14 @@
 
     ``close_idle(is_due)`` closes idle connections of callers for whose
     ``ConnectionState`` ``is_due`` returns True; ``connection_count()`` is the number of
-    connections. ``close()`` stops accepting and returns when the requests in progress
-    were answered.
+    connections, and ``unanswered_count()`` the number of requests whose answer was not
+    written completely. ``close()`` stops accepting and returns when the requests in
+    progress were answered.
     """
 
     close_idle: Callable
     connection_count: Callable[[], int]
+    unanswered_count: Callable[[], int]
     close: Callable[[], None]
 
 
@@ -363,10 +365,17 @@
     def connection_count():
         return sum(len(listener.connections) for listener in open_listeners)
 
+    def unanswered_count():
+        count = 0
+        for listener in open_listeners:
+            for connection in listener.connections.values():
+                count += len(connection.pending)
+        return count
+
     def close():
         while open_listeners:
             listeners.close(open_listeners.pop())
 
-    service = Frontends(close_idle, connection_count, close)
+    service = Frontends(close_idle, connection_count, unanswered_count, close)
     kernel.register("frontends", service, start)
     return service
--- a/trefoilpin/gateway/shutdowns.py
+++ b/trefoilpin/gateway/shutdowns.py
@@ -3,7 +3,8 @@
 The host reports that it is not ready and is left out of address answers, but it keeps
 serving callers that still use its address, and closes each connection after the answer.
 Idle connections are closed one by one. Once callers have had time to get a new address
-answer, further requests are refused as not run, and the host exits after the last one.
+answer, further requests are refused as not run, and the host exits after the last
+answer was written.
 """
 
 from typing import Callable, NamedTuple
@@ -64,13 +65,13 @@
             close_idle_connections(now() - started_at, serving)
             sleep(STEP_INTERVAL_SECONDS)
         proxies.close()
-        while proxies.under_way() and now() < started_at + grace * GRACE_SHARE:
+        while frontends.unanswered_count() and now() < started_at + grace * GRACE_SHARE:
             sleep(STEP_INTERVAL_SECONDS)
         sleep(EXIT_DELAY_SECONDS)
         emit(
             events.GATEWAY_STOPPED,
             seconds=round(now() - started_at, 3),
-            under_way=proxies.under_way(),
+            under_way=frontends.unanswered_count(),
         )
 
     def close_idle_connections(elapsed, serving):
--- a/trefoilpin/tests/gateway/test_shutdowns.py
+++ b/trefoilpin/tests/gateway/test_shutdowns.py
@@ -33,6 +33,9 @@
         return 3
 
     def under_way(self):
+        return 0
+
+    def unanswered_count(self):
         return int(self.clock.time - self.started_at < self.last_request_seconds)
 
     def close_idle(self, is_due):
@@ -59,7 +62,8 @@
     assert named(lines, events.GATEWAY_STOPPED)[0]["under_way"] == 0
 
 
-def test_running_requests_are_awaited_until_shortly_before_the_kill():
+def test_answers_are_awaited_until_shortly_before_the_kill():
+    """Guards against a stop that cuts answers that are being passed on."""
     services, clock, lines = run(last_request_seconds=4.2)
     assert 4.2 <= clock.time - services.started_at <= 4.5
     services, clock, lines = run(last_request_seconds=99.0)
