Start no attempt in a planned stop that would be cut at its end

What callers saw, by the report of another operator: requests that came late in the grace were taken, passed on and cut without an answer at its end, also those that may not run again (LOST). Here: the window for new requests counted from when the host noticed the signal, so a busy host took requests later than 3 s after it, and requests that had waited in a queue were sent at any time up to the end of the process. Change: times count from the signal. From then on no attempt is started that typically takes until after the end; its caller is told at once that the request has not run. Tests that failed before: test_times_count_from_the_signal_on_a_host_that_notices_it_late, test_attempt_that_would_be_cut_by_the_end_of_a_stop_is_refused_as_not_run (neither function existed).

--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -282,7 +282,7 @@
     def request_stop(number, frame):
         if not signals:
             eventlet.spawn_after(0, stopping.send)
-        signals.append(signal.Signals(number).name)
+        signals.append((signal.Signals(number).name, kernel.clock.now()))
 
     def request_reload(number, frame):
         eventlet.spawn_after(0, reload_settings, adapter, settings, emit)
@@ -300,7 +300,7 @@
         incarnation=own.incarnation,
     )
     stopping.wait()
-    kernel.find("shutdowns").stop(signals[0])
+    kernel.find("shutdowns").stop(*signals[0])
     kernel.find("events").flush()
 
 
--- a/trefoilpin/gateway/dispatchers.py
+++ b/trefoilpin/gateway/dispatchers.py
@@ -17,6 +17,7 @@
     INTERRUPTED,
     NOT_CURRENT,
     SERVER_ERRORS,
+    STOPPING,
     is_failed,
     is_unreached,
 )
@@ -72,19 +73,22 @@
     ``dispatch(context)`` runs attempts until the request is done and stores the outcome
     in the ``RequestContext``. ``typical_seconds(route)`` is the typical duration of a
     route's requests, and ``are_keys_stale()`` tells whether the configuration is too
-    old to trust keys.
+    old to trust keys. After ``end_by(time)`` no attempt is started that would typically
+    take until after that time of the clock.
     """
 
     dispatch: Callable
     typical_seconds: Callable
     are_keys_stale: Callable[[], bool]
+    end_by: Callable[[float], None]
 
 
 class DispatchState:
-    """Typical durations by route."""
+    """Typical durations by route, and the time at which this host ends."""
 
     def __init__(self):
         self.typical_seconds_by_route: dict[str, float] = {}
+        self.ends_at = float("inf")
 
 
 def create(kernel, settings, create_event):
@@ -154,6 +158,8 @@
         early_refusal = None
         if context.request.caller_gone():
             early_refusal = CALLER_LEFT
+        elif now() + context.typical_seconds > state.ends_at:
+            early_refusal = STOPPING
         elif context.account is not None and are_keys_stale():
             early_refusal = NOT_CURRENT
         if early_refusal is None:
@@ -314,6 +320,9 @@
     def are_keys_stale():
         return document_cache.age(CONFIGURATION) > settings.key_seconds
 
-    service = Dispatchers(dispatch, typical_seconds, are_keys_stale)
+    def end_by(time):
+        state.ends_at = time
+
+    service = Dispatchers(dispatch, typical_seconds, are_keys_stale, end_by)
     kernel.register("dispatchers", service)
     return service
--- a/trefoilpin/gateway/shutdowns.py
+++ b/trefoilpin/gateway/shutdowns.py
@@ -4,7 +4,8 @@
 serving callers that still use its address, and closes each connection after the answer.
 Idle connections are closed one by one. Once callers have had time to get a new address
 answer, further requests are refused as not run, and the host exits after the last
-answer was written.
+answer was written. No request is sent to an upstream that typically would not be
+answered before the process is killed; its caller is told at once that it has not run.
 """
 
 from typing import Callable, NamedTuple
@@ -25,9 +26,13 @@
 
 
 class Shutdowns(NamedTuple):
-    """``shutdowns``: ``stop(signal_name)`` returns once the daemon may exit."""
+    """``shutdowns``: ``stop(signal_name, signalled_at)`` ends this host.
 
-    stop: Callable[[str], None]
+    It returns once the daemon may exit. ``signalled_at`` is the time of the signal in
+    seconds of the clock.
+    """
+
+    stop: Callable[[str, float], None]
 
 
 def create(kernel, grace):
@@ -48,11 +53,13 @@
     members = kernel.find("members")
     gossip = kernel.find("gossip")
     proxies = kernel.find("proxies")
+    dispatchers = kernel.find("dispatchers")
     frontends = kernel.find("frontends")
 
-    def stop(signal_name):
-        started_at = now()
+    def stop(signal_name, signalled_at):
+        ends_at = signalled_at + grace * GRACE_SHARE
         members.stop()
+        dispatchers.end_by(ends_at)
         gossip.notify_all()
         emit(
             events.GATEWAY_STOPPING,
@@ -61,16 +68,16 @@
             connections=frontends.connection_count(),
         )
         serving = min(MAX_SERVING_SECONDS, grace / 2)
-        while now() < started_at + serving:
-            close_idle_connections(now() - started_at, serving)
+        while now() < signalled_at + serving:
+            close_idle_connections(now() - signalled_at, serving)
             sleep(STEP_INTERVAL_SECONDS)
         proxies.close()
-        while frontends.unanswered_count() and now() < started_at + grace * GRACE_SHARE:
+        while frontends.unanswered_count() and now() < ends_at:
             sleep(STEP_INTERVAL_SECONDS)
         sleep(EXIT_DELAY_SECONDS)
         emit(
             events.GATEWAY_STOPPED,
-            seconds=round(now() - started_at, 3),
+            seconds=round(now() - signalled_at, 3),
             under_way=frontends.unanswered_count(),
         )
 
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -89,7 +89,7 @@
         self.upstreams = upstreams.create(kernel, "a", lambda: 1)
         kernel.register("forwarders", Forwarders(self.exchange))
         settings = DispatchSettings(MAX_KEY_AGE_SECONDS, "x-account", "x-expected")
-        dispatchers.create(kernel, settings, eventlet.event.Event)
+        self.dispatchers = dispatchers.create(kernel, settings, eventlet.event.Event)
         self.proxies = proxies.create(kernel)
         routes = (ROUTE, IDEMPOTENT, OPEN, *PRIORITY_ROUTES)
         self.put(CONFIGURATION, 1, configuration(routes))
@@ -181,6 +181,20 @@
     assert len(host.sends) < 8
 
 
+def test_attempt_that_would_be_cut_by_the_end_of_a_stop_is_refused_as_not_run(host):
+    """Guards against requests that are passed on late in the grace and then cut."""
+    host.attempts = [GOOD, SHED]
+    typical_seconds = host.dispatchers.typical_seconds(ROUTE)
+    host.dispatchers.end_by(host.clock.time + typical_seconds + 0.1)
+    assert isinstance(host.send_request(), Success)
+    host.attempts = [lambda host: host.clock.sleep(0.2) or SHED]
+    for _ in range(2):
+        refusal = get_refusal(host.send_request())
+        assert refusal.reason is Reason.STOPPING
+        assert refusal.verdict is Verdict.NOT_RUN and refusal.retry_after
+    assert len(host.sends) == 2
+
+
 def test_route_limits_the_number_of_attempts(host):
     host.attempts = [SHED, SHED]
     refusal = get_refusal(host.send_request())
--- a/trefoilpin/tests/gateway/test_shutdowns.py
+++ b/trefoilpin/tests/gateway/test_shutdowns.py
@@ -1,5 +1,7 @@
 """A planned shutdown keeps serving, then refuses, and waits for running requests."""
 
+import pytest
+
 from trefoilpin import events
 from trefoilpin.fakes.gateways import create_host, named
 from trefoilpin.gateway import shutdowns
@@ -16,7 +18,13 @@
         self.started_at = clock.time
         self.calls = []
         self.close_idle_calls = []
-        for name in ("members", "gossip", "proxies", "frontends"):
+        for name in (
+            "members",
+            "gossip",
+            "proxies",
+            "dispatchers",
+            "frontends",
+        ):
             kernel.register(name, self)
 
     def stop(self):
@@ -29,6 +37,9 @@
         self.calls.append("closed")
         self.closed_after = self.clock.time - self.started_at
 
+    def end_by(self, time):
+        self.ends_after = time - self.started_at
+
     def connection_count(self):
         return 3
 
@@ -48,10 +59,13 @@
         self.idle_since = idle_since
 
 
-def run(last_request_seconds):
+def run(last_request_seconds, delay=0.0):
+    """Stop a host whose task begins some time after the signal."""
     kernel, clock, lines = create_host()
     services = Services(kernel, clock, last_request_seconds)
-    shutdowns.create(kernel, GRACE).stop("SIGTERM")
+    signalled_at = clock.time
+    clock.time += delay
+    shutdowns.create(kernel, GRACE).stop("SIGTERM", signalled_at)
     return services, clock, lines
 
 
@@ -71,6 +85,15 @@
     assert named(lines, events.GATEWAY_STOPPED)[0]["under_way"] == 1
 
 
+@pytest.mark.parametrize("delay", [0.0, 0.7])
+def test_times_count_from_the_signal_on_a_host_that_notices_it_late(delay):
+    """Guards against requests that are taken late in the grace and then cut."""
+    services, clock, _ = run(99.0, delay)
+    assert 2.9 <= services.closed_after <= 3.1
+    assert services.ends_after == pytest.approx(GRACE * shutdowns.GRACE_SHARE)
+    assert clock.time - services.started_at <= GRACE - 0.2
+
+
 def test_idle_connections_are_closed_one_by_one_and_busy_ones_kept():
     services, _, _ = run(last_request_seconds=0.0)
     early, late = services.close_idle_calls[1][1], services.close_idle_calls[-1][1]
