Route and forward a path as its caller sent it

Cause: the request parser of the standard library reduces several slashes at the start of a path to one, against redirects that begin so; routes, fingerprints and upstreams got that path. Change: the path of the request line is restored before the request is handed on, so such a path gets a 404 unless a route begins like it.

--- a/trefoilpin/connections.py
+++ b/trefoilpin/connections.py
@@ -324,6 +324,8 @@
 
     def get_environ_with_connection():
         parsed.wfile = connection.writer
+        # The parser reduces several slashes at the start of a path to one.
+        parsed.path = parsed.requestline.split()[1]
         environ = get_environ()
         environ[CONNECTION] = connection
         environ[PROTOCOL] = parsed
--- a/trefoilpin/tests/test_connections.py
+++ b/trefoilpin/tests/test_connections.py
@@ -120,6 +120,16 @@
         assert read_bodies(reader, 2) == ["/3", "/4"]
 
 
+@pytest.mark.parametrize("path", ["//a", "///a", "//", "//b/../a", "/a//b"])
+def test_path_is_served_as_it_was_sent(server, path):
+    """Guards against a request that runs as one with another path."""
+    server.event(path).send()
+    with socket.create_connection(server.address, timeout=5) as sock:
+        sock.sendall(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        assert read_bodies(sock.makefile("rb"), 1) == [path]
+    assert server.started == [path]
+
+
 def test_part_of_a_request_does_not_delay_the_answer_before_it(server):
     with socket.create_connection(server.address, timeout=5) as sock:
         reader = sock.makefile("rb")
