Keep accepting callers after a host had no descriptor left

Cause: an error of accept ends the library's server, which closes the listening socket. The four listeners of a host might take 3,000 connections each, more than the descriptors of the process. Change: accept waits and tries again while nothing is left. A listener that is at its limit or out of descriptors closes connections that have been idle for longest, as new callers would wait for those otherwise. Callers and the directory get 2,400 and 600 connections, the others 100 each.

--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -32,7 +32,11 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_CONNECTIONS = 3000
+# Together three quarters of the descriptors of a host; the others are for upstreams,
+# other hosts, the store and files.
+MAX_CALLER_CONNECTIONS = 2400
+MAX_DIRECTORY_CONNECTIONS = 600
+MAX_OTHER_CONNECTIONS = 100
 # Timeout of the sockets. The limit for idle connections is set by the configuration and
 # enforced by a periodic check.
 SOCKET_TIMEOUT_SECONDS = 60.0
@@ -323,12 +327,12 @@
     def report_malformed(peer, detail):
         emit(events.REQUEST_MALFORMED, peer=peer, detail=detail)
 
-    def open_listener(address, application, prepare=None):
+    def open_listener(address, application, max_connections, prepare=None):
         if address is None:
             return
         listener = listeners.listen(address)
         open_listeners.append(listener)
-        connection_limits = (MAX_CONNECTIONS, SOCKET_TIMEOUT_SECONDS)
+        connection_limits = (max_connections, SOCKET_TIMEOUT_SECONDS)
         kernel.spawn(
             listeners.serve,
             listener,
@@ -341,10 +345,10 @@
         )
 
     def start():
-        open_listener(addresses.control, serve_control)
-        open_listener(addresses.callers, serve_callers, prepare)
-        open_listener(addresses.readiness, serve_readiness)
-        open_listener(addresses.directory, serve_directory)
+        open_listener(addresses.control, serve_control, MAX_OTHER_CONNECTIONS)
+        open_listener(addresses.callers, serve_callers, MAX_CALLER_CONNECTIONS, prepare)
+        open_listener(addresses.readiness, serve_readiness, MAX_OTHER_CONNECTIONS)
+        open_listener(addresses.directory, serve_directory, MAX_DIRECTORY_CONNECTIONS)
         kernel.spawn(
             repeat,
             kernel.clock.sleep,
--- a/trefoilpin/listeners.py
+++ b/trefoilpin/listeners.py
@@ -1,9 +1,13 @@
 """Listening sockets, served by eventlet's WSGI server.
 
 Adds to the server: requests that it can't parse are answered as JSON and reported, and
-connections can be closed while idle or after their next answer.
+connections can be closed while idle or after their next answer. A listener that is at
+its limit, or has no descriptor left, makes room for new callers by closing the
+connections that have been idle for longest.
 """
 
+import errno
+import heapq
 import json
 import logging
 import socket
@@ -50,6 +54,11 @@
 logger = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024
+# The process or the system has no descriptor or no memory left for a connection.
+EXHAUSTED_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+ACCEPT_RETRY_SECONDS = 0.1
+# Idle connections that are closed at once to make room.
+CLOSED_FOR_ROOM = 32
 
 
 class Listener:
@@ -122,6 +131,8 @@
 
     def spawn(self, process, server_state):
         """Start the task of an accepted connection."""
+        if self.tasks.free() <= 0:
+            make_room(self.listener)
         connection = self.create_connection(server_state)
         self.listener.connections[id(server_state)] = connection
         is_started = False
@@ -168,6 +179,7 @@
             del listener.connections[id(server_state)]
 
     listener.task = eventlet.getcurrent()
+    listener.sock.accept = create_patient_accept(listener)
     try:
         eventlet.wsgi.server(
             listener.sock,
@@ -183,6 +195,48 @@
         listener.closed.send()
 
 
+def create_patient_accept(listener):
+    """Return an ``accept`` for a listener that waits while no descriptor is left.
+
+    Eventlet's server would close the listening socket, for good.
+    """
+    accept = listener.sock.accept
+    is_exhausted = False
+
+    def accept_patiently():
+        nonlocal is_exhausted
+        while True:
+            try:
+                accepted = accept()
+            except OSError as error:
+                if error.errno not in EXHAUSTED_ERRNOS:
+                    raise
+                if not is_exhausted:
+                    logger.warning("no connection can be accepted: %s", error)
+                is_exhausted = True
+                make_room(listener)
+                eventlet.sleep(ACCEPT_RETRY_SECONDS)
+                continue
+            if is_exhausted:
+                logger.warning("connections are accepted again")
+            is_exhausted = False
+            return accepted
+
+    return accept_patiently
+
+
+def make_room(listener):
+    """Close the connections of a listener that have been idle for longest."""
+    connections = listener.connections.values()
+    longest_idle = heapq.nsmallest(
+        CLOSED_FOR_ROOM, connections, key=lambda connection: connection.idle_since
+    )
+    closed = 0
+    for connection in longest_idle:
+        closed += close_if_idle(connection)
+    logger.info("closed %d idle connections to make room", closed)
+
+
 def close_if_idle(connection, refusal=None):
     """Close a connection if it is idle; return False if it is not.
 
--- a/trefoilpin/tests/test_listeners.py
+++ b/trefoilpin/tests/test_listeners.py
@@ -1,5 +1,6 @@
 """Closing of listeners and connections, which must not cut a request in progress."""
 
+import errno
 import json
 import random
 import socket
@@ -10,6 +11,7 @@
 from trefoilpin import clocks, listeners
 from trefoilpin.frontends import CLOSING
 
+MAX_CONNECTIONS = 10
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -25,7 +27,7 @@
             listeners.serve,
             self.listener,
             self.application,
-            (10, 5.0),
+            (MAX_CONNECTIONS, 5.0),
             clocks.system_clock(eventlet.sleep),
             random.Random(1),
             lambda peer, detail: None,
@@ -149,6 +151,37 @@
         closing.wait()
 
 
+def test_listener_goes_on_after_it_had_no_descriptor_left(server):
+    """Guards against a host that never accepts a caller again after a burst."""
+    accept = server.listener.sock.accept
+    failures = [errno.EMFILE, errno.ENFILE, errno.EMFILE]
+    server.may_answer.send()
+
+    def accept_or_fail():
+        if failures:
+            raise OSError(failures.pop(), "no descriptor left")
+        return accept()
+
+    server.listener.sock.accept = accept_or_fail
+    with socket.create_connection(server.address, timeout=5) as sock:
+        sock.sendall(REQUEST)
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    assert not failures
+
+
+def test_listener_at_its_limit_closes_idle_connections_for_new_ones(server):
+    """Guards against idle callers that keep others from being accepted."""
+    server.may_answer.send()
+    sockets = []
+    for _ in range(MAX_CONNECTIONS + 2):
+        sock = socket.create_connection(server.address, timeout=2)
+        sockets.append(sock)
+        sock.sendall(REQUEST)
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    for sock in sockets:
+        sock.close()
+
+
 def test_idle_caller_that_never_closes_does_not_delay_close(server):
     with socket.create_connection(server.address, timeout=5):
         server.wait_for_connection()
