Refuse a request that crashes upstreams also when it comes again rarely

Cause: three crashes within 20 s were needed for a refusal of 60 s, and an upstream that returned under its id and crashed again was not counted. Change: crashes count for 600 s and by incarnation of the upstream. After a refusal the next crash refuses again, for twice as long. As evidence lasts longer, an answer to such a request now clears it at every host, not only where it was answered: its fingerprint goes along with gossip messages. When too many requests are suspects, the oldest is forgotten; before, their number had no bound. Guards beside: test_breaks_told_again_do_not_extend_a_refusal, test_number_of_suspects_is_bounded.

--- a/trefoilpin/gateway/dispatchers.py
+++ b/trefoilpin/gateway/dispatchers.py
@@ -11,6 +11,7 @@
 from trefoilpin import events
 from trefoilpin.gateway.concurrent_attempts import ConcurrentAttempts
 from trefoilpin.gateway.document_cache import CONFIGURATION
+from trefoilpin.gateway.poison_requests import name_incarnation
 from trefoilpin.gateway.queues import QueueRequest
 from trefoilpin.gateway.request_contexts import (
     CALLER_LEFT,
@@ -259,7 +260,8 @@
         if last.verdict is not Verdict.NOT_RUN:
             context.may_have_run = True
         if last.broke_connection:
-            poison_requests.record_break(context.fingerprint, upstream.id)
+            incarnation = name_incarnation(upstream)
+            poison_requests.record_break(context.fingerprint, incarnation)
         elif last.verdict is Verdict.RAN:
             poison_requests.record_answer(context.fingerprint)
             if last.answer.status not in SERVER_ERRORS:
--- a/trefoilpin/gateway/gossip.py
+++ b/trefoilpin/gateway/gossip.py
@@ -176,6 +176,7 @@
             state.last_update_at = now() - age
         document_fetchers.handle_versions(address, message.versions)
         poison_requests.merge_breaks(message.broken_requests)
+        poison_requests.merge_answers(message.answered_requests)
         host = (address, message.incarnation)
         is_sender = message.is_serving or bool(message.in_flight_by_upstream)
         upstreams.merge_outcomes(*host, message.outcomes, is_sender)
--- a/trefoilpin/gateway/gossip_builders.py
+++ b/trefoilpin/gateway/gossip_builders.py
@@ -116,6 +116,7 @@
             admitted_by_account={},
             documents=(),
             broken_requests=poison_requests.recent_breaks(),
+            answered_requests=poison_requests.recent_answers(),
         )
 
     def cached(key, create_value):
--- a/trefoilpin/gateway/gossip_codecs.py
+++ b/trefoilpin/gateway/gossip_codecs.py
@@ -193,6 +193,7 @@
             ZoneViewStruct(view.zone, view.digest, pack_ages(view.ages))
             for view in gossip_message.zone_views
         ],
+        answered_fingerprints=list(gossip_message.answered_requests) or None,
     )
     return serialize(message)
 
@@ -324,4 +325,5 @@
         tuple(to_document(found) for found in message.documents),
         tuple(zip(message.broken_fingerprints, message.broken_upstreams)),
         tuple(zone_views),
+        tuple(message.answered_fingerprints or ()),
     )
--- a/trefoilpin/gateway/messages.py
+++ b/trefoilpin/gateway/messages.py
@@ -144,8 +144,11 @@
     documents : tuple of Document
         Small documents that the receiver may not have.
     broken_requests : tuple of (int, str)
-        Fingerprint of a request, and the upstream whose connection broke under it.
+        Fingerprint of a request, and the incarnation of the upstream whose connection
+        broke under it.
     zone_views : tuple of ZoneView
+    answered_requests : tuple of int
+        Fingerprints of requests that had broken upstreams and were answered since.
     """
 
     incarnation: int
@@ -167,6 +170,7 @@
     documents: tuple[Document, ...]
     broken_requests: tuple[tuple[int, str], ...]
     zone_views: tuple[ZoneView, ...] = ()
+    answered_requests: tuple[int, ...] = ()
 
 
 def aged(message, seconds):
--- a/trefoilpin/gateway/poison_requests.py
+++ b/trefoilpin/gateway/poison_requests.py
@@ -2,7 +2,8 @@
 
 A connection that breaks without an answer counts against the request's fingerprint. A
 request that broke the connections of several upstreams and was not answered since is
-refused by every host for a while. A complete answer clears it.
+refused by every host for a while, twice as long each time. A complete answer at any
+host clears it. An upstream that crashed and started again counts once more.
 """
 
 import hashlib
@@ -11,18 +12,19 @@
 from trefoilpin import events
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
-__all__ = ["PoisonRequests", "create", "fingerprint"]
+__all__ = ["PoisonRequests", "create", "fingerprint", "name_incarnation"]
 
 # Upstreams that a request has to break before it is refused. With fewer, the cause may
 # be upstreams that reset the connections of any request.
 MIN_BROKEN_UPSTREAMS = 3
 REFUSAL_SECONDS = 60.0
-# Breaks that are older than this do not count.
-BREAK_WINDOW_SECONDS = 20.0
+MAX_REFUSAL_SECONDS = 3600.0
+# Breaks that are older than this do not count. A request may come again rarely.
+BREAK_WINDOW_SECONDS = 600.0
 MAX_FINGERPRINTS = 5_000
-MAX_RECENT_BREAKS = 32
-# A break is sent repeatedly to the other hosts for this time.
-BREAK_SHARING_SECONDS = 0.5
+MAX_RECENT = 32
+# A break or an answer is sent repeatedly to the other hosts for this time.
+SHARING_SECONDS = 0.5
 SEPARATOR = "\0"
 FINGERPRINT_BYTES = 8
 
@@ -31,25 +33,42 @@
     """``poison_requests``: requests that break upstreams.
 
     ``check(fingerprint)`` returns a ``Refusal`` or None. ``record_break(fingerprint,
-    upstream)`` records a broken connection, ``record_answer(fingerprint)`` a complete
-    answer. ``merge_breaks(broken_requests)`` takes the breaks that other hosts report,
-    as pairs of a fingerprint and an upstream, and ``recent_breaks()`` returns those of
-    this host.
+    incarnation)`` records a broken connection to an incarnation of an upstream,
+    ``record_answer(fingerprint)`` a complete answer. ``merge_breaks(broken_requests)``
+    takes the breaks that other hosts report, as pairs of a fingerprint and an
+    incarnation, and ``merge_answers(fingerprints)`` the answers to requests that had
+    broken upstreams. ``recent_breaks()`` and ``recent_answers()`` return those of this
+    host.
     """
 
     check: Callable
     record_break: Callable
     record_answer: Callable
     merge_breaks: Callable
+    merge_answers: Callable
     recent_breaks: Callable
+    recent_answers: Callable
 
 
 class SuspectRequest:
-    """Upstreams that one request broke, and until when the request is refused."""
+    """Upstreams that one request broke, and until when the request is refused.
+
+    Attributes
+    ----------
+    is_known : bool
+        True once the request was refused; the next break refuses it again.
+    """
 
     def __init__(self):
-        self.broken_at_by_upstream: dict[str, float] = {}
+        self.is_known = False
+        self.broken_at_by_incarnation: dict[str, float] = {}
         self.refused_until = float("-inf")
+        self.refusal_seconds = REFUSAL_SECONDS
+
+
+def name_incarnation(upstream):
+    """Return a name that an upstream has until it starts again."""
+    return f"{upstream.id}/{upstream.born}"
 
 
 def fingerprint(account, request):
@@ -74,6 +93,7 @@
     """
     suspect_by_fingerprint: dict[int, SuspectRequest] = {}
     own_breaks: list[tuple[float, int, str]] = []
+    own_answers: list[tuple[float, int]] = []
     now = kernel.clock.now
     emit = kernel.find("events").emit
 
@@ -85,60 +105,92 @@
         detail = "this request broke every upstream that ran it"
         return Refusal(Reason.SUSPECT, Verdict.NOT_RUN, detail, retry_after)
 
-    def record_break(request_fingerprint, upstream):
-        own_breaks.append((now(), request_fingerprint, upstream))
-        del own_breaks[:-MAX_RECENT_BREAKS]
-        add_break(request_fingerprint, upstream)
+    def record_break(request_fingerprint, incarnation):
+        own_breaks.append((now(), request_fingerprint, incarnation))
+        del own_breaks[:-MAX_RECENT]
+        add_break(request_fingerprint, incarnation)
 
     def merge_breaks(broken_requests):
-        for request_fingerprint, upstream in broken_requests:
-            add_break(request_fingerprint, upstream)
-
-    def add_break(request_fingerprint, upstream):
-        if len(suspect_by_fingerprint) >= MAX_FINGERPRINTS:
-            expire()
-        suspect = suspect_by_fingerprint.setdefault(
-            request_fingerprint, SuspectRequest()
-        )
-        break_times = suspect.broken_at_by_upstream
-        if upstream not in break_times:
-            break_times[upstream] = now()
-        recent = [
-            at for at in break_times.values() if now() - at < BREAK_WINDOW_SECONDS
-        ]
-        if len(recent) < MIN_BROKEN_UPSTREAMS or now() < suspect.refused_until:
+        for request_fingerprint, incarnation in broken_requests:
+            add_break(request_fingerprint, incarnation)
+
+    def add_break(request_fingerprint, incarnation):
+        suspect = suspect_by_fingerprint.get(request_fingerprint)
+        if suspect is None:
+            make_room()
+            suspect = suspect_by_fingerprint[request_fingerprint] = SuspectRequest()
+        break_times = suspect.broken_at_by_incarnation
+        break_times.setdefault(incarnation, now())
+        if now() < suspect.refused_until or not is_poison(suspect):
             return
-        suspect.refused_until = now() + REFUSAL_SECONDS
+        seconds = suspect.refusal_seconds
+        suspect.is_known = True
+        suspect.refused_until = now() + seconds
+        suspect.refusal_seconds = min(2 * seconds, MAX_REFUSAL_SECONDS)
         emit(
             events.SUSPECT_REFUSED,
             fingerprint=f"{request_fingerprint:016x}",
             upstreams=",".join(sorted(break_times)),
-            seconds=REFUSAL_SECONDS,
+            seconds=seconds,
         )
 
-    def expire():
-        for request_fingerprint, suspect in list(suspect_by_fingerprint.items()):
-            times = suspect.broken_at_by_upstream.values()
-            if (
-                now() >= suspect.refused_until
-                and now() - max(times) > BREAK_WINDOW_SECONDS
-            ):
+    def is_poison(suspect):
+        """Tell whether a request broke enough upstreams, or one after a refusal."""
+        break_times = suspect.broken_at_by_incarnation.values()
+        if suspect.is_known:
+            return max(break_times) >= suspect.refused_until
+        recent = [at for at in break_times if now() - at < BREAK_WINDOW_SECONDS]
+        return len(recent) >= MIN_BROKEN_UPSTREAMS
+
+    def make_room():
+        """Forget the request whose first break is the oldest, if there are too many."""
+        if len(suspect_by_fingerprint) < MAX_FINGERPRINTS:
+            return
+        for request_fingerprint, suspect in suspect_by_fingerprint.items():
+            if now() >= suspect.refused_until:
                 del suspect_by_fingerprint[request_fingerprint]
+                return
+        del suspect_by_fingerprint[next(iter(suspect_by_fingerprint))]
 
     def record_answer(request_fingerprint):
+        if clear(request_fingerprint):
+            own_answers.append((now(), request_fingerprint))
+            del own_answers[:-MAX_RECENT]
+
+    def merge_answers(fingerprints):
+        for request_fingerprint in fingerprints:
+            clear(request_fingerprint)
+
+    def clear(request_fingerprint):
+        """Clear a request; return False when it broke no upstream or is refused."""
         suspect = suspect_by_fingerprint.get(request_fingerprint)
-        if suspect is not None and now() >= suspect.refused_until:
-            del suspect_by_fingerprint[request_fingerprint]
+        if suspect is None or now() < suspect.refused_until:
+            return False
+        del suspect_by_fingerprint[request_fingerprint]
+        return True
 
     def recent_breaks():
         breaks = []
-        for broken_at, request_fingerprint, upstream in own_breaks:
-            if now() - broken_at < BREAK_SHARING_SECONDS:
-                breaks.append((request_fingerprint, upstream))
+        for broken_at, request_fingerprint, incarnation in own_breaks:
+            if now() - broken_at < SHARING_SECONDS:
+                breaks.append((request_fingerprint, incarnation))
         return tuple(breaks)
 
+    def recent_answers():
+        fingerprints = []
+        for answered_at, request_fingerprint in own_answers:
+            if now() - answered_at < SHARING_SECONDS:
+                fingerprints.append(request_fingerprint)
+        return tuple(fingerprints)
+
     service = PoisonRequests(
-        check, record_break, record_answer, merge_breaks, recent_breaks
+        check,
+        record_break,
+        record_answer,
+        merge_breaks,
+        merge_answers,
+        recent_breaks,
+        recent_answers,
     )
     kernel.register("poison_requests", service)
     return service
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -48,4 +48,5 @@
   22: list<DocumentStruct> documents
   23: bool tells_on
   24: list<ZoneViewStruct> zone_views
+  25: list<i64> answered_fingerprints
 }
--- a/trefoilpin/tests/gateway/test_poison_requests.py
+++ b/trefoilpin/tests/gateway/test_poison_requests.py
@@ -34,12 +34,64 @@
     assert service.check(POISON) is None
 
 
+def test_request_that_comes_again_rarely_is_refused_too():
+    """Guards against a request that crashes upstreams each time it comes again."""
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    sent = 0
+    for number in range(100):
+        if service.check(POISON) is None:
+            sent += 1
+            # Two upstreams, back under their ids after each crash.
+            service.record_break(POISON, f"u{number % 2}/{number}")
+        clock.time += 12.0
+    # Three that show it, and one after each refusal of 60, 120, 240 and 480 s.
+    assert sent <= 3 + 4
+
+
+def test_breaks_told_again_do_not_extend_a_refusal():
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    breaks = tuple((POISON, f"u{number}/1") for number in range(3))
+    service.merge_breaks(breaks)
+    clock.time += poison_requests.REFUSAL_SECONDS + 0.1
+    service.merge_breaks(breaks)
+    assert service.check(POISON) is None
+
+
+def test_answer_at_another_host_clears_a_request():
+    kernel, clock, _ = create_host()
+    other, service = poison_requests.create(kernel), None
+    other.record_break(POISON, "u1/1")
+    assert other.recent_answers() == ()
+    other.record_answer(POISON)
+    assert other.recent_answers() == (POISON,)
+    other.record_answer(POISON)
+    assert other.recent_answers() == (POISON,)
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    service.merge_breaks(((POISON, "u1/1"), (POISON, "u2/1")))
+    service.merge_answers(other.recent_answers())
+    service.merge_breaks(((POISON, "u3/1"),))
+    assert service.check(POISON) is None
+
+
+def test_number_of_suspects_is_bounded():
+    kernel, _, _ = create_host()
+    service = poison_requests.create(kernel)
+    for number in range(3):
+        service.record_break(POISON, f"u{number}/1")
+    for number in range(poison_requests.MAX_FINGERPRINTS):
+        service.record_break(1000 + number, "u1/1")
+    assert service.check(POISON) is not None
+
+
 def test_breaks_are_shared_for_a_limited_time():
     kernel, clock, _ = create_host()
     service = poison_requests.create(kernel)
     service.record_break(POISON, "u1")
     assert service.recent_breaks() == ((POISON, "u1"),)
-    clock.time += poison_requests.BREAK_SHARING_SECONDS + 0.1
+    clock.time += poison_requests.SHARING_SECONDS + 0.1
     assert service.recent_breaks() == ()
 
 
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -335,11 +335,12 @@
      - documents
      - tells_on
      - zone_views
+     - answered_fingerprints
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -364,6 +365,7 @@
         self.documents = documents
         self.tells_on = tells_on
         self.zone_views = zone_views
+        self.answered_fingerprints = answered_fingerprints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -557,6 +559,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.LIST:
+                    self.answered_fingerprints = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readI64()
+                        self.answered_fingerprints.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -606,8 +618,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter72 in self.stamps:
-                iter72.write(oprot)
+            for iter78 in self.stamps:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -617,64 +629,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter73 in self.outcome_upstreams:
-                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
+            for iter79 in self.outcome_upstreams:
+                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter74 in self.outcome_kinds:
-                oprot.writeByte(iter74)
+            for iter80 in self.outcome_kinds:
+                oprot.writeByte(iter80)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter75 in self.outcome_numbers:
-                oprot.writeI64(iter75)
+            for iter81 in self.outcome_numbers:
+                oprot.writeI64(iter81)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter76 in self.flight_upstreams:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter82 in self.flight_upstreams:
+                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter77 in self.flight_counts:
-                oprot.writeI32(iter77)
+            for iter83 in self.flight_counts:
+                oprot.writeI32(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter78 in self.admitted_accounts:
-                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
+            for iter84 in self.admitted_accounts:
+                oprot.writeString(iter84.encode('utf-8') if sys.version_info[0] == 2 else iter84)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter79 in self.admitted_counts:
-                oprot.writeI64(iter79)
+            for iter85 in self.admitted_counts:
+                oprot.writeI64(iter85)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter80 in self.broken_fingerprints:
-                oprot.writeI64(iter80)
+            for iter86 in self.broken_fingerprints:
+                oprot.writeI64(iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter81 in self.broken_upstreams:
-                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
+            for iter87 in self.broken_upstreams:
+                oprot.writeString(iter87.encode('utf-8') if sys.version_info[0] == 2 else iter87)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -684,8 +696,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter82 in self.documents:
-                iter82.write(oprot)
+            for iter88 in self.documents:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -695,8 +707,15 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter83 in self.zone_views:
-                iter83.write(oprot)
+            for iter89 in self.zone_views:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answered_fingerprints is not None:
+            oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
+            oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
+            for iter90 in self.answered_fingerprints:
+                oprot.writeI64(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -768,6 +787,7 @@
     (22, TType.LIST, 'documents', (TType.STRUCT, [DocumentStruct, None], False), None, ),  # 22
     (23, TType.BOOL, 'tells_on', None, None, ),  # 23
     (24, TType.LIST, 'zone_views', (TType.STRUCT, [ZoneViewStruct, None], False), None, ),  # 24
+    (25, TType.LIST, 'answered_fingerprints', (TType.I64, None, False), None, ),  # 25
 )
 fix_spec(all_structs)
 del all_structs
