Bound the memory for the bodies of requests

Cause: bodies are read whole and nothing bounded their sum. The fingerprint and each partial write copied them once more. What finds no room is refused at once, as not run and with a time to come back; a request that is alone gets room for any size that the configuration allows. Input of a refused request is discarded for up to 1 s so that its caller can read the answer. Bodies are hashed and written without a copy.

--- a/trefoilpin/connections.py
+++ b/trefoilpin/connections.py
@@ -42,7 +42,8 @@
 # Requests of one connection that were read and are not answered yet.
 MAX_PENDING_REQUESTS = 8
 LINGER_SECONDS = 1.0
-LINGER_BYTES = 262_144
+# A whole body of a request that was refused, on a link that is fast enough.
+LINGER_BYTES = 67_108_864
 READ_BYTES = 65_536
 
 select = eventlet.patcher.original("select")
@@ -228,6 +229,8 @@
             if not part:
                 return
             received += len(part)
+            # A socket that always has input would keep the timeout from firing.
+            eventlet.sleep(0)
 
 
 def serve_connection(connection, server, hooks):
--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -250,7 +250,8 @@
     OSError
         When the connection broke.
     """
-    connection.http_connection.endheaders(body or None)
+    # The green socket copies what is left of bytes after each partial write.
+    connection.http_connection.endheaders(memoryview(body) if body else None)
 
 
 def wait_for_answer(connection, seconds):
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -12,6 +12,7 @@
 from trefoilpin.dialects import Dialect
 from trefoilpin.gateway import (
     anti_entropy,
+    body_memory,
     directories,
     dispatchers,
     document_cache,
@@ -75,6 +76,8 @@
         Seconds over which an account's requests are counted against its rate.
     link_rate : float
         Bandwidth of the host's link in bytes per second.
+    body_bytes : int
+        Memory for the bodies of requests.
     """
 
     name: str
@@ -92,6 +95,7 @@
     retry_window: float
     rate_window: float
     link_rate: float
+    body_bytes: int
 
 
 class Adapter(NamedTuple):
@@ -242,6 +246,7 @@
     dispatchers.create(kernel, dispatch_settings, eventlet.event.Event)
     proxies.create(kernel)
     directories.create(kernel)
+    body_memory.create(kernel, settings.body_bytes)
     frontends.create(
         kernel, settings.addresses, adapter.dialect, adapter.encode_addresses
     )
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Success
 
 from trefoilpin import codecs, events, listeners
+from trefoilpin.gateway.body_memory import NO_ROOM, BodyReservation
 from trefoilpin.gateway.document_cache import CONFIGURATION, KINDS
 from trefoilpin.gateway.gossip_codecs import encode_document
 from trefoilpin.gateway.loops import repeat
@@ -200,6 +201,7 @@
     document_cache = kernel.find("document_cache")
     members = kernel.find("members")
     proxies = kernel.find("proxies")
+    body_memory = kernel.find("body_memory")
     directories = kernel.find("directories")
     gossip_builders = kernel.find("gossip_builders")
     metrics = kernel.find("metrics")
@@ -244,25 +246,39 @@
         metrics.count("requests_ahead")
         return listeners.Preparation(task, True)
 
-    def refuse_malformed(environ, start_response, refusal, request_id):
+    def refuse_unread(environ, start_response, refusal, request_id):
+        """Refuse a request whose body was not read to its end."""
         connection = environ[listeners.CONNECTION]
         connection.lingers = True
         listeners.end_after_answer(connection)
-        peer = environ["REMOTE_ADDR"]
-        emit(events.REQUEST_MALFORMED, peer=peer, detail=refusal.detail)
+        if refusal is not NO_ROOM:
+            peer = environ["REMOTE_ADDR"]
+            emit(events.REQUEST_MALFORMED, peer=peer, detail=refusal.detail)
         return send_refusal(start_response, refusal, request_id, dialect.request_id)
 
     def serve_callers(environ, start_response):
+        reservation = BodyReservation()
+        try:
+            return serve_request(environ, start_response, reservation)
+        finally:
+            body_memory.release(reservation)
+
+    def serve_request(environ, start_response, reservation):
         connection = environ[listeners.CONNECTION]
         head = read_head(environ, dialect.request_id)
         request_id = head.request_id
         ahead = environ.get(AHEAD)
+
+        def reserve(size):
+            return None if body_memory.reserve(reservation, size) else NO_ROOM
+
         if ahead is not None:
             incoming, outcome = ahead.incoming, ahead.task.wait()
         else:
-            body = head.fault or read_body(environ, limits().max_body_bytes)
+            max_body_bytes = limits().max_body_bytes
+            body = head.fault or read_body(environ, max_body_bytes, reserve)
             if isinstance(body, Refusal):
-                return refuse_malformed(environ, start_response, body, request_id)
+                return refuse_unread(environ, start_response, body, request_id)
             incoming = decode_request(environ, head, body)
             outcome = handle_request(incoming)
         if members.is_stopping():
--- a/trefoilpin/gateway/poison_requests.py
+++ b/trefoilpin/gateway/poison_requests.py
@@ -75,9 +75,10 @@
     """Return a hash of a request's account, method, host, path, query and body."""
     account_id = account.id if account is not None else ""
     parts = (account_id, request.method, request.host, request.path, request.query)
-    content = SEPARATOR.join(parts).encode() + request.body
-    digest = hashlib.blake2b(content, digest_size=FINGERPRINT_BYTES).digest()
-    return int.from_bytes(digest) >> 1
+    content = SEPARATOR.join(parts).encode()
+    hashed = hashlib.blake2b(content, digest_size=FINGERPRINT_BYTES)
+    hashed.update(request.body)
+    return int.from_bytes(hashed.digest()) >> 1
 
 
 def create(kernel):
--- a/trefoilpin/wsgi_messages.py
+++ b/trefoilpin/wsgi_messages.py
@@ -8,6 +8,7 @@
 
 __all__ = ["BODYLESS_STATUSES", "read_body", "status_line", "stream_body"]
 
+READ_BYTES = 65_536
 BODYLESS_STATUSES = frozenset((204, 304))
 
 
@@ -25,26 +26,54 @@
         answer.rest.close()
 
 
-def read_body(environ, max_body):
-    """Return the body of a request as bytes, or a ``Refusal``."""
+def read_body(environ, max_body, reserve=lambda size: None):
+    """Return the body of a request as bytes, or a ``Refusal``.
+
+    Parameters
+    ----------
+    environ : dict
+    max_body : int
+        Limit in bytes.
+    reserve : callable, optional
+        ``reserve(size)`` is called before bytes are read and returns a ``Refusal`` when
+        there is no memory for them.
+    """
     length = int(environ.get("CONTENT_LENGTH") or 0)
     chunked = "HTTP_TRANSFER_ENCODING" in environ
     if length > max_body:
         return refuse_large_body(max_body)
     if not length and not chunked:
         return b""
+    source = environ["wsgi.input"]
     try:
-        body = environ["wsgi.input"].read(max_body + 1 if chunked else length)
+        if chunked:
+            return read_chunked_body(source, max_body, reserve)
+        refusal = reserve(length)
+        body = b"" if refusal is not None else source.read(length)
     except (OSError, ValueError, ChunkReadError):
         detail = "the body ended early or is malformed"
         return Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, detail)
-    if len(body) > max_body:
-        return refuse_large_body(max_body)
-    if not chunked and len(body) < length:
+    if refusal is not None:
+        return refusal
+    if len(body) < length:
         return Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, "the body ended early")
     return body
 
 
+def read_chunked_body(source, max_body, reserve):
+    """Return a body that comes in chunks, or a ``Refusal``."""
+    parts, size = [], 0
+    while part := source.read(READ_BYTES):
+        size += len(part)
+        if size > max_body:
+            return refuse_large_body(max_body)
+        refusal = reserve(len(part))
+        if refusal is not None:
+            return refusal
+        parts.append(part)
+    return b"".join(parts)
+
+
 def refuse_large_body(max_body):
     """Return the refusal of a body larger than ``max_body`` bytes."""
     detail = f"the body is larger than {max_body} bytes"
