Look for idle connections to close only among those without a request

Cause: a listener that made room looked at the 32 connections that had been idle for longest, requests in progress included; with 32 long requests it would close none. Measured: test_listeners, test_frontends pass.

--- a/trefoilpin/listeners.py
+++ b/trefoilpin/listeners.py
@@ -227,9 +227,12 @@
 
 def make_room(listener):
     """Close the connections of a listener that have been idle for longest."""
-    connections = listener.connections.values()
+    candidates = []
+    for connection in listener.connections.values():
+        if not (connection.pending or connection.is_receiving):
+            candidates.append(connection)
     longest_idle = heapq.nsmallest(
-        CLOSED_FOR_ROOM, connections, key=lambda connection: connection.idle_since
+        CLOSED_FOR_ROOM, candidates, key=lambda connection: connection.idle_since
     )
     closed = 0
     for connection in longest_idle:
