Keep entries of an outage until the store was read at the end of their time

Cause: entries that expired in an outage were dropped 2.2 s after the first read, also when the store had gone away again meanwhile and their upstreams could not write them. Change: they are in use until a read at the end of that time is known. Tests that failed before: test_entries_may_still_be_missing_when_the_store_went_away_again, test_entries_stay_in_use_when_the_store_goes_away_again_at_once.

--- a/trefoilpin/gateway/document_cache.py
+++ b/trefoilpin/gateway/document_cache.py
@@ -44,7 +44,6 @@
 # Kinds whose objects the store removes when their writer is silent.
 EXPIRING_KINDS = frozenset((UPSTREAMS,))
 NEVER_READ = 0
-MIN_RETENTION_PAUSE_SECONDS = 0.05
 # A host that missed some deltas is sent these instead of the whole document; with
 # frequent changes they cover a few minutes.
 MAX_DELTAS = 64
@@ -272,11 +271,16 @@
         kernel.spawn(end_retention, kind)
 
     def end_retention(kind):
-        """Release the retained rows in time, also when nothing else changes."""
+        """Release the retained rows in time, also when nothing else changes.
+
+        If the store was not read at the end of the time, a later read releases them.
+        """
         document = document_by_kind[kind]
         while document.retained_rows:
             until = document.read_span.started_at + REREGISTRATION_SECONDS
-            kernel.clock.sleep(max(until - now(), MIN_RETENTION_PAUSE_SECONDS))
+            if now() >= until:
+                return
+            kernel.clock.sleep(until - now())
             release_if_due(kind)
 
     def release_if_due(kind):
--- a/trefoilpin/gateway/store_outages.py
+++ b/trefoilpin/gateway/store_outages.py
@@ -18,6 +18,8 @@
 
 # Upstreams whose entries expired in an outage write them again within this time.
 REREGISTRATION_SECONDS = 2.2
+# Age of the last read of a live store, as known to a host that others tell of it.
+MAX_READ_AGE_SECONDS = 1.0
 # A longer time without a read means an outage in which entries may have expired.
 MIN_OUTAGE_SECONDS = 2.5
 
@@ -66,4 +68,6 @@
     """
     if known_since >= span.started_at - MIN_OUTAGE_SECONDS:
         return False
-    return now < span.started_at + REREGISTRATION_SECONDS
+    until = span.started_at + REREGISTRATION_SECONDS
+    # Without a read at the end of that time the store may be away again.
+    return now < until or span.last_read_at < until - MAX_READ_AGE_SECONDS
--- a/trefoilpin/tests/gateway/test_gossip.py
+++ b/trefoilpin/tests/gateway/test_gossip.py
@@ -329,3 +329,21 @@
     fleet.run(0.5)
     assert hosts_that_use(fleet, "u0") == set(fleet.nodes)
     assert not hosts_that_use(fleet, "u1") | hosts_that_use(fleet, "u2")
+
+
+def test_entries_stay_in_use_when_the_store_goes_away_again_at_once():
+    """Guards against upstreams that are given up before they could come back."""
+    fleet, content = start_fleet_with_upstreams()
+    content.is_down = True
+    fleet.run(6.0)
+    for number in range(3):
+        content.remove(UPSTREAMS, f"u{number}")
+    for is_down, seconds in ((False, 1.0), (True, 6.0), (False, 1.2)):
+        content.is_down = is_down
+        for _ in range(int(seconds / 0.2)):
+            fleet.run(0.2)
+            assert hosts_that_use(fleet, "u1") == set(fleet.nodes)
+    content.put(UPSTREAMS, "u1", 1)
+    fleet.run(3.0)
+    assert hosts_that_use(fleet, "u1") == set(fleet.nodes)
+    assert not hosts_that_use(fleet, "u0")
--- a/trefoilpin/tests/gateway/test_store_outages.py
+++ b/trefoilpin/tests/gateway/test_store_outages.py
@@ -33,5 +33,13 @@
     assert not may_lack_entries(span, 7.0, 10.0 + REREGISTRATION_SECONDS)
 
 
+def test_entries_may_still_be_missing_when_the_store_went_away_again():
+    """Guards against upstreams that are given up before they could come back."""
+    span = ReadSpan(10.0, 10.6)
+    assert may_lack_entries(span, 7.0, 10.0 + REREGISTRATION_SECONDS)
+    span = ReadSpan(10.0, 10.0 + REREGISTRATION_SECONDS - 0.7)
+    assert not may_lack_entries(span, 7.0, 10.0 + REREGISTRATION_SECONDS)
+
+
 def test_host_that_started_after_the_outage_knows_of_no_missing_entries():
     assert not may_lack_entries(ReadSpan(10.0, 10.0), 9.8, 10.1)
