Reset the connection of an exchange that is given up

Cause: the request was sent into a cut of the network. When its time was over the connection was closed, but the system goes on sending what was written, and delivered it after the cut. Change: a connection whose exchange has no answer is reset in place of closed, which drops what was not delivered.

--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -6,6 +6,7 @@
 
 import http.client
 import socket
+import struct
 from typing import Any, Callable, NamedTuple
 
 import eventlet
@@ -14,6 +15,7 @@
 
 __all__ = [
     "UpstreamConnection",
+    "abandon",
     "close",
     "framing_fault",
     "has_excess_bytes",
@@ -31,6 +33,8 @@
 ]
 
 READ_BYTES = 65_536
+# Linger for no time: a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Chunks that are joined at a time.
 JOINED_BYTES = 8_192
 # Reads of 8 KB; other tasks wait a few milliseconds meanwhile.
@@ -195,8 +199,18 @@
     return connection
 
 
+def abandon(connection):
+    """Reset a connection, so that what was not delivered yet is dropped.
+
+    After a close the system goes on sending it, and an upstream that was cut off would
+    run the request seconds after its caller was told that it failed.
+    """
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    close(connection)
+
+
 def close(connection):
-    """Close a connection and drop what is still in transit."""
+    """Close a connection; what was written is still delivered."""
     connection.http_connection.close()
     connection.reader.close()
     connection.sock.close()
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -202,7 +202,7 @@
         return send(connection, outgoing)
 
     def send(connection, outgoing):
-        keeps_open = False
+        attempt, keeps_open = None, False
         remaining = max(outgoing.deadline - now(), MIN_TIMEOUT_SECONDS)
         timer = eventlet.Timeout(remaining)
         try:
@@ -217,7 +217,9 @@
             return failed_attempt(outgoing, Verdict.MAY_HAVE_RUN, reason, detail)
         finally:
             timer.cancel()
-            if not keeps_open:
+            if attempt is None or attempt.answer is None:
+                exchanges.abandon(connection)
+            elif not keeps_open:
                 exchanges.close(connection)
 
     def send_and_receive(connection, outgoing, seconds):
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -242,6 +242,24 @@
     assert upstream.connections == 2
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_request_that_is_given_up_is_not_delivered_later(upstream, method):
+    """Guards against a request that reaches an upstream after a cut of the network."""
+    ends = eventlet.queue.LightQueue()
+
+    def wait_for_end(sock):
+        try:
+            eventlet.sleep(0.5)
+            ends.put(sock.fd.recv(1))
+        except OSError as error:
+            ends.put(type(error))
+
+    upstream.steps = [wait_for_end]
+    attempt = upstream.call(method, seconds=0.2)
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN
+    assert ends.get(timeout=2) is ConnectionResetError
+
+
 def test_caller_that_leaves_cancels_an_idempotent_request(upstream):
     upstream.steps = [lambda sock: eventlet.sleep(5)]
     attempt = upstream.call(caller_gone=lambda: True, seconds=5.0)
