Bound what other hosts state of outages and of crashed upstreams

Cause: the time without an outage was taken from messages without a check of its range, so that an infinite or undefined one would have a host see no outage for good; the incarnations that a request broke were kept without a bound, and the test of the bound on suspects did not test it. Change: a message with such a time is rejected; 32 incarnations are kept for a request; metric suspects_forgotten. was_refused and MAX_SHARED replace two vague names. Tests: test_time_without_an_outage_that_is_out_of_range_is_rejected, test_number_of_upstreams_that_are_remembered_is_bounded failed before; test_number_of_suspects_is_bounded now meets a request that was forgotten.

--- a/trefoilpin/gateway/gossip_codecs.py
+++ b/trefoilpin/gateway/gossip_codecs.py
@@ -260,6 +260,22 @@
         return Failure(f"{type(error).__name__}: {error}")
 
 
+def read_unbroken_seconds(seconds):
+    """Return how long the store was read without an outage, as a host stated it.
+
+    Raises
+    ------
+    ValueError
+        When it is no length of time.
+    """
+    if seconds is None:
+        # Missing in messages of hosts that run an earlier version.
+        return 0.0
+    if not 0.0 <= seconds < math.inf:
+        raise ValueError("the time without an outage is out of range")
+    return seconds
+
+
 def to_document(generated):
     """Convert a generated struct to a document."""
     data = bytes(generated.document)
@@ -269,7 +285,7 @@
         generated.age,
         data,
         generated.base,
-        generated.unbroken or 0.0,
+        read_unbroken_seconds(generated.unbroken),
     )
 
 
@@ -297,8 +313,7 @@
                 version.revision,
                 version.digest,
                 version.age,
-                # Missing in messages of hosts that run an earlier version.
-                version.unbroken or 0.0,
+                read_unbroken_seconds(version.unbroken),
             )
         )
     # Missing in messages of hosts that run an earlier version.
--- a/trefoilpin/gateway/poison_requests.py
+++ b/trefoilpin/gateway/poison_requests.py
@@ -22,7 +22,10 @@
 # Breaks that are older than this do not count. A request may come again rarely.
 BREAK_WINDOW_SECONDS = 600.0
 MAX_FINGERPRINTS = 5_000
-MAX_RECENT = 32
+# Of a request, the incarnations that are remembered.
+MAX_INCARNATIONS = 32
+# Own breaks and answers that are sent to other hosts.
+MAX_SHARED = 32
 # A break or an answer is sent repeatedly to the other hosts for this time.
 SHARING_SECONDS = 0.5
 SEPARATOR = "\0"
@@ -55,12 +58,12 @@
 
     Attributes
     ----------
-    is_known : bool
-        True once the request was refused; the next break refuses it again.
+    was_refused : bool
+        True from the first refusal on; the next break refuses the request again.
     """
 
     def __init__(self):
-        self.is_known = False
+        self.was_refused = False
         self.broken_at_by_incarnation: dict[str, float] = {}
         self.refused_until = float("-inf")
         self.refusal_seconds = REFUSAL_SECONDS
@@ -97,6 +100,7 @@
     own_answers: list[tuple[float, int]] = []
     now = kernel.clock.now
     emit = kernel.find("events").emit
+    metrics = kernel.find("metrics")
 
     def check(request_fingerprint):
         suspect = suspect_by_fingerprint.get(request_fingerprint)
@@ -108,7 +112,7 @@
 
     def record_break(request_fingerprint, incarnation):
         own_breaks.append((now(), request_fingerprint, incarnation))
-        del own_breaks[:-MAX_RECENT]
+        del own_breaks[:-MAX_SHARED]
         add_break(request_fingerprint, incarnation)
 
     def merge_breaks(broken_requests):
@@ -122,10 +126,12 @@
             suspect = suspect_by_fingerprint[request_fingerprint] = SuspectRequest()
         break_times = suspect.broken_at_by_incarnation
         break_times.setdefault(incarnation, now())
+        if len(break_times) > MAX_INCARNATIONS:
+            del break_times[next(iter(break_times))]
         if now() < suspect.refused_until or not is_poison(suspect):
             return
         seconds = suspect.refusal_seconds
-        suspect.is_known = True
+        suspect.was_refused = True
         suspect.refused_until = now() + seconds
         suspect.refusal_seconds = min(2 * seconds, MAX_REFUSAL_SECONDS)
         emit(
@@ -138,7 +144,7 @@
     def is_poison(suspect):
         """Tell whether a request broke enough upstreams, or one after a refusal."""
         break_times = suspect.broken_at_by_incarnation.values()
-        if suspect.is_known:
+        if suspect.was_refused:
             return max(break_times) >= suspect.refused_until
         recent = [at for at in break_times if now() - at < BREAK_WINDOW_SECONDS]
         return len(recent) >= MIN_BROKEN_UPSTREAMS
@@ -147,6 +153,7 @@
         """Forget the request whose first break is the oldest, if there are too many."""
         if len(suspect_by_fingerprint) < MAX_FINGERPRINTS:
             return
+        metrics.count("suspects_forgotten")
         for request_fingerprint, suspect in suspect_by_fingerprint.items():
             if now() >= suspect.refused_until:
                 del suspect_by_fingerprint[request_fingerprint]
@@ -156,7 +163,7 @@
     def record_answer(request_fingerprint):
         if clear(request_fingerprint):
             own_answers.append((now(), request_fingerprint))
-            del own_answers[:-MAX_RECENT]
+            del own_answers[:-MAX_SHARED]
 
     def merge_answers(fingerprints):
         for request_fingerprint in fingerprints:
--- a/trefoilpin/tests/gateway/test_gossip_codecs.py
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -2,12 +2,14 @@
 
 import math
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure
 
 from trefoilpin.gateway import gossip_codecs
-from trefoilpin.gateway.messages import GossipMessage, ZoneView
+from trefoilpin.gateway.document_cache import UPSTREAMS, DocumentVersion
+from trefoilpin.gateway.messages import Document, GossipMessage, ZoneView
 from trefoilpin.thrift_gen.bulletins.ttypes import BulletinStruct
 
 MESSAGE = GossipMessage(
@@ -44,6 +46,17 @@
     assert gossip_codecs.decode(data).unwrap().zone_views == ()
 
 
+@pytest.mark.parametrize("seconds", [-1.0, math.inf, math.nan])
+def test_time_without_an_outage_that_is_out_of_range_is_rejected(seconds):
+    """Guards against a message that makes a host see an outage, or none, for good."""
+    version = DocumentVersion(UPSTREAMS, 7, 1, 0.1, seconds)
+    data = gossip_codecs.encode(MESSAGE._replace(versions=(version,)))
+    assert isinstance(gossip_codecs.decode(data), Failure)
+    document = Document(UPSTREAMS, 7, 0.1, b"", 0, seconds)
+    data = gossip_codecs.encode_document(document)
+    assert isinstance(gossip_codecs.decode_document(data), Failure)
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.binary(max_size=200), st.integers(0, 400))
 def test_damaged_messages_are_rejected_without_an_exception(noise, position):
--- a/trefoilpin/tests/gateway/test_poison_requests.py
+++ b/trefoilpin/tests/gateway/test_poison_requests.py
@@ -60,15 +60,15 @@
 
 
 def test_answer_at_another_host_clears_a_request():
-    kernel, clock, _ = create_host()
-    other, service = poison_requests.create(kernel), None
+    kernel, _, _ = create_host()
+    other = poison_requests.create(kernel)
     other.record_break(POISON, "u1/1")
     assert other.recent_answers() == ()
     other.record_answer(POISON)
     assert other.recent_answers() == (POISON,)
     other.record_answer(POISON)
     assert other.recent_answers() == (POISON,)
-    kernel, clock, _ = create_host()
+    kernel, _, _ = create_host()
     service = poison_requests.create(kernel)
     service.merge_breaks(((POISON, "u1/1"), (POISON, "u2/1")))
     service.merge_answers(other.recent_answers())
@@ -79,10 +79,28 @@
 def test_number_of_suspects_is_bounded():
     kernel, _, _ = create_host()
     service = poison_requests.create(kernel)
+    oldest = 8
     for number in range(3):
         service.record_break(POISON, f"u{number}/1")
+    for number in range(2):
+        service.record_break(oldest, f"u{number}/1")
     for number in range(poison_requests.MAX_FINGERPRINTS):
         service.record_break(1000 + number, "u1/1")
+    service.record_break(oldest, "u2/1")
+    assert service.check(oldest) is None
+    assert service.check(POISON) is not None
+
+
+def test_number_of_upstreams_that_are_remembered_is_bounded():
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    count = poison_requests.poison_requests.MAX_INCARNATIONS + 1
+    breaks = tuple((POISON, f"u{number}/1") for number in range(count))
+    service.merge_breaks(breaks)
+    clock.time += poison_requests.REFUSAL_SECONDS + 0.1
+    service.merge_breaks(breaks[1:])
+    assert service.check(POISON) is None
+    service.merge_breaks(breaks[:1])
     assert service.check(POISON) is not None
 
 
