--- a/trefoilpin/tests/gateway/test_poison_requests.py
+++ b/trefoilpin/tests/gateway/test_poison_requests.py
@@ -94,7 +94,7 @@
 def test_number_of_upstreams_that_are_remembered_is_bounded():
     kernel, clock, _ = create_host()
     service = poison_requests.create(kernel)
-    count = poison_requests.poison_requests.MAX_INCARNATIONS + 1
+    count = poison_requests.MAX_INCARNATIONS + 1
     breaks = tuple((POISON, f"u{number}/1") for number in range(count))
     service.merge_breaks(breaks)
     clock.time += poison_requests.REFUSAL_SECONDS + 0.1
