Take limits of connections from the settings, and log refused uploads

Such an upload is a gateway_refused line like any refusal. Heads of requests and strict reads are modules of their own; strict_reads is code of exchanges, so test_imports names it beside that module among those that may import a library of the network.

--- a/trefoilpin/gateway/body_memory.py
+++ b/trefoilpin/gateway/body_memory.py
@@ -26,11 +26,11 @@
 class BodyMemory(NamedTuple):
     """``body_memory``: room for request bodies.
 
-    ``reserve(reservation, size)`` adds bytes to a ``BodyReservation`` and returns True,
-    or False when there is no room; ``release(reservation)`` frees all of them.
+    ``reserve(reservation, size)`` adds bytes to a ``BodyReservation`` and returns None,
+    or a ``Refusal`` when there is no room; ``release(reservation)`` frees all of them.
     """
 
-    reserve: Callable[["BodyReservation", int], bool]
+    reserve: Callable[["BodyReservation", int], Refusal | None]
     release: Callable[["BodyReservation"], None]
 
 
@@ -68,15 +68,15 @@
     def reserve(reservation, size):
         reservation.size += size
         if reservation.size <= SMALL_BODY_BYTES:
-            return True
+            return None
         added = reservation.size - reservation.counted
         is_alone = state.reserved == reservation.counted
         if not is_alone and state.reserved + added > capacity:
             metrics.count("bodies_without_room")
-            return False
+            return NO_ROOM
         reservation.counted += added
         state.reserved += added
-        return True
+        return None
 
     def release(reservation):
         state.reserved -= reservation.counted
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -78,6 +78,8 @@
         Bandwidth of the host's link in bytes per second.
     body_bytes : int
         Memory for the bodies of requests.
+    descriptors : int
+        Limit of the process on open files and sockets.
     """
 
     name: str
@@ -96,6 +98,7 @@
     rate_window: float
     link_rate: float
     body_bytes: int
+    descriptors: int
 
 
 class Adapter(NamedTuple):
@@ -248,7 +251,11 @@
     directories.create(kernel)
     body_memory.create(kernel, settings.body_bytes)
     frontends.create(
-        kernel, settings.addresses, adapter.dialect, adapter.encode_addresses
+        kernel,
+        settings.addresses,
+        adapter.dialect,
+        adapter.encode_addresses,
+        settings.descriptors,
     )
     shutdowns.create(kernel, settings.grace)
 
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+from functools import partial
 from typing import Any, Callable, NamedTuple
 from urllib.parse import parse_qs
 
@@ -16,9 +17,9 @@
 from trefoilpin.gateway.document_cache import CONFIGURATION, KINDS
 from trefoilpin.gateway.gossip_codecs import encode_document
 from trefoilpin.gateway.loops import repeat
-from trefoilpin.gateway.messages import NO_BASE
 from trefoilpin.gateway.proxies import IncomingRequest
-from trefoilpin.headers import drop_hop_by_hop, find_fault
+from trefoilpin.gateway.request_heads import read_base, read_caller_timeout, read_head
+from trefoilpin.headers import drop_hop_by_hop
 from trefoilpin.keys import read_key, strip
 from trefoilpin.messages import CallerRequest
 from trefoilpin.verdicts import Reason, Refusal, Verdict
@@ -33,23 +34,19 @@
 
 logger = logging.getLogger(__name__)
 
-# Together three quarters of the descriptors of a host; the others are for upstreams,
-# other hosts, the store and files.
-MAX_CALLER_CONNECTIONS = 2400
-MAX_DIRECTORY_CONNECTIONS = 600
-MAX_OTHER_CONNECTIONS = 100
+# Shares of the descriptors for the connections of each listener; the rest is for
+# upstreams, other hosts, the store and files.
+CALLER_SHARE, DIRECTORY_SHARE, OTHER_SHARE = 0.58, 0.14, 0.02
 # Timeout of the sockets. The limit for idle connections is set by the configuration and
 # enforced by a periodic check.
 SOCKET_TIMEOUT_SECONDS = 60.0
 IDLE_MARGIN_SECONDS = 1.0
 IDLE_CHECK_INTERVAL_SECONDS = 1.0
-MILLISECONDS_PER_SECOND = 1000.0
 HTTP_1_1 = "HTTP/1.1"
 DOCUMENTS_PATH = "/documents/"
 METRICS_PATH = "/metrics"
 
-# Keys of the WSGI environment.
-HEAD = "trefoilpin.head"
+# Key of the WSGI environment.
 AHEAD = "trefoilpin.ahead"
 
 INTERNAL = Refusal(
@@ -66,23 +63,6 @@
     control: str | None
 
 
-class RequestHead(NamedTuple):
-    """Headers of a request, with names in lower case, and its fault, if any.
-
-    Attributes
-    ----------
-    headers : list of (str, str)
-    request_id : str
-    fault : Refusal or None
-    has_body : bool
-    """
-
-    headers: list[tuple[str, str]]
-    request_id: str
-    fault: Refusal | None
-    has_body: bool
-
-
 class RequestAhead(NamedTuple):
     """A request that was started before its turn, and the task that runs it."""
 
@@ -106,42 +86,6 @@
     close: Callable[[], None]
 
 
-def read_caller_timeout(value):
-    """Return the timeout of a caller in seconds, or None without a valid header."""
-    try:
-        milliseconds = float(value)
-    except (TypeError, ValueError):
-        return None
-    return max(milliseconds, 0.0) / MILLISECONDS_PER_SECOND
-
-
-def read_base(query):
-    """Return the digest of the document that the requesting host has."""
-    value = parse_qs(query).get("base", [""])[0]
-    return int(value) if value.isdecimal() else NO_BASE
-
-
-def read_head(environ, id_header):
-    """Return the ``RequestHead`` of a request."""
-    head = environ.get(HEAD)
-    if head is not None:
-        return head
-    headers = [(name.lower(), value) for name, value in environ["headers_raw"]]
-    value_by_name = dict(headers)
-    protocol = environ[listeners.PROTOCOL]
-    fault = find_fault(
-        protocol.command, protocol.path, headers, protocol.headers.defects
-    )
-    has_body = value_by_name.get("content-length", "0") != "0"
-    head = environ[HEAD] = RequestHead(
-        headers,
-        value_by_name.get(id_header, ""),
-        fault,
-        has_body or "transfer-encoding" in value_by_name,
-    )
-    return head
-
-
 def send_refusal(start_response, refusal, request_id, id_header):
     """Send a refusal as JSON."""
     body = json.dumps(codecs.encode_refusal(refusal, request_id)).encode() + b"\n"
@@ -180,7 +124,7 @@
     return [body]
 
 
-def create(kernel, addresses, dialect, encode_addresses):
+def create(kernel, addresses, dialect, encode_addresses, descriptors):
     """Create the listeners and register them as ``frontends``.
 
     Parameters
@@ -192,6 +136,9 @@
         ``encode_addresses(answer)`` encodes an ``AddressAnswer``, with the port on
         which every host listens for callers.
 
+    descriptors : int
+        Limit of the process on open files and sockets.
+
     Returns
     -------
     Frontends
@@ -268,15 +215,15 @@
         head = read_head(environ, dialect.request_id)
         request_id = head.request_id
         ahead = environ.get(AHEAD)
-
-        def reserve(size):
-            return None if body_memory.reserve(reservation, size) else NO_ROOM
-
         if ahead is not None:
             incoming, outcome = ahead.incoming, ahead.task.wait()
         else:
+            reserve = partial(body_memory.reserve, reservation)
             max_body_bytes = limits().max_body_bytes
             body = head.fault or read_body(environ, max_body_bytes, reserve)
+            if body is NO_ROOM:
+                incoming = decode_request(environ, head, b"")
+                proxies.record_refusal(incoming.request, NO_ROOM)
             if isinstance(body, Refusal):
                 return refuse_unread(environ, start_response, body, request_id)
             incoming = decode_request(environ, head, body)
@@ -343,12 +290,12 @@
     def report_malformed(peer, detail):
         emit(events.REQUEST_MALFORMED, peer=peer, detail=detail)
 
-    def open_listener(address, application, max_connections, prepare=None):
+    def open_listener(address, application, share, prepare=None):
         if address is None:
             return
         listener = listeners.listen(address)
         open_listeners.append(listener)
-        connection_limits = (max_connections, SOCKET_TIMEOUT_SECONDS)
+        connection_limits = (int(descriptors * share), SOCKET_TIMEOUT_SECONDS)
         kernel.spawn(
             listeners.serve,
             listener,
@@ -361,10 +308,10 @@
         )
 
     def start():
-        open_listener(addresses.control, serve_control, MAX_OTHER_CONNECTIONS)
-        open_listener(addresses.callers, serve_callers, MAX_CALLER_CONNECTIONS, prepare)
-        open_listener(addresses.readiness, serve_readiness, MAX_OTHER_CONNECTIONS)
-        open_listener(addresses.directory, serve_directory, MAX_DIRECTORY_CONNECTIONS)
+        open_listener(addresses.control, serve_control, OTHER_SHARE)
+        open_listener(addresses.callers, serve_callers, CALLER_SHARE, prepare)
+        open_listener(addresses.readiness, serve_readiness, OTHER_SHARE)
+        open_listener(addresses.directory, serve_directory, DIRECTORY_SHARE)
         kernel.spawn(
             repeat,
             kernel.clock.sleep,
--- a/trefoilpin/gateway/proxies.py
+++ b/trefoilpin/gateway/proxies.py
@@ -31,13 +31,15 @@
     ``may_run_ahead(request)`` tells whether a request may run before earlier ones of
     its connection were answered, as it may run more than once.
     ``under_way()`` is the number of requests in progress. After ``close()`` every
-    further request is refused.
+    further request is refused. ``record_refusal(request, refusal)`` logs and counts a
+    refusal that a front end decided on, and returns it as a failure.
     """
 
     handle: Callable
     may_run_ahead: Callable
     under_way: Callable[[], int]
     close: Callable[[], None]
+    record_refusal: Callable
 
 
 class ProxyState:
@@ -177,6 +179,12 @@
         route = routing.match(request.host, request.path)
         return route is not None and route.idempotent and not state.is_closed
 
-    service = Proxies(handle, may_run_ahead, lambda: state.under_way, close)
+    service = Proxies(
+        handle,
+        may_run_ahead,
+        lambda: state.under_way,
+        close,
+        lambda request, refusal: refuse(request, None, None, refusal),
+    )
     kernel.register("proxies", service)
     return service
--- a/trefoilpin/tests/gateway/test_body_memory.py
+++ b/trefoilpin/tests/gateway/test_body_memory.py
@@ -1,6 +1,7 @@
 """The request bodies that a host holds fit into its memory."""
 
 import io
+from functools import partial
 
 import pytest
 
@@ -23,24 +24,25 @@
 def test_large_bodies_get_room_until_the_memory_is_used(service):
     """Guards against uploads that fill a host's memory and end all its requests."""
     reservations = [BodyReservation() for _ in range(3)]
-    assert [service.reserve(one, LARGE) for one in reservations] == [True, True, False]
+    refusals = [service.reserve(one, LARGE) for one in reservations]
+    assert refusals == [None, None, NO_ROOM]
     service.release(reservations[0])
-    assert service.reserve(BodyReservation(), LARGE)
+    assert service.reserve(BodyReservation(), LARGE) is None
 
 
 def test_small_bodies_always_get_room(service):
     service.reserve(BodyReservation(), CAPACITY)
     for _ in range(100):
-        assert service.reserve(BodyReservation(), SMALL_BODY_BYTES)
+        assert service.reserve(BodyReservation(), SMALL_BODY_BYTES) is None
 
 
 def test_request_that_is_alone_gets_room_for_any_size(service):
     reservation = BodyReservation()
     for _ in range(3):
-        assert service.reserve(reservation, CAPACITY)
+        assert service.reserve(reservation, CAPACITY) is None
     service.release(reservation)
-    assert service.reserve(BodyReservation(), CAPACITY)
-    assert not service.reserve(BodyReservation(), LARGE)
+    assert service.reserve(BodyReservation(), CAPACITY) is None
+    assert service.reserve(BodyReservation(), LARGE) is NO_ROOM
 
 
 def create_environ(body, chunked):
@@ -54,10 +56,7 @@
 def test_body_without_room_is_refused_as_not_run(service, chunked):
     service.reserve(BodyReservation(), CAPACITY - SMALL_BODY_BYTES)
     reservation = BodyReservation()
-
-    def reserve(size):
-        return None if service.reserve(reservation, size) else NO_ROOM
-
+    reserve = partial(service.reserve, reservation)
     body = b"x" * (20 * SMALL_BODY_BYTES)
     refusal = read_body(create_environ(body, chunked), len(body), reserve)
     assert refusal.verdict is Verdict.NOT_RUN and refusal.retry_after
--- a/trefoilpin/tests/test_imports.py
+++ b/trefoilpin/tests/test_imports.py
@@ -24,6 +24,7 @@
     "peers",
     "settings",
     "stores",
+    "strict_reads",
     "wsgi_messages",
     "gateway/gossip_codecs",
     "gateway/daemons",
