Log a listener that makes room, and use one report of malformed documents

Cause: closing idle connections had no event or metric; three places logged a malformed document in the same words; two outage tests began with the same lines; join said too little. Change: event listener_full, metric listeners_full; report_malformed of document_cache; start_fleet_in_an_outage; join_spans.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -653,6 +653,15 @@
     ("detail",),
     "The settings file is invalid; the previous settings stay in force.",
 )
+LISTENER_FULL = Event(
+    755,
+    "listener_full",
+    logging.WARNING,
+    ("closed", "detail"),
+    "A listener is at its limit or has no descriptor left; it closed this many idle"
+    " connections to make room for new callers.",
+    sampled=True,
+)
 LINES_LEFT_OUT = Event(
     760,
     "lines_left_out",
--- a/trefoilpin/gateway/document_cache.py
+++ b/trefoilpin/gateway/document_cache.py
@@ -23,7 +23,7 @@
     NO_READS,
     REREGISTRATION_SECONDS,
     ReadSpan,
-    join,
+    join_spans,
     may_lack_entries,
 )
 
@@ -35,6 +35,7 @@
     "UPSTREAMS",
     "ZONES_OUT",
     "create",
+    "report_malformed",
 ]
 
 CONFIGURATION = "configuration"
@@ -147,6 +148,16 @@
     return Delta(changed, tuple(name for name in row_names if name not in rows))
 
 
+def report_malformed(emit, document, detail):
+    """Log that a ``Document`` or a ``DocumentVersion`` can't be used."""
+    emit(
+        events.DOCUMENT_MALFORMED,
+        kind=document.kind,
+        revision=document.revision,
+        detail=detail,
+    )
+
+
 def create(kernel, decode_by_kind):
     """Create the service ``document_cache``.
 
@@ -185,15 +196,15 @@
     ):
         document = document_by_kind[kind]
         delta, digest = delta_and_digest
+        version = DocumentVersion(kind, revision, digest, age, unbroken_seconds)
         if not document.revision or base != document.digest:
             return False
         if digest_after(base, document.rows, delta) != digest:
             detail = "the rows after the delta do not match the given digest"
-            emit(events.DOCUMENT_MALFORMED, kind=kind, revision=revision, detail=detail)
+            report_malformed(emit, version, detail)
             return False
         if not is_newer(document, revision, age):
             return False
-        version = DocumentVersion(kind, revision, digest, age, unbroken_seconds)
         return apply(version, delta, source)
 
     def is_newer(document, revision, age):
@@ -211,7 +222,7 @@
         retained_rows = rows_to_retain(document, rows, read_span)
         decoded = decode_by_kind[kind]({**rows, **retained_rows})
         if isinstance(decoded, Failure):
-            report_malformed(version, decoded.failure())
+            report_malformed(emit, version, decoded.failure())
             return False
         row_names = frozenset((*delta.changed, *delta.removed))
         document.deltas.append(AppliedDelta(document.digest, row_names))
@@ -235,14 +246,6 @@
         notify(document)
         return True
 
-    def report_malformed(version, detail):
-        emit(
-            events.DOCUMENT_MALFORMED,
-            kind=version.kind,
-            revision=version.revision,
-            detail=detail,
-        )
-
     def notify(document):
         for subscriber in document.subscribers:
             subscriber(document.value)
@@ -293,7 +296,7 @@
         document.retained_rows = {}
         decoded = decode_by_kind[kind](document.rows)
         if isinstance(decoded, Failure):
-            report_malformed(version(kind), decoded.failure())
+            report_malformed(emit, version(kind), decoded.failure())
             return
         document.value = decoded.unwrap()
         emit(events.RETENTION_ENDED, kind=kind, revision=document.revision)
@@ -326,7 +329,7 @@
         if version.kind not in EXPIRING_KINDS:
             return NO_READS
         read_span = ReadSpan(now() - version.unbroken_seconds, now() - version.age)
-        return join(document.read_span, read_span)
+        return join_spans(document.read_span, read_span)
 
     def confirm(remote):
         document = document_by_kind.get(remote.kind)
--- a/trefoilpin/gateway/document_fetchers.py
+++ b/trefoilpin/gateway/document_fetchers.py
@@ -5,7 +5,7 @@
 from returns.result import Failure
 
 from trefoilpin import events
-from trefoilpin.gateway.document_cache import KINDS
+from trefoilpin.gateway.document_cache import KINDS, report_malformed
 from trefoilpin.gateway.messages import NO_BASE
 
 __all__ = ["DocumentFetchers", "create"]
@@ -99,7 +99,7 @@
             return
         decoded = codec.decode_rows(document.data)
         if isinstance(decoded, Failure):
-            report_malformed(document, decoded.failure())
+            report_malformed(emit, document, decoded.failure())
             return
         rows = decoded.unwrap()
         document_cache.apply_document(
@@ -118,7 +118,7 @@
             return
         decoded = codec.decode_delta(document.data)
         if isinstance(decoded, Failure):
-            report_malformed(document, decoded.failure())
+            report_malformed(emit, document, decoded.failure())
             return
         delta_and_digest = decoded.unwrap()
         if delta_and_digest[1] == version.digest:
@@ -139,14 +139,6 @@
             document.unbroken_seconds,
         )
 
-    def report_malformed(document, detail):
-        emit(
-            events.DOCUMENT_MALFORMED,
-            kind=document.kind,
-            revision=document.revision,
-            detail=detail,
-        )
-
     service = DocumentFetchers(receive_document, handle_versions, fetch)
     kernel.register("document_fetchers", service)
     return service
--- a/trefoilpin/gateway/frontends.py
+++ b/trefoilpin/gateway/frontends.py
@@ -290,10 +290,15 @@
     def report_malformed(peer, detail):
         emit(events.REQUEST_MALFORMED, peer=peer, detail=detail)
 
+    def report_full(closed, detail):
+        metrics.count("listeners_full")
+        emit(events.LISTENER_FULL, closed=closed, detail=detail)
+
     def open_listener(address, application, share, prepare=None):
         if address is None:
             return
         listener = listeners.listen(address)
+        listener.report_full = report_full
         open_listeners.append(listener)
         connection_limits = (int(descriptors * share), SOCKET_TIMEOUT_SECONDS)
         kernel.spawn(
--- a/trefoilpin/gateway/store_outages.py
+++ b/trefoilpin/gateway/store_outages.py
@@ -12,7 +12,7 @@
     "NO_READS",
     "REREGISTRATION_SECONDS",
     "ReadSpan",
-    "join",
+    "join_spans",
     "may_lack_entries",
 ]
 
@@ -42,7 +42,7 @@
 NO_READS = ReadSpan(float("-inf"), float("-inf"))
 
 
-def join(span, other):
+def join_spans(span, other):
     """Return the later of two spans, or both as one when no outage is between them."""
     if other.last_read_at < span.started_at - MIN_OUTAGE_SECONDS:
         return span
--- a/trefoilpin/listeners.py
+++ b/trefoilpin/listeners.py
@@ -68,10 +68,14 @@
     ----------
     connections : dict of int to ConnectionState
         By the identity of eventlet's record of the connection.
+    report_full : callable or None
+        ``report_full(closed, detail)`` is called when idle connections were closed to
+        make room.
     """
 
     def __init__(self, sock):
         self.sock = sock
+        self.report_full = None
         self.task = None
         self.closed = eventlet.event.Event()
         self.connections: dict[int, ConnectionState] = {}
@@ -132,7 +136,7 @@
     def spawn(self, process, server_state):
         """Start the task of an accepted connection."""
         if self.tasks.free() <= 0:
-            make_room(self.listener)
+            make_room(self.listener, "the limit of connections is reached")
         connection = self.create_connection(server_state)
         self.listener.connections[id(server_state)] = connection
         is_started = False
@@ -214,7 +218,7 @@
                 if not is_exhausted:
                     logger.warning("no connection can be accepted: %s", error)
                 is_exhausted = True
-                make_room(listener)
+                make_room(listener, str(error))
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             if is_exhausted:
@@ -225,7 +229,7 @@
     return accept_patiently
 
 
-def make_room(listener):
+def make_room(listener, detail):
     """Close the connections of a listener that have been idle for longest."""
     candidates = []
     for connection in listener.connections.values():
@@ -237,7 +241,8 @@
     closed = 0
     for connection in longest_idle:
         closed += close_if_idle(connection)
-    logger.info("closed %d idle connections to make room", closed)
+    if listener.report_full is not None:
+        listener.report_full(closed, detail)
 
 
 def close_if_idle(connection, refusal=None):
--- a/trefoilpin/tests/gateway/test_gossip.py
+++ b/trefoilpin/tests/gateway/test_gossip.py
@@ -267,6 +267,16 @@
     return fleet, content
 
 
+def start_fleet_in_an_outage():
+    """Return a fleet and the store, which is down and lost all upstreams."""
+    fleet, content = start_fleet_with_upstreams()
+    content.is_down = True
+    fleet.run(6.0)
+    for number in range(3):
+        content.remove(UPSTREAMS, f"u{number}")
+    return fleet, content
+
+
 def hosts_that_use(fleet, upstream_id):
     """Return the addresses of the hosts that use an upstream."""
     return {
@@ -313,11 +323,7 @@
 
 def test_entries_that_expired_in_an_outage_stay_in_use_on_every_host_for_a_while():
     """The revision stands still once the store is back, and one entry returns."""
-    fleet, content = start_fleet_with_upstreams()
-    content.is_down = True
-    fleet.run(6.0)
-    for number in range(3):
-        content.remove(UPSTREAMS, f"u{number}")
+    fleet, content = start_fleet_in_an_outage()
     fleet.run(1.0)
     content.is_down = False
     back_at = fleet.now()
@@ -333,11 +339,7 @@
 
 def test_entries_stay_in_use_when_the_store_goes_away_again_at_once():
     """Guards against upstreams that are given up before they could come back."""
-    fleet, content = start_fleet_with_upstreams()
-    content.is_down = True
-    fleet.run(6.0)
-    for number in range(3):
-        content.remove(UPSTREAMS, f"u{number}")
+    fleet, content = start_fleet_in_an_outage()
     for is_down, seconds in ((False, 1.0), (True, 6.0), (False, 1.2)):
         content.is_down = is_down
         for _ in range(int(seconds / 0.2)):
--- a/trefoilpin/tests/gateway/test_store_outages.py
+++ b/trefoilpin/tests/gateway/test_store_outages.py
@@ -5,26 +5,26 @@
     NO_READS,
     REREGISTRATION_SECONDS,
     ReadSpan,
-    join,
+    join_spans,
     may_lack_entries,
 )
 
 
 def test_first_span_is_taken_over():
     span = ReadSpan(10.0, 12.0)
-    assert join(NO_READS, span) == join(span, NO_READS) == span
+    assert join_spans(NO_READS, span) == join_spans(span, NO_READS) == span
     assert not may_lack_entries(NO_READS, 1.0, 5.0)
 
 
 def test_overlapping_spans_are_one():
     own, other = ReadSpan(20.0, 20.0), ReadSpan(3.0, 19.0)
-    assert join(own, other) == join(other, own) == ReadSpan(3.0, 20.0)
+    assert join_spans(own, other) == join_spans(other, own) == ReadSpan(3.0, 20.0)
 
 
 def test_span_before_an_outage_says_nothing_about_the_time_after_it():
     before = ReadSpan(3.0, 10.0)
     after = ReadSpan(10.1 + MIN_OUTAGE_SECONDS, 14.0)
-    assert join(before, after) == join(after, before) == after
+    assert join_spans(before, after) == join_spans(after, before) == after
 
 
 def test_entries_may_be_missing_only_for_a_while_after_an_outage():
--- a/trefoilpin/tests/test_listeners.py
+++ b/trefoilpin/tests/test_listeners.py
@@ -155,6 +155,8 @@
     """Guards against a host that never accepts a caller again after a burst."""
     accept = server.listener.sock.accept
     failures = [errno.EMFILE, errno.ENFILE, errno.EMFILE]
+    reported = []
+    server.listener.report_full = lambda *report: reported.append(report)
     server.may_answer.send()
 
     def accept_or_fail():
@@ -167,17 +169,21 @@
         sock.sendall(REQUEST)
         assert sock.recv(100).startswith(b"HTTP/1.1 200")
     assert not failures
+    assert len(reported) == 3 and reported[0][0] == 0
 
 
 def test_listener_at_its_limit_closes_idle_connections_for_new_ones(server):
     """Guards against idle callers that keep others from being accepted."""
     server.may_answer.send()
+    reported = []
+    server.listener.report_full = lambda *report: reported.append(report)
     sockets = []
     for _ in range(MAX_CONNECTIONS + 2):
         sock = socket.create_connection(server.address, timeout=2)
         sockets.append(sock)
         sock.sendall(REQUEST)
         assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    assert reported[0][0] == MAX_CONNECTIONS
     for sock in sockets:
         sock.close()
 
