--- a/trefoilpin/frontends.py
+++ b/trefoilpin/frontends.py
@@ -227,6 +227,7 @@
 
     def start():
         listener = listeners.listen(address)
+        listener.report_full = report_full
         open_listeners.append(listener)
         kernel.spawn(
             listeners.serve,
@@ -238,6 +239,9 @@
             report_malformed,
         )
 
+    def report_full(closed, detail):
+        emit(events.LISTENER_FULL, closed=closed, detail=detail)
+
     def connection_count():
         return sum(len(listener.connections) for listener in open_listeners)
 
