Review: one odd entry ends host after host

One entry of another writer, 1 MB of nested lists, makes each host that reads the endpoints exceed 152 MB and be killed.

In case 6 the other writer now writes its entry again every heartbeat, as the store removes entries of silent writers.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -87,6 +87,7 @@
 
     def __init__(self):
         self.objects = {}
+        self.spec_by_kind_and_name = {}
         self.revision = 100
         self.address = ""
         self.calls = 0
@@ -95,8 +96,12 @@
     def put(self, kind, name, spec):
         """Write an object; return the time of the confirmation.
 
-        The spec may be a text in JSON, for an entry that no encoder here can write.
+        The spec may be a text in JSON, for an entry that no encoder here can write. A
+        write that changes nothing does not raise the revision.
         """
+        if self.spec_by_kind_and_name.get((kind, name)) == spec:
+            return time.monotonic()
+        self.spec_by_kind_and_name[kind, name] = spec
         self.revision += 1
         text = spec if isinstance(spec, str) else json.dumps(spec)
         metadata = {
@@ -114,6 +119,7 @@
     def remove(self, kind, name):
         self.revision += 1
         self.objects[kind].pop(name, None)
+        self.spec_by_kind_and_name.pop((kind, name), None)
         return time.monotonic()
 
     async def start(self, ip="127.0.0.1"):
