--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -92,6 +92,18 @@
         self.address = ""
         self.calls = 0
         self.is_down = False
+        # Number of restores, which all answers state; None for a store that has none.
+        self.era = None
+
+    def take_copy(self):
+        """Return a copy of all objects, and the revision."""
+        objects = {kind: dict(items) for kind, items in self.objects.items()}
+        return objects, dict(self.spec_by_kind_and_name), self.revision
+
+    def restore(self, copy):
+        """Lose what was written since a copy; revisions are given out again."""
+        self.objects, self.spec_by_kind_and_name, self.revision = copy
+        self.era += 1
 
     def put(self, kind, name, spec):
         """Write an object; return the time of the confirmation.
@@ -134,8 +146,9 @@
                 await asyncio.sleep(0.004)
                 status, body = self.answer(*head[0].split(" ")[:2])
                 data = body.encode()
+                era = "" if self.era is None else f"Store-Era: {self.era}\r\n"
                 writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}"
                     f"Content-Length: {len(data)}\r\n\r\n".encode()
                     + data
                 )
