--- a/review/8/case.py
+++ b/review/8/case.py
@@ -25,7 +25,7 @@
 ENDPOINTS = 32
 RELEASED_SHARE = 0.45
 RELEASE_GAP_SECONDS = 3.0
-SERVES_ON_SECONDS = 3.0
+SERVES_ON_SECONDS = 4.0
 RESTART_SECONDS = 1.0
 # Ends of a process in a day, and machines on which they happen, that the rule allows.
 ENDS, MACHINES = 3, 2
@@ -46,7 +46,8 @@
     ids = (f"i-{number:08x}" for number in itertools.count(0x1B22D9E6, 0x01D3A917))
 
     async def enter():
-        endpoint = standins.Endpoint(next(ids), SERVICE, 3, work_seconds=0.1)
+        cold = standins.COLD_SECONDS if len(endpoints) >= ENDPOINTS else 0.0
+        endpoint = standins.Endpoint(next(ids), SERVICE, 3, 0.1, cold)
         await endpoint.start()
         endpoints.append(endpoint)
         store.put("servers", endpoint.name, endpoint.entry())
@@ -56,9 +57,8 @@
         store.put("servers", endpoint.name, endpoint.entry())
         await asyncio.sleep(SERVES_ON_SECONDS)
         endpoints.remove(endpoint)
-        store.remove("servers", endpoint.name)
-        await asyncio.sleep(1.0)
         endpoint.crash()
+        store.remove("servers", endpoint.name)
 
     for _ in range(ENDPOINTS):
         await enter()
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -16,6 +16,11 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Endpoints close connections that rest for this long, and say so; as in the site file.
+IDLE_SECONDS = 10
+COLD_SECONDS = 3.0
+# A case ends by itself before the two minutes that it may take.
+MAX_RUN_SECONDS = 115.0
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 KEY = "2b9wu3fexd9dnn2ctnfz"
 HOST_NAME = "ficu95.example"
@@ -88,6 +93,7 @@
     def __init__(self):
         self.objects = {}
         self.spec_by_kind_and_name = {}
+        self.created_at = {}
         self.revision = 100
         self.address = ""
         self.calls = 0
@@ -119,7 +125,7 @@
         metadata = {
             "name": name,
             "revision": self.revision,
-            "created": self.revision,
+            "created": self.created_at.setdefault((kind, name), self.revision),
             "finalizers": [],
             "deleting": False,
         }
@@ -132,6 +138,7 @@
         self.revision += 1
         self.objects[kind].pop(name, None)
         self.spec_by_kind_and_name.pop((kind, name), None)
+        self.created_at.pop((kind, name), None)
         return time.monotonic()
 
     async def start(self, ip="127.0.0.1"):
@@ -153,7 +160,7 @@
                     + data
                 )
                 await writer.drain()
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -235,7 +242,9 @@
         When a request began to run, its id and its target.
     """
 
-    def __init__(self, name, service, slots=6, work_seconds=0.05):
+    def __init__(self, name, service, slots=6, work_seconds=0.05, cold_seconds=0.0):
+        self.cold_seconds = cold_seconds
+        self.started_at = time.monotonic()
         self.name = name
         self.service = service
         self.slots = slots
@@ -248,8 +257,9 @@
         self.server = None
         self.writers = set()
 
-    def entry(self, cold="0ms"):
+    def entry(self):
         self.sequence += 1
+        cold = max(self.cold_seconds - (time.monotonic() - self.started_at), 0.0)
         return {
             "service": self.service,
             "address": self.address,
@@ -257,7 +267,7 @@
             "configVersion": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldRemaining": cold,
+            "coldRemaining": f"{int(cold * 1000)}ms",
             "sequence": self.sequence,
             "born": self.born,
         }
@@ -267,6 +277,7 @@
             self.serve, ip, port, limit=1 << 20, backlog=512
         )
         self.address = f"{ip}:{self.server.sockets[0].getsockname()[1]}"
+        self.started_at, self.born = time.monotonic(), int(time.time() * 1000)
 
     def crash(self):
         """Stop listening and reset all connections."""
@@ -277,11 +288,17 @@
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
-            while (head := await read_head(reader)) is not None:
+            while True:
+                head = await asyncio.wait_for(read_head(reader), IDLE_SECONDS)
+                if head is None:
+                    break
                 body = await read_body(reader, head[1])
                 if not await self.handle(writer, *head, body):
                     break
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+        except asyncio.CancelledError:
+            # The case has ended.
             pass
         finally:
             self.writers.discard(writer)
@@ -295,7 +312,8 @@
             return True
         request_id = headers.get("trefoilpin-request-id", "")
         if headers.get("trefoilpin-expected-instance", self.name) != self.name:
-            writer.write(self.format(421, request_id, b""))
+            instance = (("Trefoilpin-Instance-Id", self.name),)
+            writer.write(self.format(421, "", b"", instance))
             await writer.drain()
             return True
         self.runs.append((time.monotonic(), request_id, target))
@@ -309,11 +327,18 @@
         signature = (("Trefoilpin-Response-Signature", SIGNATURE),)
         writer.write(self.format(200, request_id, answer_body(request_id), signature))
         await writer.drain()
-        return True
+        return not self.is_leaving()
+
+    def is_leaving(self):
+        return self.state == "draining"
 
-    @staticmethod
-    def format(status, request_id, body, headers=()):
+    def format(self, status, request_id, body, headers=()):
+        """Return an answer; one of an endpoint that leaves says so and closes."""
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+        if self.is_leaving():
+            lines += ["Server-Leaving: 1", "Connection: close"]
+        else:
+            lines.append(f"Keep-Alive: timeout={IDLE_SECONDS}")
         if request_id:
             lines.append(f"Trefoilpin-Request-Id: {request_id}")
         lines.extend(f"{name}: {value}" for name, value in headers)
@@ -360,12 +385,15 @@
         self.settings_path = pathlib.Path(folder) / f"{name}.json"
         self.log_path = pathlib.Path(folder) / f"{name}.log"
         self.process = None
+        self.is_ended = False
 
     def front(self):
         ip, _, port = self.settings["listen"]["front"].rpartition(":")
         return ip, int(port)
 
     async def start(self):
+        if self.is_ended:
+            return
         self.settings_path.write_text(json.dumps(self.settings))
         environment = {
             "PATH": os.environ["PATH"],
@@ -479,8 +507,9 @@
 
 
 async def stop_all(hosts):
-    """End every process that was started here."""
+    """End every process that was started here; none is started after that."""
     for host in hosts:
+        host.is_ended = True
         if host.is_running():
             host.send_signal(signal.SIGCONT)
             host.send_signal(signal.SIGKILL)
@@ -534,14 +563,24 @@
         writer.close()
 
 
+async def run_in_time(main, record, scratch):
+    """Run a case until it ends, is told to, or takes too long; it then ends its hosts."""
+    task = asyncio.ensure_future(main(record, scratch))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, MAX_RUN_SECONDS)
+
+
 def run(main):
     """Run a case and exit with 1 if its rule was broken, 0 if it held, 2 if not run."""
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder)
     with tempfile.TemporaryDirectory() as scratch:
         try:
-            broken = asyncio.run(main(record, scratch))
-        except (CannotRun, OSError) as error:
+            broken = asyncio.run(run_in_time(main, record, scratch))
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
+            # A fault of the case itself says nothing of the rule.
             record.write(f"could not run: {type(error).__name__}: {error}")
             sys.exit(2)
     record.write("the rule was broken" if broken else "the rule held")
