Bound the log lines that others cause

Cause: a line held the whole text that another had written, and nothing bounded how often an event of that kind was logged. 20,000 lines of any length could wait in memory.

Change: fields are cut to 1,000 characters when they are logged; events that others cause are limited to 30 lines a minute each, and the rest is counted in limited_lines_left_out. Refusals of requests are still never left out.

Test: 1,000 events with 100 KB each give 30 lines; before, all were written whole.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -20,6 +20,9 @@
         Description for operators.
     sampled : bool
         True for frequent events, of which lines may be left out.
+    limited : bool
+        True for events that others cause by what they write. Lines of such an event
+        over a limit per minute are left out and counted.
     """
 
     number: int
@@ -28,6 +31,7 @@
     fields: tuple[str, ...]
     meaning: str
     sampled: bool = False
+    limited: bool = False
 
 
 # 1xx: daemon, settings and callers.
@@ -491,6 +495,7 @@
     logging.ERROR,
     ("kind", "revision", "detail"),
     "A document is invalid; the previous one stays in force.",
+    limited=True,
 )
 OBJECT_MALFORMED = Event(
     712,
@@ -498,6 +503,7 @@
     logging.WARNING,
     ("kind", "object", "detail"),
     "An object in the store does not have the expected form and is ignored.",
+    limited=True,
 )
 STORE_LOST = Event(
     713,
@@ -519,6 +525,7 @@
     logging.WARNING,
     ("host", "kind", "detail"),
     "A newer document could not be fetched from the host that announced it.",
+    limited=True,
 )
 DOCUMENT_FETCHED = Event(
     717,
@@ -669,6 +676,22 @@
     ("lines",),
     "Lines of sampled events above the limit on log volume were not written.",
 )
+LIMITED_LINES_LEFT_OUT = Event(
+    761,
+    "limited_lines_left_out",
+    logging.WARNING,
+    ("limited_event", "lines"),
+    "Lines of an event that others cause, above the limit per minute, were not"
+    " written.",
+)
+GOSSIP_MALFORMED = Event(
+    762,
+    "gossip_malformed",
+    logging.WARNING,
+    ("host", "detail"),
+    "A message between hosts can't be decoded and is ignored.",
+    limited=True,
+)
 
 # 8xx: pools under pressure.
 STORE_RESTORED = Event(
--- a/trefoilpin/logs.py
+++ b/trefoilpin/logs.py
@@ -28,6 +28,9 @@
 FULL_PIPE_RETRY_SECONDS = 0.05
 FLUSH_INTERVAL_SECONDS = 0.05
 LINES_PER_BATCH = 4
+# A longer field holds what others wrote, of which the beginning tells enough.
+MAX_FIELD_CHARACTERS = 1000
+MAX_LIMITED_LINES_PER_MINUTE = 30
 NEEDS_QUOTES = re.compile(r'[\s"=]')
 
 
@@ -46,6 +49,9 @@
         Lines of sampled events in ``current_second``.
     left_out_lines : int
         Those of them over the limit.
+    current_minute : int
+    limited_lines_by_number : dict
+        Lines of each limited event in ``current_minute``.
     """
 
     def __init__(self):
@@ -56,6 +62,8 @@
         self.current_second = 0
         self.routine_lines = 0
         self.left_out_lines = 0
+        self.current_minute = 0
+        self.limited_lines_by_number: dict[int, int] = {}
 
 
 def write_standard_output(text):
@@ -82,6 +90,14 @@
     return json.dumps(row | fields, default=str)
 
 
+def shorten(fields):
+    """Return the fields of an event; of long texts only the beginning."""
+    for name, value in fields.items():
+        if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+            fields[name] = f"{value[:MAX_FIELD_CHARACTERS]}..."
+    return fields
+
+
 def quote(value):
     """Return a value as text, quoted when it contains white space, ``"`` or ``=``."""
     text = "-" if value is None else str(value)
@@ -124,10 +140,12 @@
                 return
         if event.sampled and max_routine is not None and is_over_line_limit():
             return
+        if event.limited and is_over_limit_of_event(event):
+            return
         if len(state.buffered) >= MAX_BUFFERED_LINES:
             state.dropped_lines += 1
             return
-        state.buffered.append((wall(), event, fields))
+        state.buffered.append((wall(), event, shorten(fields)))
         if not state.has_lines.ready():
             state.has_lines.send()
 
@@ -145,6 +163,28 @@
         state.left_out_lines += 1
         return True
 
+    def is_over_limit_of_event(event):
+        """Count a line of a limited event; True when its minute is over the limit."""
+        minute = int(wall()) // 60
+        if minute != state.current_minute:
+            lines_by_number, state.limited_lines_by_number = (
+                state.limited_lines_by_number,
+                {},
+            )
+            state.current_minute = minute
+            report_left_out(lines_by_number)
+        lines = state.limited_lines_by_number.get(event.number, 0) + 1
+        state.limited_lines_by_number[event.number] = lines
+        return lines > MAX_LIMITED_LINES_PER_MINUTE
+
+    def report_left_out(lines_by_number):
+        for number, lines in lines_by_number.items():
+            left_out = lines - MAX_LIMITED_LINES_PER_MINUTE
+            if left_out > 0:
+                emit(
+                    events.LIMITED_LINES_LEFT_OUT, limited_event=number, lines=left_out
+                )
+
     def write_batch(count):
         """Write at most ``count`` lines; requests may run between two batches."""
         lines = []
--- a/trefoilpin/tests/test_logs.py
+++ b/trefoilpin/tests/test_logs.py
@@ -107,3 +107,26 @@
     numbers = [event.number for event in events.CATALOGUE]
     assert len(set(numbers)) == len(numbers)
     assert len({event.name for event in events.CATALOGUE}) == len(numbers)
+
+
+def test_lines_of_events_that_others_cause_are_limited_per_minute_and_counted():
+    """Guards against a log that grows with what others write (review, case 8)."""
+    lines = []
+    state = loops.LoopState(1)
+    kernel = create_kernel(loops.movable_clock(state), lambda *task: None)
+    service = logs.create(kernel, write=lines.append)
+    for number in range(1000):
+        detail = f"{number}" + "x" * 100_000
+        service.emit(events.OBJECT_MALFORMED, kind="k", object=detail, detail=detail)
+        service.emit(events.REQUEST_REFUSED, request_id=str(number))
+    service.flush()
+    text = "".join(lines)
+    assert text.count("object_malformed") == logs.MAX_LIMITED_LINES_PER_MINUTE
+    assert text.count("request_refused") == 1000
+    assert len(text) < 30 * 3000 + 1000 * 200
+    state.now += 60.0
+    service.emit(events.OBJECT_MALFORMED, kind="k", object="o", detail="d")
+    service.flush()
+    left_out = 1000 - logs.MAX_LIMITED_LINES_PER_MINUTE
+    assert f"limited_event=712 lines={left_out}" in lines[-1]
+    assert "object=o" in lines[-1]
