Measure documents of other hosts before they are decoded

Cause: a document of another host was decompressed to up to 64 MB and decoded whatever it held, its answer was read without a limit, each malformed datagram was a log line, and a host whose document could not be used was asked again with each message.

Change: json_scans measures JSON text without decoding it. Documents have 12 MiB and 200,000 values at most and are tables of texts; fetched answers have a limit; a host whose documents change nothing is asked after 0.2 s and then ever later, so that those of other hosts are fetched meanwhile; malformed messages are an event with a limit.

--- a/trefoilpin/gateway/fleet/document_fetchers.py
+++ b/trefoilpin/gateway/fleet/document_fetchers.py
@@ -12,6 +12,26 @@
 __all__ = ["DocumentFetchers", "create"]
 
 RETRY_PAUSE_SECONDS = 0.1
+# A host whose documents can't be used is asked ever later, so that it costs little
+# and those of other hosts are fetched meanwhile.
+MIN_DISTRUST_SECONDS = 0.2
+MAX_DISTRUST_SECONDS = 6.4
+MAX_DISTRUSTED_HOSTS = 1024
+
+
+class FetchState:
+    """Kinds that are fetched, and hosts whose documents could not be used.
+
+    Attributes
+    ----------
+    fetching : set of str
+    distrust_by_source : dict
+        Seconds for which nothing is fetched, and until when, by address and kind.
+    """
+
+    def __init__(self):
+        self.fetching: set[str] = set()
+        self.distrust_by_source: dict[tuple[str, str], tuple[float, float]] = {}
 
 
 class DocumentFetchers(NamedTuple):
@@ -43,7 +63,7 @@
     -------
     DocumentFetchers
     """
-    fetching: set[str] = set()
+    state = FetchState()
     now = kernel.clock.now
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
@@ -51,17 +71,38 @@
 
     def handle_versions(address, versions):
         for version in versions:
-            if document_cache.confirm(version) and version.kind not in fetching:
-                fetching.add(version.kind)
+            if not document_cache.confirm(version) or version.kind in state.fetching:
+                continue
+            _, until = state.distrust_by_source.get((address, version.kind), (0.0, 0.0))
+            if now() >= until:
+                state.fetching.add(version.kind)
                 kernel.spawn(fetch_newer, address, version.kind)
 
     def fetch_newer(address, kind):
         """Fetch a document from the host that advertised a newer version."""
+        before = document_cache.version(kind)
+        held_at = now() - before.age
         try:
             if not fetch(address, kind):
                 kernel.clock.sleep(RETRY_PAUSE_SECONDS)
+                return
         finally:
-            fetching.discard(kind)
+            state.fetching.discard(kind)
+        after = document_cache.version(kind)
+        is_same = after._replace(age=0, unbroken_seconds=0) == before._replace(
+            age=0, unbroken_seconds=0
+        )
+        update_distrust(address, kind, is_same and now() - after.age <= held_at)
+
+    def update_distrust(address, kind, is_useless):
+        """Ask a host later after each fetch that changed nothing here."""
+        seconds, _ = state.distrust_by_source.pop((address, kind), (0.0, 0.0))
+        if not is_useless:
+            return
+        seconds = min(max(seconds * 2, MIN_DISTRUST_SECONDS), MAX_DISTRUST_SECONDS)
+        while len(state.distrust_by_source) >= MAX_DISTRUSTED_HOSTS:
+            del state.distrust_by_source[next(iter(state.distrust_by_source))]
+        state.distrust_by_source[address, kind] = (seconds, now() + seconds)
 
     def fetch(address, kind):
         """Fetch a document from a host; return False when that failed."""
--- a/trefoilpin/gateway/fleet/transports.py
+++ b/trefoilpin/gateway/fleet/transports.py
@@ -7,6 +7,8 @@
 from returns.result import Failure, Result
 from urllib3.exceptions import HTTPError
 
+from trefoilpin import events
+from trefoilpin.bounded_reads import read_body
 from trefoilpin.gateway.fleet import compression, gossip_codecs
 from trefoilpin.gateway.fleet.messages import Document
 
@@ -18,6 +20,8 @@
 # Period of the check whether the receive queue is empty.
 QUEUE_CHECK_INTERVAL_SECONDS = 0.1
 FETCH_TIMEOUT_SECONDS = 1.0
+# A document with what its sender retains, and their names and numbers.
+MAX_FETCHED_BYTES = 2 * gossip_codecs.MAX_DOCUMENT_BYTES + 65_536
 # Hosts in other zones, several times those of the planned fleet.
 MAX_REMEMBERED_ADDRESSES = 4096
 
@@ -48,6 +52,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind((address, port))
     metrics = kernel.find("metrics")
+    emit = kernel.find("events").emit
     now = kernel.clock.now
     empty_at = now()
     compressing_addresses: set[str] = set()
@@ -89,9 +94,8 @@
             decoded = compression.expand(data).bind(gossip_codecs.decode)
             if isinstance(decoded, Failure):
                 metrics.count("bulletins_malformed")
-                logger.warning(
-                    "malformed gossip message from %s: %s", source[0], decoded.failure()
-                )
+                detail = decoded.failure()
+                emit(events.GOSSIP_MALFORMED, host=source[0], detail=detail)
                 continue
             message = decoded.unwrap()
             remember_format(source[0], message)
@@ -134,11 +138,13 @@
                 f"http://{address}:{port}/documents/{kind}?base={base}",
                 timeout=FETCH_TIMEOUT_SECONDS,
                 headers={"Connection": "close"},
+                preload_content=False,
             )
+            data = read_body(response, MAX_FETCHED_BYTES)
         except (HTTPError, OSError) as error:
             return Failure(f"{type(error).__name__}: {error}")
         if response.status != 200:
             return Failure(f"the host answered with status {response.status}")
-        return gossip_codecs.decode_document(response.data)
+        return data.bind(gossip_codecs.decode_document)
 
     return fetch
--- a/trefoilpin/gateway/store/documents.py
+++ b/trefoilpin/gateway/store/documents.py
@@ -1,15 +1,25 @@
-"""Encoding of document rows and deltas."""
+"""Encoding of document rows and deltas.
+
+What another host sent is measured before it is decoded: a document is a table of texts,
+so it has few lists and tables, however many rows it has.
+"""
 
 import json
 import zlib
 
 from returns.result import Failure, Result, Success
 
+from trefoilpin import json_scans
 from trefoilpin.gateway.store.rows import Delta, DocumentCodec
 
 __all__ = ["CODEC"]
 
-MAX_DOCUMENT_BYTES = 67_108_864
+# Several times the documents of the planned size, which are 1 to 3 MB.
+MAX_DOCUMENT_BYTES = 12_582_912
+# Rows of a document with their names, and the fields of a delta.
+MAX_VALUES = 200_000
+# A delta has a table of changed rows and a list of removed ones in a table.
+MAX_CONTAINERS = 3
 COMPRESSION_LEVEL = 1
 CHANGED_KEY, REMOVED_KEY, DIGEST_KEY = "changed", "gone", "digest"
 
@@ -26,7 +36,13 @@
 def unpack(data) -> Result[dict, str]:
     """Return the decoded table, or a description of the error."""
     try:
-        text = zlib.decompressobj().decompress(data, MAX_DOCUMENT_BYTES)
+        text = zlib.decompressobj().decompress(data, MAX_DOCUMENT_BYTES + 1)
+        if len(text) > MAX_DOCUMENT_BYTES:
+            return Failure(f"the document is over {MAX_DOCUMENT_BYTES} bytes")
+        if json_scans.has_more_containers(text, MAX_CONTAINERS):
+            return Failure("the document is not a table of texts")
+        if json_scans.has_more_values(text, MAX_VALUES):
+            return Failure(f"the document has over {MAX_VALUES} values")
         table = json.loads(text)
     except (zlib.error, ValueError, RecursionError) as error:
         return Failure(f"{type(error).__name__}: {error}")
--- a/trefoilpin/tests/gateway/test_documents.py
+++ b/trefoilpin/tests/gateway/test_documents.py
@@ -1,5 +1,9 @@
 """Encoding of documents and deltas, and rejection of malformed ones."""
 
+import json
+import tracemalloc
+import zlib
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -47,3 +51,35 @@
 def test_equal_content_is_encoded_as_equal_text():
     one = CODEC.encode_content({"b": 1, "a": [1, 2]})
     assert one == CODEC.encode_content({"a": [1, 2], "b": 1})
+
+
+MEGABYTE = 1_000_000
+ODD_TEXTS = [
+    "[" + "[]," * MEGABYTE + "[]]",
+    '{"a":[' + "[]," * MEGABYTE + "[]]}",
+    '{"changed":{},"gone":[' + '"",' * (3 * MEGABYTE) + '""],"digest":1}',
+    '{"a":' * MEGABYTE + "1" + "}" * MEGABYTE,
+    json.dumps({"a": "x" * (40 * MEGABYTE)}),
+    "[" * MEGABYTE + "]" * MEGABYTE,
+    "0" * (3 * MEGABYTE),
+]
+
+
+@pytest.mark.parametrize("text", ODD_TEXTS, ids=range(len(ODD_TEXTS)))
+def test_an_odd_document_of_another_host_costs_little_memory(text):
+    """Guards against a document that ends the hosts that decode it."""
+    data = zlib.compress(text.encode(), 1)
+    tracemalloc.start()
+    assert isinstance(CODEC.decode_rows(data), Failure)
+    assert isinstance(CODEC.decode_delta(data), Failure)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert peak < 3 * documents.MAX_DOCUMENT_BYTES
+
+
+def test_a_document_of_the_planned_size_is_accepted():
+    """21,000 accounts and 2,900 routes, or 5,600 upstreams."""
+    account = json.dumps({"name": "a" * 12, "apiKeys": ["k" * 20], "ratePerS": 10})
+    table = {f"tenants/{number:012}": account for number in range(21_000)}
+    table.update({f"listeners/{number:012}": "x" * 400 for number in range(2900)})
+    assert CODEC.decode_rows(CODEC.encode_rows(table)).unwrap() == table
--- a/trefoilpin/tests/gateway/test_transports.py
+++ b/trefoilpin/tests/gateway/test_transports.py
@@ -2,9 +2,11 @@
 
 import socket
 
+import eventlet
 import pytest
 from returns.result import Failure
 
+from trefoilpin import events
 from trefoilpin.fakes.gateways import create_document_cache, create_host
 from trefoilpin.gateway.fleet import compression, gossip_codecs, transports
 from trefoilpin.gateway.fleet.messages import GossipMessage, MemberRecord, aged
@@ -136,3 +138,43 @@
     """Guards against datagrams that expand without bound or end early."""
     expanded = compression.expand(data)
     assert isinstance(expanded.bind(gossip_codecs.decode), Failure)
+
+
+def test_malformed_messages_are_events_with_a_limit():
+    """Guards against a log line for each message that a faulty host sends."""
+    kernel, _, lines = create_host()
+    port = find_port()
+    send, receive_forever, _ = transports.open_datagrams(kernel, HOST, port)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(b"odd", (HOST, port))
+    send(HOST, EMPTY)
+    assert read_one(receive_forever)[1] == EMPTY
+    assert [event for event, _ in lines] == [events.GOSSIP_MALFORMED]
+    assert events.GOSSIP_MALFORMED.limited
+
+
+@pytest.mark.parametrize("declares_length", [True, False])
+def test_a_fetched_answer_without_end_is_given_up(monkeypatch, declares_length):
+    """Guards against a faulty host that fills the memory of others."""
+    monkeypatch.setattr(transports, "MAX_FETCHED_BYTES", 100_000)
+    listener = eventlet.listen((HOST, 0))
+    sent = []
+
+    def serve():
+        sock, _ = listener.accept()
+        sock.recv(65_536)
+        length = "Content-Length: 900000000\r\n" if declares_length else ""
+        sock.sendall(f"HTTP/1.1 200 OK\r\n{length}\r\n".encode())
+        try:
+            while len(sent) < 1000:
+                sock.sendall(b"x" * 65_536)
+                sent.append(1)
+        except OSError:
+            sock.close()
+
+    eventlet.spawn(serve)
+    fetch = transports.create_fetch(listener.getsockname()[1])
+    outcome = fetch(HOST, CONFIGURATION, 0)
+    assert "longer than 100000" in outcome.failure()
+    eventlet.sleep(0.2)
+    assert len(sent) < 500
