--- a/trefoilpin/dialects.py
+++ b/trefoilpin/dialects.py
@@ -40,6 +40,9 @@
     skips_mismatched_answers : bool
         True when every answer echoes its request's id unless it states that the request
         was not run; a complete answer with another id is then skipped.
+    decoy_headers : tuple of (str, str)
+        Headers of a request that every upstream refuses at once without running it, by
+        which the answers on a connection are told apart; none where there is no such.
     """
 
     request_id: str
@@ -50,6 +53,7 @@
     fault: Callable[[int, dict], str | None]
     allows_unframed: bool = False
     skips_mismatched_answers: bool = False
+    decoy_headers: tuple[tuple[str, str], ...] = ()
 
 
 def states_not_run(status, value_by_name):
--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -20,6 +20,7 @@
     "abandon",
     "close",
     "framing_fault",
+    "has_ended",
     "has_excess_bytes",
     "is_reusable",
     "open_connection",
@@ -82,6 +83,8 @@
         Seconds of the kernel's clock.
     max_idle : float or None
         Idle timeout in seconds, derived from the one that the upstream announced.
+    is_reused : bool
+        True once it was taken for a further request.
     is_suspect : bool
         True once an answer to another request arrived on it.
     may_repeat_refusal : bool
@@ -100,6 +103,7 @@
         self.echoes_request_id = False
         self.idle_since = 0.0
         self.max_idle = None
+        self.is_reused = False
         self.is_suspect = False
         self.may_repeat_refusal = False
         self.head_bytes_left = None
@@ -269,6 +273,17 @@
     return skip_informational(connection, response)
 
 
+def has_ended(connection):
+    """Wait for input; tell whether it is the end of the connection.
+
+    Raises
+    ------
+    OSError, ValueError
+        When the connection broke.
+    """
+    return not connection.reader.peek(1)
+
+
 def read_fields(response):
     """Return the headers of an answer in order, names in lower case."""
     return [(name.lower(), value) for name, value in response.headers.raw_items()]
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -386,6 +386,83 @@
     assert upstream.connections == 2
 
 
+DECOY_DIALECT = DEFAULT._replace(
+    skips_mismatched_answers=True, decoy_headers=(("x-expected", "none"),)
+)
+CLOSING_REFUSAL = UNNAMED_REFUSAL.replace(b"X-Shed", b"Connection: close\r\nX-Shed")
+
+
+@pytest.fixture
+def kept_upstream(upstream):
+    """An upstream that has answered a request on a connection that is kept."""
+    exchange = create_exchange(DECOY_DIALECT)
+    upstream.steps = [COMPLETE_WITH_ID]
+    assert upstream.call("POST", exchange=exchange).verdict is Verdict.RAN
+    upstream.exchange = exchange
+    return upstream
+
+
+def is_decoy(request):
+    return b"x-expected: none" in request
+
+
+@pytest.mark.parametrize("copy", [UNNAMED_REFUSAL, CLOSING_REFUSAL])
+@pytest.mark.parametrize("delay", [0.0, 0.1])
+def test_copied_refusal_on_a_kept_connection_is_not_the_answer(
+    kept_upstream, copy, delay
+):
+    """Guards against writes that run twice, or are refused though they ran (case 6)."""
+
+    def copy_then_answer(sock):
+        sock.sendall(copy)
+        eventlet.sleep(delay)
+        sock.sendall(COMPLETE_WITH_ID)
+
+    kept_upstream.steps = [copy_then_answer, UNNAMED_REFUSAL, COMPLETE_WITH_ID]
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.RAN and attempt.answer.body == b"ok"
+    eventlet.sleep(0.05)
+    assert kept_upstream.call("POST", exchange=kept_upstream.exchange).answer
+    writes = [item for item in kept_upstream.received if not is_decoy(item)]
+    assert len(writes) == 3 and kept_upstream.connections == 2
+
+
+def test_true_refusal_on_a_kept_connection_is_confirmed_by_a_decoy(kept_upstream):
+    kept_upstream.steps = [UNNAMED_REFUSAL, UNNAMED_REFUSAL, COMPLETE_WITH_ID]
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.NOT_RUN and attempt.shed
+    assert kept_upstream.call("POST", exchange=kept_upstream.exchange).answer
+    assert [is_decoy(item) for item in kept_upstream.received] == [0, 0, 1, 0]
+    assert kept_upstream.connections == 1
+
+
+def test_true_refusal_that_closes_a_kept_connection_is_confirmed(kept_upstream):
+    def refuse_and_close(sock):
+        sock.sendall(CLOSING_REFUSAL)
+        sock.close()
+
+    kept_upstream.steps = [refuse_and_close]
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize("following", [None, COMPLETE, b"odd\r\n\r\n"])
+def test_refusal_that_stays_in_doubt_may_have_run(kept_upstream, following):
+    kept_upstream.steps = [UNNAMED_REFUSAL, following]
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
+
+
+def test_no_decoy_is_sent_where_a_refusal_is_in_no_doubt(kept_upstream):
+    """A first answer on a connection, and requests that may run again."""
+    kept_upstream.steps = [UNNAMED_REFUSAL, UNNAMED_REFUSAL]
+    fresh = create_exchange(DECOY_DIALECT)
+    assert kept_upstream.call("POST", exchange=fresh).verdict is Verdict.NOT_RUN
+    attempt = kept_upstream.call("GET", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.NOT_RUN
+    assert not any(map(is_decoy, kept_upstream.received))
+
+
 def test_named_refusal_keeps_its_connection(upstream):
     named = UNNAMED_REFUSAL.replace(b"X-Shed", b"X-Request-Id: r1\r\nX-Shed")
     upstream.steps = [named, COMPLETE_WITH_ID]
