Accept no keys from a restored store that no running host can vouch for

Cause: a host without a history took the copy's configuration for the one in force.

Change: in an era above 0 such a configuration is unproven until it changes, a host that ran before says what was in force, or the era has been read for 6 s. Requests with keys and those that match nothing are refused as not run meanwhile. The name of the period of zones is now that of both, OPERATOR_REWRITE_SECONDS.

Tests: the new ones fail on the code before, which has no such state.

--- a/trefoilpin/fakes/gateways.py
+++ b/trefoilpin/fakes/gateways.py
@@ -72,11 +72,10 @@
     decode_by_kind = dict.fromkeys(document_cache.KINDS, decode)
     service = document_cache.create(kernel, decode_by_kind)
 
-    def put(kind, revision, value, age=0.0):
+    def put(kind, revision, value, age=0.0, era=0):
         values[repr(value)] = value
-        return service.apply_document(
-            kind, revision, {"value": repr(value)}, age, "store"
-        )
+        rows = {"value": repr(value)}
+        return service.apply_document(kind, revision, rows, age, "store", 0.0, era)
 
     return service, put
 
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -76,8 +76,8 @@
     ``dispatch(context)`` runs attempts until the request is done and stores the outcome
     in the ``RequestContext``. ``typical_seconds(route)`` is the typical duration of a
     route's requests, and ``are_keys_stale()`` tells whether the configuration is too
-    old to trust keys. After ``end_by(time)`` no attempt is started that would typically
-    take until after that time of the clock.
+    old, or may be an earlier one, so that keys can't be trusted. After ``end_by(time)``
+    no attempt is started that would typically take until after that time of the clock.
     """
 
     dispatch: Callable
@@ -379,7 +379,8 @@
         return False
 
     def are_keys_stale():
-        return document_cache.age(CONFIGURATION) > settings.key_seconds
+        is_old = document_cache.age(CONFIGURATION) > settings.key_seconds
+        return is_old or document_cache.is_unproven(CONFIGURATION)
 
     def end_by(time):
         state.ends_at = time
--- a/trefoilpin/gateway/requests/proxies.py
+++ b/trefoilpin/gateway/requests/proxies.py
@@ -106,7 +106,8 @@
 
     def final_unless_stale(refusal):
         """Return a final refusal, or a retryable one if the configuration is stale."""
-        if document_cache.age(CONFIGURATION) > MAX_FRESH_AGE_SECONDS:
+        is_old = document_cache.age(CONFIGURATION) > MAX_FRESH_AGE_SECONDS
+        if is_old or document_cache.is_unproven(CONFIGURATION):
             return NOT_CURRENT
         return refusal
 
--- a/trefoilpin/gateway/store/cached_documents.py
+++ b/trefoilpin/gateway/store/cached_documents.py
@@ -75,6 +75,9 @@
     read_span : ReadSpan
         Kept for kinds whose objects expire, and for all kinds of a store that was
         restored.
+    is_unproven : bool
+        True when the first document came from a restored store, and neither a change
+        of it nor another host has shown since what was in force before.
     """
 
     def __init__(self, value):
@@ -87,6 +90,7 @@
         self.known_since = None
         self.read_span = NO_READS
         self.is_settling = False
+        self.is_unproven = False
         self.deltas: deque[AppliedDelta] = deque(maxlen=MAX_DELTAS)
         self.subscribers = []
 
--- a/trefoilpin/gateway/store/document_cache.py
+++ b/trefoilpin/gateway/store/document_cache.py
@@ -36,7 +36,11 @@
     ReadSpan,
     join_spans,
 )
-from trefoilpin.gateway.store.store_restores import NO_OVERLAY, Overlay
+from trefoilpin.gateway.store.store_restores import (
+    NO_OVERLAY,
+    OPERATOR_REWRITE_SECONDS,
+    Overlay,
+)
 
 __all__ = [
     "CONFIGURATION",
@@ -74,7 +78,7 @@
     ZONES_OUT: restore_overlays.Rules(
         store_restores.keep_zones_out,
         store_restores.learn_zones_out,
-        (store_restores.ZONE_RETENTION_SECONDS,),
+        (store_restores.OPERATOR_REWRITE_SECONDS,),
     ),
 }
 USED_AS_LISTED = restore_overlays.Rules(
@@ -96,7 +100,9 @@
     ``overlay(kind)`` is what other hosts are sent of that.
 
     ``value(kind)`` is the decoded document as it is in use, ``version(kind)``
-    and ``rows(kind)`` are what other hosts are sent. ``delta_since(kind, digest)`` is
+    and ``rows(kind)`` are what other hosts are sent. ``is_unproven(kind)`` tells
+    whether the document may be an older one, of a store that was restored while no
+    known host ran. ``delta_since(kind, digest)`` is
     the delta from an earlier document, or None when it is no longer kept, and
     ``age(kind)`` the age in seconds. ``subscribe(kind, function)`` has the function
     called with each new value. ``kinds`` are the kinds that this host keeps.
@@ -113,6 +119,7 @@
     subscribe: Callable[[str, Callable], None]
     learn: Callable[[str, Overlay, str], None]
     overlay: Callable[[str], Overlay]
+    is_unproven: Callable[[str], bool]
     kinds: tuple[str, ...] = KINDS
 
 
@@ -232,6 +239,10 @@
             return False
         if is_new_era:
             logs.restored(document, version)
+        if not document.revision:
+            document.is_unproven = version.era > 0 and remote_overlay == NO_OVERLAY
+        elif not is_new_era and (delta.changed or delta.removed):
+            document.is_unproven = False
         row_names = frozenset((*delta.changed, *delta.removed))
         document.deltas.append(AppliedDelta(document.digest, row_names))
         document.digest = digest_after(document.digest, document.rows, delta)
@@ -300,6 +311,7 @@
         if isinstance(outcome, Failure):
             report_malformed(emit, version(kind), outcome.failure())
             return False
+        document_by_kind[kind].is_unproven = False
         document_by_kind[kind].value = outcome.unwrap()
         handle_overlay_change(kind, before)
         notify(document_by_kind[kind])
@@ -348,6 +360,11 @@
     def age(kind):
         return now() - document_by_kind[kind].held_at
 
+    def is_unproven(kind):
+        document = document_by_kind[kind]
+        seconds = now() - document.read_span.started_at
+        return document.is_unproven and seconds < OPERATOR_REWRITE_SECONDS
+
     def version(kind):
         document = document_by_kind[kind]
         started_at = document.read_span.started_at
@@ -377,6 +394,7 @@
         lambda kind, function: document_by_kind[kind].subscribers.append(function),
         learn,
         lambda kind: overlay_by_kind[kind].shared(),
+        is_unproven,
         kinds,
     )
     kernel.register("document_cache", service)
--- a/trefoilpin/gateway/store/store_restores.py
+++ b/trefoilpin/gateway/store/store_restores.py
@@ -20,9 +20,9 @@
     "InForce",
     "Listed",
     "NO_OVERLAY",
+    "OPERATOR_REWRITE_SECONDS",
     "Overlay",
     "Reads",
-    "ZONE_RETENTION_SECONDS",
     "keep_configuration",
     "keep_nothing",
     "keep_upstreams",
@@ -36,7 +36,8 @@
 
 # Operators repeat their writes once they see the new era. A zone that stays out for too
 # long costs capacity, one that returns early gets requests that it was promised not to.
-ZONE_RETENTION_SECONDS = 6.0
+# A host that can't know what was in force doesn't accept keys until then.
+OPERATOR_REWRITE_SECONDS = 6.0
 # The store removes the entry of an upstream that is silent for this many periods.
 HEARTBEATS_UNTIL_REMOVED = 3
 # Age of the last read of a live store, as in ``store_outages``. Without such a read at
@@ -163,7 +164,7 @@
 
 def keep_zones_out(in_force, listed, reads):
     """Return the overlay with the zones that stay out though they are not listed."""
-    if not is_within(reads, ZONE_RETENTION_SECONDS):
+    if not is_within(reads, OPERATOR_REWRITE_SECONDS):
         return NO_OVERLAY
     candidates = in_force.rows if reads.is_new_era else in_force.overlay.retained
     retained = {}
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -61,7 +61,7 @@
 class Host:
     """The services of one host; ``attempts`` scripts the results of its sends."""
 
-    def __init__(self, has_real_clock=False, upstream_count=4):
+    def __init__(self, has_real_clock=False, upstream_count=4, era=0):
         kernel, self.clock, self.lines = create_host()
         kernel = kernel._replace(spawn=eventlet.spawn)
         if has_real_clock:
@@ -97,7 +97,7 @@
         first_documents.create(kernel, eventlet.event.Event)
         self.proxies = proxies.create(kernel)
         routes = (ROUTE, IDEMPOTENT, OPEN, *PRIORITY_ROUTES)
-        self.put(CONFIGURATION, 1, configuration(routes))
+        self.put(CONFIGURATION, 1, configuration(routes), era=era)
         numbers = range(1, upstream_count + 1)
         entries = table(*(upstream(number, slots=9) for number in numbers))
         self.put(UPSTREAMS, 1, entries)
@@ -323,6 +323,20 @@
     assert isinstance(host.send_request("/o/1"), Success)
 
 
+def test_keys_are_refused_while_a_restored_store_may_lack_their_withdrawal():
+    """Guards against withdrawn keys after a start of all hosts (review, case 10)."""
+    host = Host(era=1)
+    for path, key in (("/a/1", "k1"), ("/a/1", "other"), ("/none/", "k1")):
+        refusal = get_refusal(host.send_request(path, key))
+        assert refusal.reason is Reason.NOT_CURRENT
+        assert refusal.verdict is Verdict.NOT_RUN and refusal.retry_after
+    assert not host.sends
+    host.attempts = [GOOD, GOOD]
+    assert isinstance(host.send_request("/o/1"), Success)
+    host.put(CONFIGURATION, 2, configuration((ROUTE,)), era=1)
+    assert isinstance(host.send_request(), Success)
+
+
 def test_request_is_not_retried_once_its_key_is_stale(host):
     def expire_key(host):
         host.clock.time += MAX_KEY_AGE_SECONDS + 0.1
--- a/trefoilpin/tests/gateway/test_store_restores.py
+++ b/trefoilpin/tests/gateway/test_store_restores.py
@@ -17,7 +17,7 @@
 )
 from trefoilpin.gateway.store.store_restores import (
     NO_OVERLAY,
-    ZONE_RETENTION_SECONDS,
+    OPERATOR_REWRITE_SECONDS,
     Overlay,
 )
 
@@ -92,7 +92,7 @@
     host = Host()
     host.read(ZONES_OUT, {"z": "{}"})
     host.read(ZONES_OUT, {}, 1)
-    host.read_for(ZONE_RETENTION_SECONDS - 0.5, ZONES_OUT, {}, 1)
+    host.read_for(OPERATOR_REWRITE_SECONDS - 0.5, ZONES_OUT, {}, 1)
     assert host.names(ZONES_OUT) == {"z"}
     host.read_for(1.0, ZONES_OUT, {}, 1)
     assert host.names(ZONES_OUT) == set()
@@ -228,7 +228,7 @@
         new.cache.learn(kind, old.cache.overlay(kind), "10.0.0.7")
         assert new.cache.value(kind) == old.cache.value(kind)
         assert not new.cache.confirm(old.cache.version(kind))
-    new.clock.time += REMOVAL_SECONDS + ZONE_RETENTION_SECONDS
+    new.clock.time += REMOVAL_SECONDS + OPERATOR_REWRITE_SECONDS
     for kind, rows in listed_by_kind.items():
         new.read(kind, rows, 1)
     assert new.names(UPSTREAMS) == {"a", "d"} and new.is_draining("d")
@@ -243,7 +243,7 @@
     host.read(ZONES_OUT, {}, 1)
     before = host.cache.version(ZONES_OUT)
     assert before.overlay_digest
-    host.read_for(ZONE_RETENTION_SECONDS + 1.0, ZONES_OUT, {}, 1)
+    host.read_for(OPERATOR_REWRITE_SECONDS + 1.0, ZONES_OUT, {}, 1)
     current = host.cache.version(ZONES_OUT)
     late = current._replace(overlay_digest=before.overlay_digest)
     assert not current.overlay_digest and not host.cache.confirm(late)
@@ -270,6 +270,59 @@
     assert host.names(ZONES_OUT) == set()
 
 
+def start_in_restored_store(unbroken=0.0):
+    """Return a host whose first document is that of a restored store."""
+    host = Host()
+    host.cache.apply_document(
+        CONFIGURATION, 50, {"version": "00000007"}, 0.0, "store", unbroken, 1
+    )
+    return host
+
+
+def test_configuration_is_unproven_until_operators_have_written_again():
+    """Guards against withdrawn keys when all hosts start beside a restored store."""
+    host = start_in_restored_store()
+    same = {"version": "00000007"}
+    host.read_for(OPERATOR_REWRITE_SECONDS - 0.5, CONFIGURATION, same, 1)
+    assert host.cache.is_unproven(CONFIGURATION)
+    host.clock.time += 0.6
+    assert not host.cache.is_unproven(CONFIGURATION)
+
+
+def test_configuration_is_proven_by_a_change_of_it():
+    host = start_in_restored_store()
+    host.read(CONFIGURATION, {"version": "00000007"}, 1)
+    assert host.cache.is_unproven(CONFIGURATION)
+    host.read(CONFIGURATION, {"version": "00000008"}, 1)
+    assert not host.cache.is_unproven(CONFIGURATION)
+
+
+def test_configuration_is_proven_by_a_host_that_ran_before_the_restore():
+    host = start_in_restored_store()
+    host.cache.learn(CONFIGURATION, Overlay({"version": "00000009"}, frozenset()), "h")
+    assert not host.cache.is_unproven(CONFIGURATION)
+    taken = Host()
+    overlay = Overlay({"version": "00000009"}, frozenset())
+    taken.cache.apply_document(
+        CONFIGURATION, 50, {"version": "00000007"}, 0.0, "h", 0.0, 1, overlay
+    )
+    assert not taken.cache.is_unproven(CONFIGURATION)
+
+
+def test_configuration_is_proven_where_hosts_have_read_the_era_for_long():
+    assert start_in_restored_store(1.0).cache.is_unproven(CONFIGURATION)
+    unbroken = OPERATOR_REWRITE_SECONDS + 0.1
+    assert not start_in_restored_store(unbroken).cache.is_unproven(CONFIGURATION)
+
+
+@pytest.mark.parametrize("eras", [(0, 0), (0, 1), (None, None)])
+def test_configuration_of_a_store_that_was_not_restored_is_proven(eras):
+    host = Host()
+    for era in eras:
+        host.read(CONFIGURATION, {"version": "00000007"}, era or 0)
+        assert not host.cache.is_unproven(CONFIGURATION)
+
+
 def test_malformed_state_of_another_host_is_not_used():
     host = Host()
     host.cache.apply_document(CONFIGURATION, 7, {"version": "1"}, 0.0, "store", 0.0, 1)
