Send a request that broke a connection over new ones until it is answered

Cause: the break of a connection that was idle for 4 s or longer counts against no request, as the upstream may have closed it, and in a quiet service each attempt used such a connection.

Change: a request under which a connection broke, idle or not, goes over new connections until it is answered at this host or, for breaks that count, at any. Why this works: the break of a connection that was just made has no other cause than the upstream's end.

Tests: they use what the code before does not have.

--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -79,6 +79,8 @@
         it by now.
     extra_headers : tuple of (str, str)
         Headers that the gateway adds to the caller's.
+    uses_new_connection : bool
+        True when no idle connection may be used.
     """
 
     upstream: str
@@ -89,6 +91,7 @@
     started_at: float
     may_be_stale: bool = False
     extra_headers: tuple[tuple[str, str], ...] = ()
+    uses_new_connection: bool = False
 
 
 def keep_alive_seconds(value_by_name):
@@ -132,7 +135,14 @@
             kernel.clock.sleep(SWEEP_INTERVAL_SECONDS)
             idle.sweep()
 
-    def exchange(upstream, request, deadline, idempotent, extra_headers=()):
+    def exchange(
+        upstream,
+        request,
+        deadline,
+        idempotent,
+        extra_headers=(),
+        uses_new_connection=False,
+    ):
         outgoing = OutgoingRequest(
             upstream.id,
             upstream.address,
@@ -141,6 +151,7 @@
             idempotent,
             now(),
             extra_headers=extra_headers,
+            uses_new_connection=uses_new_connection,
         )
         if not is_counted(request):
             return connect_and_send(outgoing)
@@ -154,6 +165,8 @@
         return memory is not None and request.holding is not None
 
     def connect_and_send(outgoing):
+        if outgoing.uses_new_connection:
+            return open_and_send(outgoing)
         idempotent = outgoing.idempotent
         max_idle = bounds.max_idle if idempotent else bounds.max_idle_non_idempotent
         connection = idle.take(outgoing.address, max_idle, idempotent)
@@ -227,7 +240,11 @@
             idle.close_address(outgoing.address)
             attempt = broken_attempt(outgoing, detail)
             closed_while_idle = outgoing.may_be_stale and response is None
-            return attempt._replace(broke_connection=not closed_while_idle), False
+            attempt = attempt._replace(
+                broke_connection=not closed_while_idle,
+                broke_idle_connection=closed_while_idle,
+            )
+            return attempt, False
 
     def read_matching_head(connection, outgoing):
         """Read the head of the answer, skipping complete answers to other requests."""
--- a/trefoilpin/gateway/admission/poison_requests.py
+++ b/trefoilpin/gateway/admission/poison_requests.py
@@ -4,6 +4,10 @@
 request that broke the connections of several upstreams and was not answered since is
 refused by every host for a while, twice as long each time. A complete answer at any
 host clears it. An upstream that crashed and started again counts once more.
+
+A connection that was idle for long may have been closed before the request reached its
+upstream, so its break counts against no request. Such a request is sent over new
+connections until it is answered, so that its next break counts.
 """
 
 import hashlib
@@ -22,6 +26,8 @@
 # Breaks that are older than this do not count. A request may come again rarely.
 BREAK_WINDOW_SECONDS = 600.0
 MAX_FINGERPRINTS = 5_000
+# Requests that broke an idle connection and were not answered since.
+MAX_DOUBTED = 1_000
 # Of a request, the incarnations that are remembered.
 MAX_INCARNATIONS = 32
 # Own breaks and answers that are sent to other hosts.
@@ -35,17 +41,21 @@
 class PoisonRequests(NamedTuple):
     """``poison_requests``: requests that break upstreams.
 
-    ``check(fingerprint)`` returns a ``Refusal`` or None. ``record_break(fingerprint,
-    incarnation)`` records a broken connection to an incarnation of an upstream,
-    ``record_answer(fingerprint)`` a complete answer. ``merge_breaks(broken_requests)``
-    takes the breaks that other hosts report, as pairs of a fingerprint and an
-    incarnation, and ``merge_answers(fingerprints)`` the answers to requests that had
-    broken upstreams. ``recent_breaks()`` and ``recent_answers()`` return those of this
-    host.
+    ``check(fingerprint)`` returns a ``Refusal`` or None. ``is_suspect(fingerprint)``
+    tells whether a connection broke under the request since its last answer.
+    ``record_break(fingerprint, incarnation)`` records a broken connection to an
+    incarnation of an upstream, ``record_doubt(fingerprint)`` one that may have been
+    closed before, and ``record_answer(fingerprint)`` a complete answer.
+    ``merge_breaks(broken_requests)`` takes the breaks that other hosts report, as pairs
+    of a fingerprint and an incarnation, and ``merge_answers(fingerprints)`` the answers
+    to requests that had broken upstreams. ``recent_breaks()`` and ``recent_answers()``
+    return those of this host.
     """
 
     check: Callable
+    is_suspect: Callable[[int], bool]
     record_break: Callable
+    record_doubt: Callable[[int], None]
     record_answer: Callable
     merge_breaks: Callable
     merge_answers: Callable
@@ -96,6 +106,7 @@
     PoisonRequests
     """
     suspect_by_fingerprint: dict[int, SuspectRequest] = {}
+    doubted: dict[int, None] = {}
     own_breaks: list[tuple[float, int, str]] = []
     own_answers: list[tuple[float, int]] = []
     now = kernel.clock.now
@@ -110,6 +121,15 @@
         detail = "this request broke every upstream that ran it"
         return Refusal(Reason.SUSPECT, Verdict.NOT_RUN, detail, retry_after)
 
+    def is_suspect(request_fingerprint):
+        is_doubted = request_fingerprint in doubted
+        return is_doubted or request_fingerprint in suspect_by_fingerprint
+
+    def record_doubt(request_fingerprint):
+        doubted[request_fingerprint] = None
+        if len(doubted) > MAX_DOUBTED:
+            del doubted[next(iter(doubted))]
+
     def record_break(request_fingerprint, incarnation):
         own_breaks.append((now(), request_fingerprint, incarnation))
         del own_breaks[:-MAX_SHARED]
@@ -161,6 +181,7 @@
         del suspect_by_fingerprint[next(iter(suspect_by_fingerprint))]
 
     def record_answer(request_fingerprint):
+        doubted.pop(request_fingerprint, None)
         if clear(request_fingerprint):
             own_answers.append((now(), request_fingerprint))
             del own_answers[:-MAX_SHARED]
@@ -193,7 +214,9 @@
 
     service = PoisonRequests(
         check,
+        is_suspect,
         record_break,
+        record_doubt,
         record_answer,
         merge_breaks,
         merge_answers,
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -233,6 +233,7 @@
                 context.deadline,
                 context.route.idempotent,
                 upstream_headers(context, upstream),
+                poison_requests.is_suspect(context.fingerprint),
             )
             return attempt
         finally:
@@ -322,6 +323,8 @@
         if last.broke_connection:
             incarnation = name_incarnation(upstream)
             poison_requests.record_break(context.fingerprint, incarnation)
+        elif last.broke_idle_connection:
+            poison_requests.record_doubt(context.fingerprint)
         elif last.verdict is Verdict.RAN:
             poison_requests.record_answer(context.fingerprint)
             if last.answer.status not in SERVER_ERRORS:
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -96,6 +96,9 @@
         True when the connection broke after the request was written.
     pause_seconds : float
         Time for which the upstream asked this host to send it nothing; 0 for none.
+    broke_idle_connection : bool
+        True when a connection broke that had been idle for so long that the upstream
+        may have closed it before.
     """
 
     verdict: Verdict
@@ -107,6 +110,7 @@
     draining: bool = False
     broke_connection: bool = False
     pause_seconds: float = 0.0
+    broke_idle_connection: bool = False
 
 
 class Choice(NamedTuple):
--- a/trefoilpin/request_services.py
+++ b/trefoilpin/request_services.py
@@ -5,7 +5,7 @@
 from returns.result import Result
 
 from trefoilpin.messages import Answer, Attempt, CallerRequest
-from trefoilpin.records import ClientAccount, Host, Pool, Route, Upstream
+from trefoilpin.records import ClientAccount, Host, Pool, Route
 from trefoilpin.verdicts import Refusal
 
 __all__ = [
@@ -127,10 +127,11 @@
 
 
 class Forwarders(NamedTuple):
-    """``forwarders``: ``exchange(upstream, request, deadline, idempotent)`` sends a
-    request and gives an ``Attempt``."""
+    """``forwarders``: ``exchange(upstream, request, deadline, idempotent,
+    extra_headers, uses_new_connection)`` sends a request and gives an ``Attempt``; the
+    last two may be left out."""
 
-    exchange: Callable[[Upstream, CallerRequest, float, bool], Attempt]
+    exchange: Callable[..., Attempt]
 
 
 class ResponseMemory(NamedTuple):
--- a/trefoilpin/tests/gateway/test_poison_requests.py
+++ b/trefoilpin/tests/gateway/test_poison_requests.py
@@ -122,3 +122,14 @@
     assert number != poison_requests.fingerprint(None, request)
     assert number != poison_requests.fingerprint(ACCOUNT, request._replace(body=b"y"))
     assert number == 3491639412359222985
+
+
+def test_doubts_are_bounded_and_end_with_an_answer():
+    kernel, _, _ = create_host()
+    service = poison_requests.create(kernel)
+    for number in range(3 * poison_requests.MAX_DOUBTED):
+        service.record_doubt(number)
+    assert not service.is_suspect(0) and service.is_suspect(number)
+    assert service.check(number) is None
+    service.record_answer(number)
+    assert not service.is_suspect(number)
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -69,6 +69,7 @@
         self.now = kernel.clock.now
         self.attempts = []
         self.sends = []
+        self.used_new = []
         self.is_caller_gone = False
         self.enter = lambda choose: choose()
         self.document_cache, self.put = create_document_cache(kernel)
@@ -106,8 +107,9 @@
         self.queue_requests.append(request)
         return self.enter(choose)
 
-    def exchange(self, chosen, request, deadline, idempotent, headers):
+    def exchange(self, chosen, request, deadline, idempotent, headers, is_new=False):
         self.sends.append((chosen.id, deadline, dict(headers)))
+        self.used_new.append(is_new)
         attempt = self.attempts.pop(0)
         return attempt(self) if callable(attempt) else attempt
 
@@ -300,6 +302,22 @@
     assert len(host.sends) == 1
 
 
+def test_request_that_broke_an_idle_connection_is_sent_over_new_ones():
+    """Guards against a request that crashes upstreams unseen (review, case 9)."""
+    host = Host(upstream_count=6)
+    idle = BROKEN._replace(broke_connection=False, broke_idle_connection=True)
+    host.attempts = [idle, BROKEN]
+    host.send_request("/s/1")
+    host.attempts = [BROKEN, BROKEN]
+    host.send_request("/s/1")
+    assert host.used_new == [False, True, True, True]
+    assert get_refusal(host.send_request("/s/1")).reason is Reason.SUSPECT
+    host.attempts = [idle, GOOD, GOOD]
+    assert isinstance(host.send_request("/s/2"), Success)
+    assert isinstance(host.send_request("/s/2"), Success)
+    assert host.used_new[-3:] == [False, True, False]
+
+
 def test_shed_after_a_broken_connection_is_not_reported_as_not_run(host):
     host.attempts = [BROKEN, SHED]
     refusal = get_refusal(host.send_request("/s/1"))
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -463,6 +463,18 @@
     assert not any(map(is_decoy, kept_upstream.received))
 
 
+def test_a_new_connection_is_used_on_demand(upstream):
+    """Guards against a break that counts for nothing, as the connection was idle."""
+    exchange = create_exchange(DEFAULT)
+    assert upstream.call(exchange=exchange).answer
+
+    def exchange_anew(*arguments):
+        return exchange(*arguments, uses_new_connection=True)
+
+    assert upstream.call(exchange=exchange_anew).answer
+    assert upstream.connections == 2
+
+
 def test_named_refusal_keeps_its_connection(upstream):
     named = UNNAMED_REFUSAL.replace(b"X-Shed", b"X-Request-Id: r1\r\nX-Shed")
     upstream.steps = [named, COMPLETE_WITH_ID]
