Take no request later than 3 s after the signal to stop

Change: the last step ends with the time, which is 2.97 s, as timers may be late. Test: four starts of the stop; all fail on the code before.

--- a/trefoilpin/gateway/shutdowns.py
+++ b/trefoilpin/gateway/shutdowns.py
@@ -14,8 +14,10 @@
 
 __all__ = ["Shutdowns", "create"]
 
-# Callers cache address answers for 2 s; those that cache longer are refused later.
-MAX_SERVING_SECONDS = 3.0
+# Callers cache address answers for 2 s; those that cache longer are refused later. A
+# request that is sent later than 3 s after the signal has to be refused, also when the
+# timer is late.
+MAX_SERVING_SECONDS = 2.97
 FIRST_CLOSE_DELAY_SECONDS = 0.5
 MIN_IDLE_SECONDS = 0.3
 STEP_INTERVAL_SECONDS = 0.05
@@ -70,7 +72,8 @@
         serving = min(MAX_SERVING_SECONDS, grace / 2)
         while now() < signalled_at + serving:
             close_idle_connections(now() - signalled_at, serving)
-            sleep(STEP_INTERVAL_SECONDS)
+            remaining = signalled_at + serving - now()
+            sleep(min(STEP_INTERVAL_SECONDS, max(remaining, 0.0)))
         proxies.close()
         while frontends.unanswered_count() and now() < ends_at:
             sleep(STEP_INTERVAL_SECONDS)
--- a/trefoilpin/tests/gateway/test_shutdowns.py
+++ b/trefoilpin/tests/gateway/test_shutdowns.py
@@ -76,6 +76,13 @@
     assert named(lines, events.GATEWAY_STOPPED)[0]["under_way"] == 0
 
 
+@pytest.mark.parametrize("delay", [0.0, 0.013, 0.027, 0.049])
+def test_no_request_is_taken_later_than_three_seconds_after_the_signal(delay):
+    """Guards against requests that are cut at the end, as they came too late."""
+    services, _, _ = run(last_request_seconds=1.0, delay=delay)
+    assert 2.9 <= services.closed_after <= 3.0 - 0.02
+
+
 def test_answers_are_awaited_until_shortly_before_the_kill():
     """Guards against a stop that cuts answers that are being passed on."""
     services, clock, lines = run(last_request_seconds=4.2)
