--- a/trefoilpin/idle_connections.py
+++ b/trefoilpin/idle_connections.py
@@ -48,7 +48,9 @@
             if connection.may_repeat_refusal and not idempotent:
                 continue
             connections.remove(connection)
-            max_seconds = min(max_idle, connection.max_idle or max_idle)
+            max_seconds = max_idle
+            if connection.max_idle is not None:
+                max_seconds = min(max_idle, connection.max_idle)
             is_fresh = now() - connection.idle_since < max_seconds
             if is_fresh and exchanges.is_reusable(connection):
                 return connection
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -463,6 +463,17 @@
     assert not any(map(is_decoy, kept_upstream.received))
 
 
+@pytest.mark.parametrize("seconds, connections", [(0, 2), (1, 2), (9, 1)])
+def test_a_short_idle_timeout_of_an_upstream_is_respected(
+    upstream, seconds, connections
+):
+    """Guards against requests on a connection that the upstream closes meanwhile."""
+    answer = COMPLETE.replace(b"OK\r\n", b"OK\r\nKeep-Alive: timeout=%d\r\n" % seconds)
+    upstream.steps = [answer, answer]
+    assert upstream.call().answer and upstream.call().answer
+    assert upstream.connections == connections
+
+
 def test_a_new_connection_is_used_on_demand(upstream):
     """Guards against a break that counts for nothing, as the connection was idle."""
     exchange = create_exchange(DEFAULT)
