Leave the first attempt at work when its hedge did not run

Change: only an attempt that ran without failing ends the other one. Test: three cases with a refused and an unreachable hedge or first attempt; all fail on the code before.

--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -27,6 +27,7 @@
     SERVER_ERRORS,
     STOPPING,
     is_failed,
+    is_served,
 )
 from trefoilpin.gateway.store.document_cache import CONFIGURATION
 from trefoilpin.verdicts import Reason, Verdict
@@ -260,7 +261,8 @@
     def send_with_hedge(context, choice):
         """Send a request, and send it to a second upstream if the answer takes long.
 
-        The first attempt that does not fail decides; the other one is cancelled.
+        The first attempt that ran without failing decides; the other one is cancelled.
+        One that was refused, or reached no upstream, leaves the other one at work.
         """
         attempts = ConcurrentAttempts(kernel.spawn, create_event)
         charged_seconds = context.typical_seconds
@@ -278,7 +280,7 @@
                 record_attempt(
                     context, finished.choice.upstream, finished.attempt or INTERRUPTED
                 )
-                if not attempts.in_flight or not is_failed(context.last_attempt):
+                if not attempts.in_flight or is_served(context.last_attempt):
                     return
                 finished = attempts.next_finished(
                     context.deadline + ATTEMPT_GRACE_SECONDS - now()
--- a/trefoilpin/gateway/requests/request_contexts.py
+++ b/trefoilpin/gateway/requests/request_contexts.py
@@ -22,6 +22,7 @@
     "RequestContext",
     "final_result",
     "is_failed",
+    "is_served",
 ]
 
 SERVER_ERRORS = range(500, 600)
@@ -107,6 +108,11 @@
     return attempt.answer is None or attempt.answer.status in SERVER_ERRORS
 
 
+def is_served(attempt):
+    """Tell whether an attempt ran and did not fail."""
+    return attempt.verdict is not Verdict.NOT_RUN and not is_failed(attempt)
+
+
 def final_result(context, return_seconds):
     """Return the upstream's answer, or a refusal with the verdict of all attempts.
 
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -295,6 +295,24 @@
     assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
 
 
+@pytest.mark.parametrize("hedge", [SHED, UNREACHED])
+def test_hedge_that_did_not_run_leaves_the_first_attempt_at_work(hedge):
+    """Guards against a request that starts anew, and runs once more than allowed."""
+    host = Host(has_real_clock=True)
+    host.attempts = [delayed(0.7, GOOD), delayed(0.05, hedge), GOOD]
+    started = host.now()
+    assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
+    assert host.now() - started >= 0.65
+    assert len(host.sends) == 2
+
+
+def test_first_attempt_that_was_refused_leaves_the_hedge_at_work():
+    host = Host(has_real_clock=True)
+    host.attempts = [delayed(0.6, SHED), delayed(0.6, GOOD), GOOD]
+    assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
+    assert len(host.sends) == 2
+
+
 def test_non_idempotent_request_is_not_hedged():
     host = Host(has_real_clock=True)
     host.attempts = [delayed(0.7, GOOD)]
