Do not clear a request that crashes upstreams by an error of one of them

Change: only an answer that is no server error clears a request. Test: three breaks with an answer of 500 behind each; fails on the code before.

--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -328,8 +328,9 @@
         elif last.broke_idle_connection:
             poison_requests.record_doubt(context.fingerprint)
         elif last.verdict is Verdict.RAN:
-            poison_requests.record_answer(context.fingerprint)
             if last.answer.status not in SERVER_ERRORS:
+                # An upstream that fails may answer before it runs what crashes others.
+                poison_requests.record_answer(context.fingerprint)
                 update_typical_seconds(context, last.seconds)
         emit(
             events.ATTEMPT_ENDED,
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -336,6 +336,15 @@
     assert host.used_new[-3:] == [False, True, False]
 
 
+def test_an_error_of_an_upstream_does_not_clear_a_request_that_crashes_others():
+    """Guards against crashes without end where some upstreams answer 500 at once."""
+    host = Host(upstream_count=6)
+    host.attempts = [BROKEN, BAD, BROKEN, BAD, BROKEN, BAD]
+    for _ in range(3):
+        host.send_request("/s/1")
+    assert get_refusal(host.send_request("/s/1")).reason is Reason.SUSPECT
+
+
 def test_shed_after_a_broken_connection_is_not_reported_as_not_run(host):
     host.attempts = [BROKEN, SHED]
     refusal = get_refusal(host.send_request("/s/1"))
