--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -213,11 +213,10 @@
     def send_and_receive(connection, outgoing, seconds):
         """Return the attempt, and whether the connection stays open."""
         request = outgoing.request
-        target = request.path + (f"?{request.query}" if request.query else "")
         headers = request_headers(outgoing, seconds)
         try:
             exchanges.prepare_request(
-                connection, request.method, target, headers, request.body
+                connection, request.method, request.target(), headers, request.body
             )
         except (HTTPException, ValueError) as error:
             detail = f"the request can't be sent: {type(error).__name__}"
--- a/trefoilpin/frontends.py
+++ b/trefoilpin/frontends.py
@@ -143,6 +143,7 @@
             peer=environ["REMOTE_ADDR"],
             arrived_at=now(),
             caller_gone=lambda: listeners.is_gone(connection.sock),
+            has_empty_query=environ.get("QUERY_STRING") == "",
         )
 
     def handle(request):
--- a/trefoilpin/gateway/requests/frontends.py
+++ b/trefoilpin/gateway/requests/frontends.py
@@ -194,6 +194,7 @@
             arrived_at=environ[listeners.ARRIVED_AT],
             caller_gone=lambda: listeners.is_gone(connection.sock),
             holding=holding,
+            has_empty_query=environ.get("QUERY_STRING") == "",
         )
         key = read_key(request)
         caller_timeout = read_caller_timeout(request.header(dialect.deadline))
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -34,6 +34,8 @@
         ``caller_gone()`` returns True once the caller has closed its connection.
     holding : Holding or None
         Memory that is held for the request; None where it is not counted.
+    has_empty_query : bool
+        True when a question mark ends the target.
     """
 
     request_id: str
@@ -47,6 +49,12 @@
     arrived_at: float
     caller_gone: Callable[[], bool]
     holding: Any = None
+    has_empty_query: bool = False
+
+    def target(self):
+        """Return path and query as the caller sent them."""
+        has_query = self.query or self.has_empty_query
+        return f"{self.path}?{self.query}" if has_query else self.path
 
     def header(self, name):
         """Return the value of a header, given in lower case, or None."""
