--- a/trefoilpin/wsgi_messages.py
+++ b/trefoilpin/wsgi_messages.py
@@ -9,6 +9,7 @@
 __all__ = ["BODYLESS_STATUSES", "read_body", "status_line", "stream_body"]
 
 READ_BYTES = 65_536
+MAX_COPIED_BYTES = 1_048_576
 BODYLESS_STATUSES = frozenset((204, 304))
 
 
@@ -27,7 +28,7 @@
 
 
 def read_body(environ, max_body, reserve=lambda size: None):
-    """Return the body of a request as bytes, or a ``Refusal``.
+    """Return the body of a request, bytes or a bytearray, or a ``Refusal``.
 
     Parameters
     ----------
@@ -62,16 +63,16 @@
 
 def read_chunked_body(source, max_body, reserve):
     """Return a body that comes in chunks, or a ``Refusal``."""
-    parts, size = [], 0
+    body = bytearray()
     while part := source.read(READ_BYTES):
-        size += len(part)
-        if size > max_body:
+        if len(body) + len(part) > max_body:
             return refuse_large_body(max_body)
         refusal = reserve(len(part))
         if refusal is not None:
             return refusal
-        parts.append(part)
-    return b"".join(parts)
+        body += part
+    # A large body is not copied, as it may take half of the host's memory.
+    return bytes(body) if len(body) <= MAX_COPIED_BYTES else body
 
 
 def refuse_large_body(max_body):
