Stop reading ahead on a connection while there is no room for its requests

Change: without room the next request waits for its turn, and nothing is read behind it. Test: 56 requests were read ahead of eight at work before, 8 are now.

--- a/trefoilpin/gateway/admission/response_memory.py
+++ b/trefoilpin/gateway/admission/response_memory.py
@@ -330,6 +330,7 @@
         Holding,
         admit,
         check_body,
+        lambda: not is_full(held(), REQUEST_BYTES, capacity),
         reserve,
         give_back,
         take_part,
--- a/trefoilpin/gateway/requests/frontends.py
+++ b/trefoilpin/gateway/requests/frontends.py
@@ -210,6 +210,9 @@
             return listeners.IN_TURN
         if not is_behind:
             return listeners.READ_ON
+        if not response_memory.has_room():
+            # Nothing more is read from this connection until the request is answered.
+            return listeners.IN_TURN
         incoming = decode_request(environ, head, b"")
         if not proxies.may_run_ahead(incoming.request):
             return listeners.IN_TURN
--- a/trefoilpin/request_services.py
+++ b/trefoilpin/request_services.py
@@ -139,7 +139,8 @@
 
     ``open(caller)`` returns the ``Holding`` of a request and ``admit(holding)`` counts
     it, or returns a ``Refusal`` when memory is full; ``check_body()`` returns one when
-    the body of a request doesn't fit. ``reserve(holding, size)`` counts bytes that are
+    the body of a request doesn't fit, and ``has_room()`` tells whether a further
+    request would be admitted. ``reserve(holding, size)`` counts bytes that are
     to be buffered, or returns False; ``give_back(holding, size)`` undoes it.
     ``take_part(holding, ahead, waited)`` counts and returns how many bytes of a
     streamed response may be read now, where ``ahead`` bytes were read and not taken by
@@ -155,6 +156,7 @@
     open: Callable
     admit: Callable
     check_body: Callable[[], Refusal | None]
+    has_room: Callable[[], bool]
     reserve: Callable[..., bool]
     give_back: Callable
     take_part: Callable[..., int]
