Close a connection on which the answer to a decoy is under way

A streamed answer behind a copied refusal kept its connection, and the decoy's refusal could come in place of the next request's answer. A connection is not kept after a streamed answer either once an answer to another request was seen on it. Test: fails on the code before.

--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -419,7 +419,7 @@
                 if not part:
                     break
                 yield part
-            is_complete = not response.will_close
+            is_complete = not (response.will_close or connection.is_suspect)
         except (*EXCHANGE_ERRORS, eventlet.Timeout) as error:
             report_dropped(outgoing, f"answer ended early: {type(error).__name__}")
             raise OSError("the upstream's answer ended early") from error
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -427,6 +427,26 @@
     assert len(writes) == 3 and kept_upstream.connections == 2
 
 
+def test_connection_with_an_answer_to_a_decoy_under_way_is_not_kept(kept_upstream):
+    """Guards against the decoy's answer to the next request; the answer is streamed."""
+    body = b"x" * (MAX_BUFFERED + 1)
+    own = COMPLETE_WITH_ID.replace(b"Length: 2", b"Length: %d" % len(body))
+
+    def copy_then_answer(sock):
+        sock.sendall(UNNAMED_REFUSAL + own[:-2] + body)
+
+    def refuse_late(sock):
+        eventlet.sleep(0.1)
+        sock.sendall(UNNAMED_REFUSAL)
+
+    kept_upstream.steps = [copy_then_answer, refuse_late]
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.answer.body + b"".join(attempt.answer.rest) == body
+    kept_upstream.steps = [refuse_late, COMPLETE_WITH_ID]
+    assert kept_upstream.call("POST", exchange=kept_upstream.exchange).answer.body
+    assert kept_upstream.connections == 2
+
+
 def test_true_refusal_on_a_kept_connection_is_confirmed_by_a_decoy(kept_upstream):
     kept_upstream.steps = [UNNAMED_REFUSAL, UNNAMED_REFUSAL, COMPLETE_WITH_ID]
     attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
