Divide the retry allowance by the hosts that send

Cause: the allowance that does not depend on requests was divided by the planned number of hosts that send, two a zone, while more of them send under load.

Change: it is divided by the hosts that send now, the planned ones at least. Test: 30 hosts; it uses an argument that the code before does not have.

--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -207,11 +207,9 @@
     retries.create(
         kernel,
         settings.retry_share * RETRY_BUDGET_SHARE,
-        settings.retry_slack
-        * RETRY_BUDGET_SHARE
-        / settings.retry_window
-        / planned_senders,
-        max(settings.retry_slack * RETRY_BUDGET_SHARE / planned_senders, 1.0),
+        settings.retry_slack * RETRY_BUDGET_SHARE / settings.retry_window,
+        settings.retry_slack * RETRY_BUDGET_SHARE,
+        lambda: max(kernel.find("gossip").sender_count(), planned_senders),
     )
     upstreams.create(
         kernel,
--- a/trefoilpin/retries.py
+++ b/trefoilpin/retries.py
@@ -40,7 +40,13 @@
     return now + (deadline - now) * FIRST_ATTEMPT_SHARE
 
 
-def create(kernel, share, min_per_second, max_balance=MAX_BALANCE):
+def create(
+    kernel,
+    share,
+    min_per_second,
+    max_balance=MAX_BALANCE,
+    host_count=lambda: 1,
+):
     """Create the service ``retries``.
 
     Parameters
@@ -52,6 +58,8 @@
         Retries a second that are allowed whatever the number of requests.
     max_balance : float
         Capacity of the budget, in retries.
+    host_count : callable, optional
+        Returns the number of hosts among which the last two are divided.
 
     Returns
     -------
@@ -63,16 +71,20 @@
     def balance(pool, reserved=0.0):
         return refill(pool) - reserved
 
+    def capacity():
+        return max(max_balance / host_count(), 1.0)
+
     def refill(pool):
         elapsed = now() - state.refilled_at_by_pool.get(pool, now())
         state.refilled_at_by_pool[pool] = now()
-        tokens = state.balance_by_pool.get(pool, min(max_balance, min_per_second))
-        tokens = min(max_balance, tokens + elapsed * min_per_second)
+        rate = min_per_second / host_count()
+        tokens = state.balance_by_pool.get(pool, min(capacity(), rate))
+        tokens = min(capacity(), tokens + elapsed * rate)
         state.balance_by_pool[pool] = tokens
         return tokens
 
     def deposit(pool):
-        state.balance_by_pool[pool] = min(max_balance, refill(pool) + share)
+        state.balance_by_pool[pool] = min(capacity(), refill(pool) + share)
 
     def withdraw(pool, reserved=0.0):
         if balance(pool, reserved) < 1.0:
--- a/trefoilpin/tests/test_retries.py
+++ b/trefoilpin/tests/test_retries.py
@@ -35,6 +35,23 @@
     assert retries.attempt_deadline(0.0, 10.0, False, True) == 10.0
 
 
+def test_hosts_together_stay_within_the_budget_however_many_there_are():
+    """Guards against retries beyond the budget when more hosts than planned send."""
+    state = LoopState(1)
+    hosts = []
+    for _ in range(30):
+        hosts.append(
+            retries.create(
+                create_host_kernel(state), SHARE, MIN_PER_SECOND, 40.0, lambda: 30
+            )
+        )
+    granted = 0
+    for _ in range(100):
+        state.now += 0.1
+        granted += sum(host.withdraw("pool") for host in hosts)
+    assert granted <= 40.0 + MIN_PER_SECOND * 10.0
+
+
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(st.lists(st.tuples(st.floats(0, 2), st.integers(0, 20), st.integers(0, 20))))
 def test_retries_stay_within_the_share_and_the_minimum_rate(steps):
