Scan closing brackets in one go, whatever their number

The step over 64 closing brackets matched only where there were as many, and was tried again at each bracket otherwise: 1 MB of lists nested 60 deep with others between took 0.88 s of processor time, 0.02 s now.

The test of shapes allowed 2 s; it compares with the time of a reference shape now, twice that at most (some 0.5 s here), and has the shapes found: one fails before.

--- a/trefoilpin/json_scans.py
+++ b/trefoilpin/json_scans.py
@@ -44,7 +44,9 @@
 SHALLOW_PATTERN = re.compile(shallow_container(SHALLOW_LEVELS), re.DOTALL)
 FILLER_PATTERN = re.compile(FILLER, re.DOTALL)
 DESCENT_PATTERN = re.compile(rb"(?:[\[{]%s)++" % FILLER, re.DOTALL)
-ASCENT_PATTERN = re.compile(rb"(?:[\]}]%s){%d}" % (FILLER, CLOSERS_PER_STEP), re.DOTALL)
+ASCENT_PATTERN = re.compile(
+    rb"(?:[\]}]%s){1,%d}+" % (FILLER, CLOSERS_PER_STEP), re.DOTALL
+)
 CLOSERS_PATTERN = re.compile(rb"[\]}]++")
 KEY_PATTERN = re.compile(rb"\s*+(%s)\s*+:\s*+" % STRING, re.DOTALL)
 SEPARATOR_PATTERN = re.compile(rb"\s*+([,\]}])\s*+")
--- a/trefoilpin/tests/test_json_scans.py
+++ b/trefoilpin/tests/test_json_scans.py
@@ -11,8 +11,9 @@
 from trefoilpin import json_scans
 
 TEXT_BYTES = 1_000_000
-# A scan takes 0.25 s for such a text beside other load.
-MAX_SCAN_SECONDS = 2.0
+# No shape may take much longer than one of the slowest that are scanned in one go.
+REFERENCE_UNIT = "[" * 9 + "]" * 9
+MAX_TIMES_REFERENCE = 2.0
 MAX_SCAN_BYTES = 4_000_000
 
 SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
@@ -97,6 +98,16 @@
     return f"[{','.join([unit_text] * (TEXT_BYTES // (len(unit_text) + 1)))}]"
 
 
+def scan_seconds(data):
+    """Return the processor time of a scan, the less of two."""
+    seconds = []
+    for _ in range(2):
+        started = time.process_time()
+        assert json_scans.find_end(data, 0) == len(data)
+        seconds.append(time.process_time() - started)
+    return min(seconds)
+
+
 @pytest.mark.parametrize(
     "text",
     [
@@ -112,16 +123,17 @@
         "[" * (TEXT_BYTES // 5) + "1" + ",[]]" * (TEXT_BYTES // 5),
         "[" * 4 + fill("[]")[:-1] + "," + "[" * 9 + "]" * 10 + "]" * 4,
         "[" * 70 + "1" + (",[]" * 5000 + "]") * 60 + ",[[[[[[[]]]]]]]" + "]" * 10,
+        "[" * 100 + fill("[" * 60 + "1" + (",[]" * 80 + "]") * 60) + "]" * 100,
+        "[" * 100 + fill("[" * 20 + "1" + (",[]" * 80 + "]") * 20) + "]" * 100,
         '"' + "\\\\" * (TEXT_BYTES // 2) + '"',
     ],
-    ids=range(13),
+    ids=range(15),
 )
 def test_no_shape_takes_more_than_a_scan_of_the_text(text):
     """Guards against text of others that stops a host, or fills its memory."""
     data = text.encode()
-    started = time.process_time()
-    assert json_scans.find_end(data, 0) == len(data)
-    assert time.process_time() - started < MAX_SCAN_SECONDS
+    reference_seconds = scan_seconds(fill(REFERENCE_UNIT).encode())
+    assert scan_seconds(data) < MAX_TIMES_REFERENCE * reference_seconds
     tracemalloc.start()
     json_scans.find_end(data, 0)
     peak = tracemalloc.get_traced_memory()[1]
