Keep a configuration proven over a later outage of the store

After a start of all hosts beside a restored store, a configuration was proven by time for as long as the span of reads lasted; an outage of the store began another span, so that keys were refused for 6 s after each one, until the configuration changed.

Change: what was proven by time stays so. Test: fails on the code before.

--- a/trefoilpin/gateway/store/document_cache.py
+++ b/trefoilpin/gateway/store/document_cache.py
@@ -36,11 +36,7 @@
     ReadSpan,
     join_spans,
 )
-from trefoilpin.gateway.store.store_restores import (
-    NO_OVERLAY,
-    OPERATOR_REWRITE_SECONDS,
-    Overlay,
-)
+from trefoilpin.gateway.store.store_restores import NO_OVERLAY, Overlay
 
 __all__ = [
     "CONFIGURATION",
@@ -102,8 +98,8 @@
     ``value(kind)`` is the decoded document as it is in use, ``version(kind)``
     and ``rows(kind)`` are what other hosts are sent. ``is_unproven(kind)`` tells
     whether the document may be an older one, of a store that was restored while no
-    known host ran. ``delta_since(kind, digest)`` is
-    the delta from an earlier document, or None when it is no longer kept, and
+    known host ran. ``delta_since(kind, digest)`` is the delta from an earlier document,
+    or None when it is no longer kept, and
     ``age(kind)`` the age in seconds. ``subscribe(kind, function)`` has the function
     called with each new value. ``kinds`` are the kinds that this host keeps.
     """
@@ -323,6 +319,12 @@
         document.held_at = max(document.held_at, now() - version.age)
         if document.known_since is None:
             document.known_since = document.held_at
+        if (
+            now() - document.read_span.started_at
+            >= store_restores.OPERATOR_REWRITE_SECONDS
+        ):
+            # A later outage begins another span, but was no restore.
+            document.is_unproven = False
         settle(version.kind)
 
     def extend_span(document, version):
@@ -363,7 +365,8 @@
     def is_unproven(kind):
         document = document_by_kind[kind]
         seconds = now() - document.read_span.started_at
-        return document.is_unproven and seconds < OPERATOR_REWRITE_SECONDS
+        is_early = seconds < store_restores.OPERATOR_REWRITE_SECONDS
+        return document.is_unproven and is_early
 
     def version(kind):
         document = document_by_kind[kind]
@@ -382,6 +385,7 @@
     for kind in kinds:
         metrics.gauge(f"{kind}_age_seconds", partial(age, kind))
         logs.add_gauges(kind, overlay_by_kind[kind].overlay)
+        metrics.gauge(f"{kind}_unproven", partial(is_unproven, kind))
     service = DocumentCache(
         apply_document,
         apply_delta,
--- a/trefoilpin/tests/gateway/test_documents.py
+++ b/trefoilpin/tests/gateway/test_documents.py
@@ -79,7 +79,7 @@
 
 def test_a_document_of_the_planned_size_is_accepted():
     """21,000 accounts and 2,900 routes, or 5,600 upstreams."""
-    account = json.dumps({"name": "a" * 12, "apiKeys": ["k" * 20], "ratePerS": 10})
+    account = json.dumps({"name": "a" * 12, "keys": ["k" * 20], "rate": 10, "burst": 5})
     table = {f"tenants/{number:012}": account for number in range(21_000)}
     table.update({f"listeners/{number:012}": "x" * 400 for number in range(2900)})
     assert CODEC.decode_rows(CODEC.encode_rows(table)).unwrap() == table
--- a/trefoilpin/tests/gateway/test_store_restores.py
+++ b/trefoilpin/tests/gateway/test_store_restores.py
@@ -289,6 +289,17 @@
     assert not host.cache.is_unproven(CONFIGURATION)
 
 
+def test_configuration_stays_proven_over_a_later_outage_of_the_store():
+    """Guards against keys that are refused after each outage, long after a restore."""
+    host = start_in_restored_store()
+    same = {"version": "00000007"}
+    host.read_for(OPERATOR_REWRITE_SECONDS + 0.5, CONFIGURATION, same, 1)
+    host.clock.time += 30.0
+    host.cache.apply_document(CONFIGURATION, 900, same, 0.0, "store", 0.0, 1)
+    assert host.cache.version(CONFIGURATION).unbroken_seconds == 0.0
+    assert not host.cache.is_unproven(CONFIGURATION)
+
+
 def test_configuration_is_proven_by_a_change_of_it():
     host = start_in_restored_store()
     host.read(CONFIGURATION, {"version": "00000007"}, 1)
