--- a/trefoilpin/gateway/store/cached_documents.py
+++ b/trefoilpin/gateway/store/cached_documents.py
@@ -5,6 +5,7 @@
 
 from trefoilpin.gateway.store.rows import Delta
 from trefoilpin.gateway.store.store_outages import NO_READS
+from trefoilpin.gateway.store.store_restores import OPERATOR_REWRITE_SECONDS
 
 __all__ = [
     "AppliedDelta",
@@ -12,6 +13,8 @@
     "DocumentVersion",
     "MAX_DELTAS",
     "delta_since",
+    "is_unproven",
+    "settle_proof",
 ]
 
 NEVER_READ = 0
@@ -95,6 +98,17 @@
         self.subscribers = []
 
 
+def is_unproven(document, now):
+    """Tell whether a document may be an older one, of a store that was restored."""
+    seconds = now - document.read_span.started_at
+    return document.is_unproven and seconds < OPERATOR_REWRITE_SECONDS
+
+
+def settle_proof(document, now):
+    """Keep a document proven once it was; a later outage of the store is no restore."""
+    document.is_unproven = is_unproven(document, now)
+
+
 def delta_since(document, digest):
     """Return the ``Delta`` from an earlier document, None if it is no longer kept."""
     if digest == document.digest:
--- a/trefoilpin/gateway/store/document_cache.py
+++ b/trefoilpin/gateway/store/document_cache.py
@@ -27,6 +27,8 @@
     CachedDocument,
     DocumentVersion,
     delta_since,
+    is_unproven,
+    settle_proof,
 )
 from trefoilpin.gateway.store.records import EMPTY_CONFIGURATION
 from trefoilpin.gateway.store.rows import Delta, diff, digest_after, patch
@@ -319,12 +321,7 @@
         document.held_at = max(document.held_at, now() - version.age)
         if document.known_since is None:
             document.known_since = document.held_at
-        if (
-            now() - document.read_span.started_at
-            >= store_restores.OPERATOR_REWRITE_SECONDS
-        ):
-            # A later outage begins another span, but was no restore.
-            document.is_unproven = False
+        settle_proof(document, now())
         settle(version.kind)
 
     def extend_span(document, version):
@@ -362,11 +359,8 @@
     def age(kind):
         return now() - document_by_kind[kind].held_at
 
-    def is_unproven(kind):
-        document = document_by_kind[kind]
-        seconds = now() - document.read_span.started_at
-        is_early = seconds < store_restores.OPERATOR_REWRITE_SECONDS
-        return document.is_unproven and is_early
+    def is_document_unproven(kind):
+        return is_unproven(document_by_kind[kind], now())
 
     def version(kind):
         document = document_by_kind[kind]
@@ -385,7 +379,7 @@
     for kind in kinds:
         metrics.gauge(f"{kind}_age_seconds", partial(age, kind))
         logs.add_gauges(kind, overlay_by_kind[kind].overlay)
-        metrics.gauge(f"{kind}_unproven", partial(is_unproven, kind))
+        metrics.gauge(f"{kind}_unproven", partial(is_document_unproven, kind))
     service = DocumentCache(
         apply_document,
         apply_delta,
@@ -398,7 +392,7 @@
         lambda kind, function: document_by_kind[kind].subscribers.append(function),
         learn,
         lambda kind: overlay_by_kind[kind].shared(),
-        is_unproven,
+        is_document_unproven,
         kinds,
     )
     kernel.register("document_cache", service)
