--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import copy
 import json
 import os
 import pathlib
@@ -93,6 +94,17 @@
         self.revision = 100
         self.calls = 0
         self.address = ""
+        self.era = None
+        self.is_away = False
+
+    def take_copy(self):
+        """Return a copy of all objects with the revision, for ``restore``."""
+        return copy.deepcopy(self.objects), self.revision
+
+    def restore(self, taken):
+        """Come back from a copy: what was written since is lost, and the era rises by one."""
+        self.objects, self.revision = copy.deepcopy(taken)
+        self.era += 1
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -113,9 +125,13 @@
                 await read_body(reader, head[1])
                 self.calls += 1
                 await asyncio.sleep(0.004)
+                if self.is_away:
+                    break
                 status, table = self.answer(*head[0].split()[:2])
-                body = json.dumps(table).encode()
-                writer.write(encode(f"HTTP/1.1 {status} -", (("Content-Type", "application/json"),), body))
+                fields = [("Content-Type", "application/json")]
+                if self.era is not None:
+                    fields.append(("Store-Era", str(self.era)))
+                writer.write(encode(f"HTTP/1.1 {status} -", fields, json.dumps(table).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -156,6 +172,9 @@
 
     async def register(self):
         while True:
+            if self.store.is_away:
+                await asyncio.sleep(0.2)
+                continue
             self.sequence += 1
             entry = {
                 "service": self.service, "address": self.address, "zone": self.zone, "configVersion": "00000001",
@@ -372,9 +391,15 @@
         writer.close()
 
 
-def client_fields(request_id, seconds):
+def client_fields(request_id, seconds, key=None):
     """Return the headers of a client's request."""
-    return (("Trefoilpin-Request-Id", request_id), ("Trefoilpin-Deadline-Ms", str(int(seconds * 1000))))
+    fields = (("Trefoilpin-Request-Id", request_id), ("Trefoilpin-Deadline-Ms", str(int(seconds * 1000))))
+    return fields if key is None else (*fields, ("Authorization", f"Bearer {key}"))
+
+
+def tenant(name, keys, rate=0, burst=0):
+    """Return a tenant of the configuration."""
+    return {"name": name, "apiKeys": list(keys), "ratePerS": rate, "burst": burst}
 
 
 def run(folder, play):
