--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,8 +12,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENDPOINTS, FAULTY = 10, 6
 SECONDS, PER_SECOND = 40.0, 100.0
-# Of its answers, a faulty endpoint breaks off one in this many.
+# Of its answers, a faulty endpoint breaks off one in this many, for 5 s at a time and then not for 3 s.
 ONE_IN = 33
+FAULTY_SECONDS, PERIOD_SECONDS = 5.0, 8.0
 PIECE, PIECES = 32, 40
 # Step between the places at which answers end, so that these spread over the whole body.
 STEP = 402
@@ -47,7 +48,8 @@
     async def respond(endpoint, writer, fields, body):
         nonlocal answers
         request_id = fields["trefoilpin-request-id"]
-        answers += 1
+        is_due = TROUBLE and is_faulty and endpoint.record.now() % PERIOD_SECONDS < FAULTY_SECONDS
+        answers += is_due
         data = in_chunks(whole_body(request_id))
         headers = (
             ("Trefoilpin-Request-Id", request_id),
@@ -55,7 +57,7 @@
             ("Transfer-Encoding", "chunked"),
         )
         head = st.encode("HTTP/1.1 200 OK", headers, has_length=False)
-        is_cut = TROUBLE and is_faulty and answers % ONE_IN == 0
+        is_cut = is_due and answers % ONE_IN == 0
         if is_cut:
             broken.place = (broken.place + STEP) % (len(data) - 12)
             data = data[: broken.place]
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import pathlib
+import random
 import signal
 import sys
 
@@ -15,18 +16,19 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 300
-# Three of the endpoints fail part of their answers, one in this many.
+# Three of the endpoints fail part of their answers, one in this many, for 5 s at a time and then not for 3 s.
 ENDPOINTS, FAULTY, ONE_IN = 5, 3, 33
-SECONDS, PER_SECOND = 60.0, 40.0
+FAULTY_SECONDS, PERIOD_SECONDS = 5.0, 8.0
+SECONDS, PER_SECOND = 85.0, 75.0
 TIME_LIMIT = 3.0
 # The link of an endpoint carries 1,000 Mbit/s.
-LINK_BYTES_PER_S = 115_000_000
+LINK_BYTES_PER_S = 120_000_000
 BLOCK = b"\0" * 262_144
-HOSTS = 3
+HOSTS = 5
 # The rule is broken when processes end by themselves so often on so many machines (a tenth of them, two at least).
 ENDS, MACHINES = 3, 2
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-MEGABYTE = 1e6
+MEGABYTE = 1_048_576
 
 
 def create_respond(is_faulty):
@@ -34,7 +36,8 @@
 
     async def respond(endpoint, writer, fields, body):
         nonlocal answers
-        answers += 1
+        is_due = TROUBLE and is_faulty and endpoint.record.now() % PERIOD_SECONDS < FAULTY_SECONDS
+        answers += is_due
         request_id = fields["trefoilpin-request-id"]
         headers = (
             ("Trefoilpin-Request-Id", request_id),
@@ -42,7 +45,7 @@
             ("Transfer-Encoding", "chunked"),
         )
         head = st.encode("HTTP/1.1 200 OK", headers, has_length=False)
-        if not (TROUBLE and is_faulty and answers % ONE_IN == 0):
+        if not (is_due and answers % ONE_IN == 0):
             part = request_id.encode() * 90
             writer.write(head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(part), part))
             await writer.drain()
@@ -89,6 +92,7 @@
     kills = [0] * HOSTS
     peaks = [0.0] * HOSTS
     counts = {"answered": 0, "failed": 0}
+    rng = random.Random(1)
 
     async def watch(number):
         """Kill a host above its memory, as the platform does, and start it again after a short delay."""
@@ -111,16 +115,16 @@
 
     async def send(number):
         request_id = f"{number:016x}"
+        host = rng.randrange(HOSTS)
         fields = st.client_fields(request_id, TIME_LIMIT)
         try:
-            front = fleet.front(number % HOSTS)
-            answer = await st.call(front, "POST", f"/book/{number}", fields, b"slot", TIME_LIMIT + 0.5)
+            answer = await st.call(fleet.front(host), "POST", f"/book/{number}", fields, b"slot", TIME_LIMIT + 0.5)
         except (OSError, asyncio.TimeoutError):
             answer = None
         is_served = answer is not None and answer[0] == 200 and answer[3]
         counts["answered" if is_served else "failed"] += 1
         if not is_served:
-            record.write(f"client of {request_id} at host {number % HOSTS} got {answer and answer[0]}")
+            record.write(f"client of {request_id} at host {host} got {answer and answer[0]}")
 
     watchers = []
     try:
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -402,15 +402,22 @@
     return {"name": name, "apiKeys": list(keys), "ratePerS": rate, "burst": burst}
 
 
+async def play_to_end(record, play):
+    """Run ``play``, also to the end of what it has to clean up when the script is told to end."""
+    task = asyncio.create_task(play(record))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, 115.0)
+
+
 def run(folder, play):
     """Run ``play(record)``, which returns how often the rule was broken, and exit as the review asks."""
     record = Record(folder)
     code = 2
     try:
-        broken = asyncio.run(asyncio.wait_for(play(record), 115.0))
+        broken = asyncio.run(play_to_end(record, play))
         code = 2 if broken is None else int(broken > 0)
         record.write(f"rule broken: {broken}")
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {type(error).__name__}: {error}")
     record.close()
     sys.exit(code)
