--- a/review/12/case.py
+++ b/review/12/case.py
@@ -132,8 +132,9 @@
             return None
         watchers = [asyncio.create_task(watch(number)) for number in range(HOSTS)]
         tasks = []
-        for number in range(int(SECONDS * PER_SECOND)):
-            tasks.append(asyncio.create_task(send(number + 1)))
+        until = record.now() + SECONDS
+        while record.now() < until:
+            tasks.append(asyncio.create_task(send(len(tasks) + 1)))
             await asyncio.sleep(1 / PER_SECOND)
         await asyncio.gather(*tasks)
         record.write(f"clients: {counts}; hosts ended: {kills}; most MB otherwise: {[round(peak) for peak in peaks]}")
