Take no end of a connection for the proof that a refusal is true

Callers saw: an order ran twice, or was answered 503 though it had run.

Cause: behind an unnamed refusal that closes its kept connection no decoy can be sent, and the end of the connection was taken in its place. An upstream that writes a copy of such a refusal and then ends, or loses its answer, ends the connection just so. Without a length, the copy also took the request's own answer for its body.

Both cases of the new test fail before.

Change: such a refusal may have run, unless the request's own answer follows it. The test of a closing refusal that was confirmed by the end took that for a proof, which it isn't; the new one holds the opposite, and that a first answer is still believed.

Cost: orders that are truly refused with Connection: close on a connection that was used before get 502 and aren't sent elsewhere.

--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -20,7 +20,6 @@
     "abandon",
     "close",
     "framing_fault",
-    "has_ended",
     "has_excess_bytes",
     "is_reusable",
     "open_connection",
@@ -273,17 +272,6 @@
     return skip_informational(connection, response)
 
 
-def has_ended(connection):
-    """Wait for input; tell whether it is the end of the connection.
-
-    Raises
-    ------
-    OSError, ValueError
-        When the connection broke.
-    """
-    return not connection.reader.peek(1)
-
-
 def read_fields(response):
     """Return the headers of an answer in order, names in lower case."""
     return [(name.lower(), value) for name, value in response.headers.raw_items()]
--- a/trefoilpin/refusal_checks.py
+++ b/trefoilpin/refusal_checks.py
@@ -56,19 +56,19 @@
         """Return the answer to a request that follows a copied refusal, or None.
 
         Answers come in the order of their requests. A decoy is sent behind the request:
-        when the decoy's answer is next, the refusal was that of the request itself.
+        when the decoy's answer is next, the refusal was that of the request itself. A
+        refusal that closes its connection leaves no room for a decoy, and the end tells
+        nothing: the upstream may have ended while it ran the request.
 
         Raises
         ------
         Exception
             One of the errors of an exchange when the next answer can't tell.
         """
-        if not refusal.will_close:
-            response = send_decoy(connection, outgoing)
-        elif exchanges.has_ended(connection):
-            return None
-        else:
+        if refusal.will_close:
             response = exchanges.read_next_head(connection, outgoing.request.method)
+        else:
+            response = send_decoy(connection, outgoing)
         for _ in range(MAX_ANSWERS):
             fields = exchanges.read_fields(response)
             value_by_name = dict(fields)
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -456,12 +456,32 @@
     assert kept_upstream.connections == 1
 
 
-def test_true_refusal_that_closes_a_kept_connection_is_confirmed(kept_upstream):
-    def refuse_and_close(sock):
-        sock.sendall(CLOSING_REFUSAL)
+ENDING = COMPLETE_WITH_ID.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [CLOSING_REFUSAL, UNNAMED_REFUSAL.replace(b"Content-Length: 0\r\n", b"") + ENDING],
+)
+def test_end_behind_a_refusal_on_a_kept_connection_confirms_nothing(
+    kept_upstream, sent
+):
+    """Guards against a copy that closes, or has no length, before the upstream ends.
+
+    The upstream may have begun to run the request, or its answer passes for the body.
+    """
+
+    def send_and_close(sock):
+        sock.sendall(sent)
         sock.close()
 
-    kept_upstream.steps = [refuse_and_close]
+    kept_upstream.exchange = create_exchange(
+        DECOY_DIALECT._replace(allows_unframed=True)
+    )
+    kept_upstream.steps = [COMPLETE_WITH_ID, send_and_close, send_and_close]
+    kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
     attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
     assert attempt.verdict is Verdict.NOT_RUN
 
