Confirm a refusal in doubt by two decoys, and by refusals of theirs only

Cause: the second copy was taken for the answer to the decoy, even one that names a request of someone else's or stands behind a refusal that closes.

The seven cases of the new tests fail before.

Change: a second decoy is sent once the first one seems answered, and only refusals without an id, or with one of a decoy or the request, count. Answers come in the order of requests, so that two copies are followed by the request's own answer before the second decoy's. Three copies in a row are still taken for a refusal.

Cost: one more exchange of some 300 bytes, and its round trip, for each such refusal on a connection used before.

The test of the true refusal counts two decoys now, and that of a doubtful one also has the doubt behind the first decoy.

--- a/trefoilpin/refusal_checks.py
+++ b/trefoilpin/refusal_checks.py
@@ -10,7 +10,9 @@
 
 __all__ = ["RefusalChecks", "create"]
 
-MAX_ANSWERS = 2
+# As many copies in a row are told apart from the answers to the decoys.
+DECOY_COUNT = 2
+MAX_ANSWERS = 6
 MIN_TIMEOUT_SECONDS = 0.001
 MILLISECONDS_PER_SECOND = 1000
 
@@ -55,47 +57,54 @@
     def find_own_response(connection, outgoing, refusal):
         """Return the answer to a request that follows a copied refusal, or None.
 
-        Answers come in the order of their requests. A decoy is sent behind the request:
-        when the decoy's answer is next, the refusal was that of the request itself. A
-        refusal that closes its connection leaves no room for a decoy, and the end tells
-        nothing: the upstream may have ended while it ran the request.
+        Answers come in the order of their requests. Decoys are sent behind the request:
+        when refusals to all of them are next, the first one was that of the request
+        itself, unless it was copied more often than there are decoys. A refusal that
+        closes its connection leaves no room for a decoy, and the end tells nothing: the
+        upstream may have ended while it ran the request.
 
         Raises
         ------
         Exception
-            One of the errors of an exchange when the next answer can't tell.
+            One of the errors of an exchange when the next answers can't tell.
         """
-        if refusal.will_close:
-            response = exchanges.read_next_head(connection, outgoing.request.method)
-        else:
-            response = send_decoy(connection, outgoing)
+        own_id = outgoing.request.request_id
+        decoy_ids = []
+        sends_decoy = not refusal.will_close
         for _ in range(MAX_ANSWERS):
+            if sends_decoy:
+                decoy_ids.append(send_decoy(connection, outgoing))
+                response = exchanges.read_head(connection)
+            else:
+                method = outgoing.request.method
+                response = exchanges.read_next_head(connection, method)
             fields = exchanges.read_fields(response)
             value_by_name = dict(fields)
             echoed = value_by_name.get(dialect.request_id)
-            if echoed == outgoing.request.request_id:
+            is_refusal = dialect.states_not_run(response.status, value_by_name)
+            if echoed == own_id and not is_refusal:
                 return response
             fault = exchanges.framing_fault(response, fields)
             if fault is not None or not read_body(outgoing, response)[1]:
                 raise ValueError(fault or "the answer is too long")
-            if dialect.states_not_run(response.status, value_by_name):
-                connection.is_suspect = connection.is_suspect or response.will_close
-                return None
-            if echoed is None:
+            if echoed is None and not is_refusal:
                 raise ValueError("the answer names no request")
-            connection.is_suspect = True
-            response = exchanges.read_next_head(connection, outgoing.request.method)
+            connection.is_suspect = connection.is_suspect or response.will_close
+            is_confirming = is_refusal and echoed in (None, own_id, *decoy_ids)
+            sends_decoy = is_confirming and bool(decoy_ids)
+            if not is_confirming:
+                connection.is_suspect = True
+            elif len(decoy_ids) == DECOY_COUNT:
+                return None
         raise ValueError("too many answers to other requests")
 
     def send_decoy(connection, outgoing):
-        """Send a request that is refused without being run; return its answer's head.
-
-        The answer may as well be one to a request sent before it.
-        """
+        """Send a request that is refused without being run; return its id."""
         seconds = max(outgoing.deadline - now(), MIN_TIMEOUT_SECONDS)
+        decoy_id = f"{kernel.rng.getrandbits(64):016x}"
         headers = [
             ("host", outgoing.request.host or outgoing.address),
-            (dialect.request_id, f"{kernel.rng.getrandbits(64):016x}"),
+            (dialect.request_id, decoy_id),
             (dialect.deadline, str(int(seconds * MILLISECONDS_PER_SECOND))),
             *dialect.decoy_headers,
         ]
@@ -103,6 +112,6 @@
             connection, "GET", outgoing.request.path, headers, b""
         )
         exchanges.write_request(connection, b"")
-        return exchanges.read_head(connection)
+        return decoy_id
 
     return RefusalChecks(is_in_doubt, find_own_response)
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -447,15 +447,33 @@
     assert kept_upstream.connections == 2
 
 
-def test_true_refusal_on_a_kept_connection_is_confirmed_by_a_decoy(kept_upstream):
-    kept_upstream.steps = [UNNAMED_REFUSAL, UNNAMED_REFUSAL, COMPLETE_WITH_ID]
+def test_true_refusal_on_a_kept_connection_is_confirmed_by_decoys(kept_upstream):
+    kept_upstream.steps = [UNNAMED_REFUSAL] * 3 + [COMPLETE_WITH_ID]
     attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
     assert attempt.verdict is Verdict.NOT_RUN and attempt.shed
     assert kept_upstream.call("POST", exchange=kept_upstream.exchange).answer
-    assert [is_decoy(item) for item in kept_upstream.received] == [0, 0, 1, 0]
+    assert [is_decoy(item) for item in kept_upstream.received] == [0, 0, 1, 1, 0]
     assert kept_upstream.connections == 1
 
 
+OTHERS_REFUSAL = UNNAMED_REFUSAL.replace(b"X-Shed", b"X-Request-Id: r0\r\nX-Shed")
+
+
+@pytest.mark.parametrize(
+    "copies",
+    [
+        UNNAMED_REFUSAL * 2,
+        UNNAMED_REFUSAL + OTHERS_REFUSAL * 3,
+        CLOSING_REFUSAL + UNNAMED_REFUSAL * 2,
+    ],
+)
+def test_several_copied_refusals_in_a_row_are_not_the_answer(kept_upstream, copies):
+    """Guards against copies that are taken for the answers to decoys."""
+    kept_upstream.steps = [copies + COMPLETE_WITH_ID]
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.RAN and attempt.answer.body == b"ok"
+
+
 ENDING = COMPLETE_WITH_ID.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
 
 
@@ -487,8 +505,9 @@
 
 
 @pytest.mark.parametrize("following", [None, COMPLETE, b"odd\r\n\r\n"])
-def test_refusal_that_stays_in_doubt_may_have_run(kept_upstream, following):
-    kept_upstream.steps = [UNNAMED_REFUSAL, following]
+@pytest.mark.parametrize("refusals", [1, 2])
+def test_refusal_that_stays_in_doubt_may_have_run(kept_upstream, following, refusals):
+    kept_upstream.steps = [UNNAMED_REFUSAL] * refusals + [following]
     attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
     assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
 
