Pass no status on that promises what the upstream doesn't say

Callers saw: 503 to an order that had run. The page of the protocol promises by 408, 421, 429 and 503 that a request has not run and never will, so the caller sends another one.

Cause: an upstream's answer with such a status, but without its statement that it did not run the request, was passed on as it was.

The three cases of the new test fail before, as the dialect has no such statuses there.

Change: for requests that must not run again such an answer counts as none; the caller gets 502. Others are tried elsewhere as before. It counts as no broken connection, since the upstream has answered.

--- a/trefoilpin/dialects.py
+++ b/trefoilpin/dialects.py
@@ -43,6 +43,8 @@
     decoy_headers : tuple of (str, str)
         Headers of a request that every upstream refuses at once without running it, by
         which the answers on a connection are told apart; none where there is no such.
+    promise_statuses : frozenset of int
+        Statuses by which callers are promised that their request has not run.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     allows_unframed: bool = False
     skips_mismatched_answers: bool = False
     decoy_headers: tuple[tuple[str, str], ...] = ()
+    promise_statuses: frozenset[int] = frozenset()
 
 
 def states_not_run(status, value_by_name):
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -277,6 +277,12 @@
             return None
         return "the answer names no request"
 
+    def makes_false_promise(outgoing, status, value_by_name):
+        """Tell whether an answer's status would promise what its upstream doesn't."""
+        if outgoing.idempotent or status not in dialect.promise_statuses:
+            return False
+        return not dialect.states_not_run(status, value_by_name)
+
     def read_body(outgoing, response):
         """Return what is buffered of a body, and whether it is the whole body."""
         if not is_counted(outgoing.request):
@@ -309,6 +315,15 @@
         fault = fault or dialect.fault(response.status, value_by_name)
         if fault is not None:
             return broken_attempt(outgoing, fault), False
+        if makes_false_promise(outgoing, response.status, value_by_name):
+            attempt = broken_attempt(
+                outgoing, "the status promises that it did not run"
+            )
+            pause_seconds = read_pause(outgoing, response.status, value_by_name)
+            return (
+                attempt._replace(broke_connection=False, pause_seconds=pause_seconds),
+                False,
+            )
         body, complete = read_body(outgoing, response)
         if refusals.is_in_doubt(connection, outgoing, response, value_by_name):
             if not complete:
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -512,6 +512,20 @@
     assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_of_a_refusal_without_its_statement_may_have_run(upstream, status):
+    """Guards against a promise to the caller of a request that ran."""
+    answer = b"HTTP/1.1 %d Odd\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+    upstream.steps = [answer % status] * 2
+    exchange = create_exchange(
+        DECOY_DIALECT._replace(promise_statuses=frozenset((408, 429, 503)))
+    )
+    attempt = upstream.call("POST", exchange=exchange)
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
+    assert not attempt.broke_connection
+    assert upstream.call(exchange=exchange).answer.status == status
+
+
 def test_no_decoy_is_sent_where_a_refusal_is_in_no_doubt(kept_upstream):
     """A first answer on a connection, and requests that may run again."""
     kept_upstream.steps = [UNNAMED_REFUSAL, UNNAMED_REFUSAL]
