Return to an address over a new connection

A request is sent again after a refusal, and where another upstream has taken the address meanwhile, over the same connections. A copy of the first refusal, written before the second answer, bears the id of both attempts: the request would be taken for not run while it is at work, and run twice. Such a copy can't be told apart by its id, and a refusal that names its request isn't verified.

Change: a further attempt at an address uses a new connection, on which no earlier refusal comes before the answer. Found by reading; the new test failed before.

--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -225,7 +225,8 @@
         upstream = choice.upstream
         started_at = now()
         send_pacing.record_send(context.pool)
-        context.tried_upstreams = context.tried_upstreams | {upstream.id}
+        # A copied refusal of the earlier attempt would bear the id of this one.
+        is_return = context.start_attempt(upstream)
         attempt = INTERRUPTED
         try:
             attempt = forwarders.exchange(
@@ -234,7 +235,7 @@
                 context.deadline,
                 context.route.idempotent,
                 upstream_headers(context, upstream),
-                poison_requests.is_suspect(context.fingerprint),
+                is_return or poison_requests.is_suspect(context.fingerprint),
             )
             return attempt
         finally:
--- a/trefoilpin/gateway/requests/request_contexts.py
+++ b/trefoilpin/gateway/requests/request_contexts.py
@@ -85,6 +85,7 @@
         self.deadline = incoming.request.arrived_at + caller_timeout
         self.fingerprint = fingerprint(account, incoming.request)
         self.tried_upstreams: frozenset[str] = frozenset()
+        self.tried_addresses: frozenset[str] = frozenset()
         self.attempt_count = 0
         self.unreached_count = 0
         self.last_attempt: Attempt | None = None
@@ -93,6 +94,13 @@
         self.is_held_back = False
         self.upstream: Any = None
 
+    def start_attempt(self, upstream):
+        """Record an attempt; return True if an earlier one went to the same address."""
+        is_return = upstream.address in self.tried_addresses
+        self.tried_upstreams |= {upstream.id}
+        self.tried_addresses |= {upstream.address}
+        return is_return
+
     @property
     def priority(self):
         """Priority of the account, else of the route; 0 is the most urgent."""
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -208,6 +208,21 @@
     assert isinstance(host.send_request(), Success)
 
 
+def test_request_returns_to_an_address_over_a_new_connection(host):
+    """Guards against a copy of the first attempt's refusal, which bears the same id."""
+    host.put(UPSTREAMS, 2, table(upstream(1)))
+    replaced = table(upstream(2)._replace(address=upstream(1).address))
+
+    def misdirect(host):
+        host.put(UPSTREAMS, 3, replaced)
+        return MISDIRECTED
+
+    host.attempts = [misdirect, GOOD]
+    assert isinstance(host.send_request(), Success)
+    assert [name for name, *_ in host.sends] == ["u1", "u2"]
+    assert host.used_new == [False, True]
+
+
 def test_misdirected_requests_are_charged_to_the_retry_budget(host):
     host.attempts = [MISDIRECTED] * 8
     outcomes = [host.send_request(f"/a/{number}") for number in range(4)]
