Keep the library from opening a connection beneath an exchange

Callers saw: 504 after their whole time, for a request that ran. Nothing ran twice by it.

Cause: the standard library closes its side of a connection on the first answer that says so, a 1xx one too, or one to another request, and opens another one for the next write (auto_open). The next request, or a decoy, went over that second connection, while the answer was awaited on the first.

Evidence: both new tests fail before; a request behind a 103 with Connection: close ended with no whole answer before its deadline, having been received over a second connection.

Change: the library opens none, and a connection that any answer closes isn't kept.

--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -21,6 +21,7 @@
     "close",
     "framing_fault",
     "has_excess_bytes",
+    "is_closing",
     "is_reusable",
     "open_connection",
     "prepare_request",
@@ -132,6 +133,8 @@
     host, _, port = address.rpartition(":")
     http_connection = HTTPConnection(host.strip("[]"), int(port), timeout=timeout)
     http_connection.connect()
+    # The library would send a request over a second connection once it has closed this.
+    http_connection.auto_open = 0
     http_connection.sock.settimeout(None)
     set_dead_peer_timeouts(http_connection.sock)
     connection = UpstreamConnection(address, http_connection)
@@ -191,6 +194,11 @@
         connection.sock.settimeout(None)
 
 
+def is_closing(connection):
+    """Tell whether an answer said that it closes the connection, even a 1xx one."""
+    return connection.http_connection.sock is None
+
+
 def prepare_request(connection, method, target, headers, body):
     """Encode the request line and the headers; nothing is written yet.
 
--- a/trefoilpin/idle_connections.py
+++ b/trefoilpin/idle_connections.py
@@ -59,9 +59,9 @@
 
     def keep(connection):
         connections = idle_by_address.setdefault(connection.address, [])
-        if len(connections) >= MAX_IDLE_CONNECTIONS or exchanges.has_excess_bytes(
-            connection
-        ):
+        is_full = len(connections) >= MAX_IDLE_CONNECTIONS
+        is_ending = exchanges.is_closing(connection)
+        if is_full or is_ending or exchanges.has_excess_bytes(connection):
             exchanges.close(connection)
             return
         connection.idle_since = now()
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -512,6 +512,27 @@
     assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
 
 
+def test_connection_that_an_early_answer_closes_is_not_used_again(upstream):
+    """Guards against a request over a connection on which no answer is read."""
+    early = b"HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n"
+    upstream.steps = [early + COMPLETE]
+    assert upstream.call("POST").verdict is Verdict.RAN
+    assert upstream.call("POST").verdict is Verdict.RAN
+    assert upstream.connections == 2
+
+
+def test_nothing_is_sent_over_a_connection_that_the_library_opens(kept_upstream):
+    """Guards against decoys on another connection than the request's."""
+    stray = COMPLETE.replace(
+        b"OK\r\n", b"OK\r\nX-Request-Id: r0\r\nConnection: close\r\n"
+    )
+    kept_upstream.steps = [stray + UNNAMED_REFUSAL]
+    attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
+    eventlet.sleep(0.05)
+    assert kept_upstream.connections == 1
+
+
 @pytest.mark.parametrize("status", [408, 429, 503])
 def test_status_of_a_refusal_without_its_statement_may_have_run(upstream, status):
     """Guards against a promise to the caller of a request that ran."""
