Verify every unnamed refusal that something may have come before

Cause: where a dialect has no decoy, a refusal without an id on a connection that was used before was believed, though an upstream writes copies on any kept connection, not only on that on which it refused. And a first answer was believed though a stray one had come.

Change: without decoys, such a refusal to a request that must not run again may have run; a connection on which a stray answer came counts as used. A refusal that stays in doubt is no sign that the request broke the connection, so it counts toward no suspicion.

Tests fail before.

--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -241,11 +241,18 @@
             attempt = broken_attempt(outgoing, detail)
             closed_while_idle = outgoing.may_be_stale and response is None
             attempt = attempt._replace(
-                broke_connection=not closed_while_idle,
+                broke_connection=not (closed_while_idle or is_refusal(response)),
                 broke_idle_connection=closed_while_idle,
             )
             return attempt, False
 
+    def is_refusal(response):
+        """Tell whether a head was read that is a refusal, though maybe a copy."""
+        if response is None:
+            return False
+        value_by_name = dict(exchanges.read_fields(response))
+        return dialect.states_not_run(response.status, value_by_name)
+
     def read_matching_head(connection, outgoing):
         """Read the head of the answer, skipping complete answers to other requests."""
         response = exchanges.read_head(connection)
--- a/trefoilpin/refusal_checks.py
+++ b/trefoilpin/refusal_checks.py
@@ -46,13 +46,14 @@
         """Tell whether a refusal may be a copy of that of an earlier request.
 
         Only requests that must not run again need to know, and nothing comes before
-        the answer to the first request on a connection.
+        the answer to the first request on a connection, unless something has.
         """
-        if outgoing.idempotent or not connection.is_reused:
+        if outgoing.idempotent:
+            return False
+        if not (connection.is_reused or connection.is_suspect):
             return False
         is_unnamed = dialect.request_id not in value_by_name
-        is_refusal = dialect.states_not_run(response.status, value_by_name)
-        return bool(dialect.decoy_headers) and is_unnamed and is_refusal
+        return is_unnamed and dialect.states_not_run(response.status, value_by_name)
 
     def find_own_response(connection, outgoing, refusal):
         """Return the answer to a request that follows a copied refusal, or None.
@@ -68,6 +69,8 @@
         Exception
             One of the errors of an exchange when the next answers can't tell.
         """
+        if not dialect.decoy_headers:
+            raise ValueError("the refusal names no request")
         own_id = outgoing.request.request_id
         decoy_ids = []
         sends_decoy = not refusal.will_close
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -456,6 +456,22 @@
     assert kept_upstream.connections == 1
 
 
+def test_refusal_that_nothing_can_verify_may_have_run(upstream):
+    """Guards against copies on kept connections where there are no decoys."""
+    upstream.steps = [COMPLETE, UNNAMED_REFUSAL + COMPLETE]
+    assert upstream.call("POST").verdict is Verdict.RAN
+    attempt = upstream.call("POST")
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN and not attempt.broke_connection
+    assert upstream.connections == 1
+
+
+def test_refusal_behind_a_stray_answer_is_verified_on_a_new_connection(upstream):
+    stray = COMPLETE_WITH_ID.replace(b"r1", b"r0")
+    upstream.steps = [stray + UNNAMED_REFUSAL + COMPLETE_WITH_ID]
+    attempt = upstream.call("POST", exchange=create_exchange(DECOY_DIALECT))
+    assert attempt.verdict is Verdict.RAN and attempt.answer.body == b"ok"
+
+
 OTHERS_REFUSAL = UNNAMED_REFUSAL.replace(b"X-Shed", b"X-Request-Id: r0\r\nX-Shed")
 
 
@@ -500,6 +516,7 @@
     kept_upstream.call("POST", exchange=kept_upstream.exchange)
     attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
     assert attempt.verdict is Verdict.MAY_HAVE_RUN and attempt.answer is None
+    assert not attempt.broke_connection
     attempt = kept_upstream.call("POST", exchange=kept_upstream.exchange)
     assert attempt.verdict is Verdict.NOT_RUN
 
