--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -7,7 +7,6 @@
 connection is reused only after a complete answer to the request that was sent on it.
 """
 
-import re
 from http.client import HTTPException
 from typing import NamedTuple
 
@@ -15,6 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from trefoilpin import (
+    answer_checks,
     dialects,
     events,
     exchanges,
@@ -22,9 +22,9 @@
     refusal_checks,
     response_streams,
 )
-from trefoilpin.headers import drop_hop_by_hop, read_retry_after
+from trefoilpin.headers import drop_hop_by_hop
 from trefoilpin.idle_connections import MAX_IDLE_CONNECTIONS
-from trefoilpin.messages import Answer, Attempt
+from trefoilpin.messages import Answer, Attempt, OutgoingRequest
 from trefoilpin.request_services import Forwarders
 from trefoilpin.verdicts import Reason, Verdict
 
@@ -34,13 +34,7 @@
 CALLER_CHECK_INTERVAL_SECONDS = 0.25
 MIN_TIMEOUT_SECONDS = 0.001
 MILLISECONDS_PER_SECOND = 1000
-# An upstream may close an idle connection this much sooner than it announced.
-KEEP_ALIVE_MARGIN_SECONDS = 1.0
-KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)")
 MAX_SKIPPED_ANSWERS = 2
-UNAVAILABLE_STATUS = 503
-# Longest time for which an upstream's request to pause is followed.
-MAX_PAUSE_SECONDS = 60.0
 CALLER_LEFT = "the caller left"
 EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
@@ -65,42 +59,6 @@
     max_idle_non_idempotent: float = 1.0
 
 
-class OutgoingRequest(NamedTuple):
-    """A request that is being sent to one upstream.
-
-    Attributes
-    ----------
-    upstream, address : str
-    request : CallerRequest
-    deadline, started_at : float
-        Seconds of the kernel's clock.
-    idempotent : bool
-    may_be_stale : bool
-        True when the connection was idle for so long that the upstream may have closed
-        it by now.
-    extra_headers : tuple of (str, str)
-        Headers that the gateway adds to the caller's.
-    uses_new_connection : bool
-        True when no idle connection may be used.
-    """
-
-    upstream: str
-    address: str
-    request: tuple
-    deadline: float
-    idempotent: bool
-    started_at: float
-    may_be_stale: bool = False
-    extra_headers: tuple[tuple[str, str], ...] = ()
-    uses_new_connection: bool = False
-
-
-def keep_alive_seconds(value_by_name):
-    """Return the idle timeout that an upstream announces, or None."""
-    announced = KEEP_ALIVE.search(value_by_name.get("keep-alive", ""))
-    return float(announced.group(1)) if announced else None
-
-
 def create(kernel, bounds, dialect=dialects.DEFAULT, memory=None):
     """Create the service ``forwarders``.
 
@@ -241,18 +199,11 @@
             attempt = broken_attempt(outgoing, detail)
             closed_while_idle = outgoing.may_be_stale and response is None
             attempt = attempt._replace(
-                broke_connection=not (closed_while_idle or is_refusal(response)),
+                broke_connection=not (closed_while_idle or checks.is_refusal(response)),
                 broke_idle_connection=closed_while_idle,
             )
             return attempt, False
 
-    def is_refusal(response):
-        """Tell whether a head was read that is a refusal, though maybe a copy."""
-        if response is None:
-            return False
-        value_by_name = dict(exchanges.read_fields(response))
-        return dialect.states_not_run(response.status, value_by_name)
-
     def read_matching_head(connection, outgoing):
         """Read the head of the answer, skipping complete answers to other requests."""
         response = exchanges.read_head(connection)
@@ -271,25 +222,6 @@
             response = exchanges.read_next_head(connection, outgoing.request.method)
         return response
 
-    def identity_fault(connection, outgoing, response, value_by_name):
-        """Return why an answer may belong to another request, or None."""
-        echoed = value_by_name.get(dialect.request_id)
-        expects_echo = connection.echoes_request_id or dialect.skips_mismatched_answers
-        connection.echoes_request_id = echoed is not None
-        if echoed not in (None, outgoing.request.request_id):
-            return "the answer belongs to another request"
-        if echoed is not None or not expects_echo:
-            return None
-        if dialect.states_not_run(response.status, value_by_name):
-            return None
-        return "the answer names no request"
-
-    def makes_false_promise(outgoing, status, value_by_name):
-        """Tell whether an answer's status would promise what its upstream doesn't."""
-        if outgoing.idempotent or status not in dialect.promise_statuses:
-            return False
-        return not dialect.states_not_run(status, value_by_name)
-
     def read_body(outgoing, response):
         """Return what is buffered of a body, and whether it is the whole body."""
         if not is_counted(outgoing.request):
@@ -318,15 +250,17 @@
         fields = exchanges.read_fields(response)
         value_by_name = dict(fields)
         fault = exchanges.framing_fault(response, fields, dialect.allows_unframed)
-        fault = fault or identity_fault(connection, outgoing, response, value_by_name)
+        fault = fault or checks.identity_fault(
+            connection, outgoing, response, value_by_name
+        )
         fault = fault or dialect.fault(response.status, value_by_name)
         if fault is not None:
             return broken_attempt(outgoing, fault), False
-        if makes_false_promise(outgoing, response.status, value_by_name):
+        if checks.makes_false_promise(outgoing, response.status, value_by_name):
             attempt = broken_attempt(
                 outgoing, "the status promises that it did not run"
             )
-            pause_seconds = read_pause(outgoing, response.status, value_by_name)
+            pause_seconds = checks.read_pause(outgoing, response.status, value_by_name)
             return (
                 attempt._replace(broke_connection=False, pause_seconds=pause_seconds),
                 False,
@@ -350,9 +284,9 @@
         is_unsound = connection.may_repeat_refusal and not outgoing.idempotent
         if response.will_close or connection.is_suspect or is_unsound:
             return attempt, False
-        announced = keep_alive_seconds(value_by_name)
-        if announced is not None:
-            connection.max_idle = announced - KEEP_ALIVE_MARGIN_SECONDS
+        connection.max_idle = answer_checks.read_max_idle(
+            value_by_name, connection.max_idle
+        )
         idle.keep(connection)
         return attempt, True
 
@@ -402,24 +336,9 @@
             seconds,
             shed,
             draining,
-            pause_seconds=read_pause(outgoing, status, value_by_name),
+            pause_seconds=checks.read_pause(outgoing, status, value_by_name),
         )
 
-    def read_pause(outgoing, status, value_by_name):
-        """Return the time for which the upstream wants no request, in seconds."""
-        stated = value_by_name.get("retry-after")
-        if status != UNAVAILABLE_STATUS or stated is None:
-            return 0.0
-        seconds = read_retry_after(stated, kernel.clock.wall())
-        if seconds is None or seconds > MAX_PAUSE_SECONDS:
-            emit(
-                events.RETRY_AFTER_LIMITED,
-                upstream=outgoing.upstream,
-                stated=stated[:64],
-                seconds=None if seconds is None else MAX_PAUSE_SECONDS,
-            )
-        return min(seconds or 0.0, MAX_PAUSE_SECONDS)
-
     def caller_left_attempt(outgoing):
         emit(events.CALLER_GONE, request_id=outgoing.request.request_id)
         return failed_attempt(
@@ -443,6 +362,7 @@
     def failed_attempt(outgoing, verdict, reason, detail):
         return Attempt(verdict, None, reason, detail, now() - outgoing.started_at)
 
+    checks = answer_checks.create(kernel, dialect)
     refusals = refusal_checks.create(kernel, dialect, read_body)
     service = Forwarders(exchange)
     kernel.register(
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -11,6 +11,7 @@
     "CallerRequest",
     "Choice",
     "OperationKey",
+    "OutgoingRequest",
     "Permit",
 ]
 
@@ -64,6 +65,36 @@
         return None
 
 
+class OutgoingRequest(NamedTuple):
+    """A request that is being sent to one upstream.
+
+    Attributes
+    ----------
+    upstream, address : str
+    request : CallerRequest
+    deadline, started_at : float
+        Seconds of the kernel's clock.
+    idempotent : bool
+    may_be_stale : bool
+        True when the connection was idle for so long that the upstream may have closed
+        it by now.
+    extra_headers : tuple of (str, str)
+        Headers that the gateway adds to the caller's.
+    uses_new_connection : bool
+        True when no idle connection may be used.
+    """
+
+    upstream: str
+    address: str
+    request: tuple
+    deadline: float
+    idempotent: bool
+    started_at: float
+    may_be_stale: bool = False
+    extra_headers: tuple[tuple[str, str], ...] = ()
+    uses_new_connection: bool = False
+
+
 class Answer(NamedTuple):
     """A complete answer, or the beginning of an answer that is streamed.
 
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -5,7 +5,7 @@
 import eventlet
 import pytest
 
-from trefoilpin import clocks, forwarders
+from trefoilpin import answer_checks, clocks, forwarders
 from trefoilpin.dialects import DEFAULT
 from trefoilpin.kernel import create_kernel
 from trefoilpin.messages import CallerRequest
@@ -609,7 +609,7 @@
     "status, value, seconds",
     [
         (503, b"1.5", 1.5),
-        (503, b"86400", forwarders.MAX_PAUSE_SECONDS),
+        (503, b"86400", answer_checks.MAX_PAUSE_SECONDS),
         (503, b"-3", 0.0),
         (503, b"tomorrow", 0.0),
         (500, b"1.5", 0.0),
