Log when a host holds an upstream for cold, and what it sends it

Cause: the log had no line for when a host begins or ends to take an upstream for cold, with which part of the rate, nor for its sends, so that the hypotheses of docs/incidents/cold-flood.md couldn't be told apart. Change: events 830 to 832 (cold_held, cold_ended, cold_sends), a counter and a gauge, in balancing/cold_logs; sends are one line a second, host and cold upstream at most. A host that sends with no cold_held before it didn't know (hypothesis 2); lines of hosts with different senders disagree (3); sends within each part on many hosts sum to too much (1). Measured: test_cold_logs, test_upstreams, test_departures, test_proxies and test_imports pass.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -967,5 +967,40 @@
     ("seconds",),
     "The host has the first configuration and upstreams, this long after its start.",
 )
+COLD_HELD = Event(
+    830,
+    "cold_held",
+    logging.INFO,
+    (
+        "pool",
+        "upstream",
+        "born",
+        "seconds",
+        "before",
+        "revision",
+        "age",
+        "rate",
+        "senders",
+        "sends",
+    ),
+    "This host holds an upstream for cold from now on, for this many seconds (before:"
+    " how many were left by what it knew until now), by the document with this revision"
+    " and age; rate is the host's part of the cold rate as one of senders hosts.",
+)
+COLD_ENDED = Event(
+    831,
+    "cold_ended",
+    logging.INFO,
+    ("pool", "upstream", "born", "seconds", "sent", "reason"),
+    "This host no longer holds an upstream for cold, for which it held it for this many"
+    " seconds in which it sent it this many requests.",
+)
+COLD_SENDS = Event(
+    832,
+    "cold_sends",
+    logging.INFO,
+    ("pool", "upstream", "born", "sent", "seconds", "rate", "senders"),
+    "Requests that this host sent a cold upstream in the last seconds.",
+)
 
 CATALOGUE = tuple(value for value in globals().values() if isinstance(value, Event))
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -12,10 +12,12 @@
 
 from trefoilpin import events
 from trefoilpin.gateway.balancing import (
+    cold_logs,
     departures,
     early_evidence,
     failure_models,
     floors,
+    health_tables,
     outcome_log,
     pool_surveys,
     remote_in_flight,
@@ -76,18 +78,10 @@
 
 
 class UpstreamState:
-    """Health by pool, requests in flight, and who is told of outcomes.
-
-    Attributes
-    ----------
-    healths_by_pool_and_zone : dict
-        By pool, and True for the upstreams of the host's own zone.
-    """
+    """Health of the upstreams, requests in flight, and who is told of outcomes."""
 
     def __init__(self):
-        self.health_by_pool: dict[str, dict[str, upstream_health.UpstreamHealth]] = {}
-        self.healths_by_pool_and_zone: dict[tuple[str, bool], list] = {}
-        self.health_by_id: dict[str, upstream_health.UpstreamHealth] = {}
+        self.health = health_tables.EMPTY_TABLES
         self.in_flight_by_number: dict[int, upstream_health.InFlightRequest] = {}
         self.choice_number = 0
         self.outcome_listeners = []
@@ -133,22 +127,30 @@
         health.is_newcomer = False
 
     remote_counts = remote_in_flight.create(
-        now, lambda upstream: state.health_by_id.get(upstream), mark_used
+        now, lambda upstream: state.health.by_id.get(upstream), mark_used
     )
     early = early_evidence.create(now, state.in_flight_by_number.get)
     log = outcome_log.create(now)
     removed = removed_upstreams.create(now)
 
+    def cold_share(pool_id):
+        """Return this host's part of a cold upstream's rate; None when it has none."""
+        pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
+        cold_rate = pool.cold_rate if pool is not None else 0.0
+        return cold_rate / max(sender_count(), 1) if is_sender() else None
+
+    log_of_cold = cold_logs.create(
+        kernel, lambda pool_id: (cold_share(pool_id), sender_count())
+    )
+
     def rebuild(upstream_by_id):
-        health_by_pool = {}
-        healths_by_pool_and_zone = {}
-        health_by_id = {}
+        healths = []
         for upstream in upstream_by_id.values():
-            health = state.health_by_id.get(upstream.id)
+            health = state.health.by_id.get(upstream.id)
             health = health or removed.find(upstream.id)
             if health is None or health.upstream.born != upstream.born:
                 health = upstream_health.UpstreamHealth(upstream, now(), rng.random())
-                health.is_newcomer = bool(state.health_by_id)
+                health.is_newcomer = bool(state.health.by_id)
             elif upstream.cold_remaining != health.upstream.cold_remaining:
                 health.cold_until = now() + upstream.cold_remaining
             if upstream.draining and not health.upstream.draining:
@@ -160,14 +162,11 @@
                 )
             health.upstream = upstream
             health.is_leaving |= departure_service.is_leaving(upstream)
-            health_by_pool.setdefault(upstream.pool, {})[upstream.id] = health
-            key = (upstream.pool, upstream.zone == own_zone)
-            healths_by_pool_and_zone.setdefault(key, []).append(health)
-            health_by_id[upstream.id] = health
-        removed.update(state.health_by_id, health_by_id)
-        state.healths_by_pool_and_zone = healths_by_pool_and_zone
-        state.health_by_pool = health_by_pool
-        state.health_by_id = health_by_id
+            healths.append(health)
+        tables = health_tables.group(healths, own_zone)
+        removed.update(state.health.by_id, tables.by_id)
+        state.health = tables
+        log_of_cold.update(healths)
 
     def failure_probability(health):
         return upstream_health.failure_probability(health, now())
@@ -181,14 +180,12 @@
 
     def choose(pool_id, tried, retry_policy, typical, body_bytes=0, accepts=None):
         record_survivors()
-        pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
-        cold_rate = pool.cold_rate if pool is not None else 0.0
         request = pool_surveys.SurveyRequest(
             now(),
             own_zone,
             tried,
             document_cache.value(ZONES_OUT),
-            cold_rate / max(sender_count(), 1) if is_sender() else None,
+            cold_share(pool_id),
             body_bytes,
             sender_count(),
             accepts,
@@ -204,7 +201,7 @@
         return outcome.map(lambda health: reserve(pool_id, health, typical, body_bytes))
 
     def survey_zone(pool_id, request, is_same_zone):
-        healths = state.healths_by_pool_and_zone.get((pool_id, is_same_zone), ())
+        healths = state.health.by_pool_and_zone.get((pool_id, is_same_zone), ())
         return pool_surveys.survey(healths, request)
 
     def choose_in_zone(pool_id, in_zone, request, retry_policy):
@@ -220,7 +217,7 @@
                 return due
         probed = upstream_selection.choose_probe(in_zone.accepted, retry_policy, rng)
         if probed is not None:
-            return state.health_by_id[probed.id]
+            return state.health.by_id[probed.id]
         best = upstream_selection.choose_best(in_zone.accepted, retry_policy, rng)
         if best is None:
             return None
@@ -228,7 +225,7 @@
         if loss > upstream_selection.CROSS_ZONE_LOSS:
             return None
         best = stale_loads.choose_even(in_zone.accepted, best, retry_policy, rng)
-        return state.health_by_id[best.id]
+        return state.health.by_id[best.id]
 
     def choose_anywhere(in_zone, elsewhere, retry_policy):
         pool = pool_surveys.join(in_zone, elsewhere)
@@ -241,16 +238,17 @@
         # Those of the own zone were looked through for one to probe.
         probed = upstream_selection.choose_probe(elsewhere.accepted, retry_policy, rng)
         if probed is not None and not in_zone.accepted:
-            return Success(state.health_by_id[probed.id])
+            return Success(state.health.by_id[probed.id])
         candidates = pool.accepted or pool.others
         best = upstream_selection.choose_best(candidates, retry_policy, rng)
         best = stale_loads.choose_even(candidates, best, retry_policy, rng)
-        return Success(state.health_by_id[best.id])
+        return Success(state.health.by_id[best.id])
 
     def reserve(pool_id, health, typical_seconds, body_bytes):
         mark_used(health)
         if now() < health.cold_until:
             health.cold_tokens -= 1.0
+            log_of_cold.record_send(health)
         state.choice_number += 1
         early.add(state.choice_number)
         state.in_flight_by_number[state.choice_number] = upstream_health.start_request(
@@ -306,7 +304,7 @@
 
     def apply_departure(departure):
         """Stop using an upstream that told another host that it is leaving."""
-        health = state.health_by_id.get(departure.upstream)
+        health = state.health.by_id.get(departure.upstream)
         if health is not None and health.upstream.born == departure.born:
             health.is_leaving = True
 
@@ -353,7 +351,7 @@
 
     def merge_outcomes(host, incarnation, recent_outcomes, is_remote_sender=True):
         for shared in log.take_new(host, incarnation, recent_outcomes):
-            health = state.health_by_id.get(shared.upstream)
+            health = state.health.by_id.get(shared.upstream)
             if health is None:
                 continue
             update_health(health, failure_probability(health), shared.outcome, host)
@@ -366,7 +364,7 @@
         for in_flight in state.in_flight_by_number.values():
             health = in_flight.health
             upstream = health.upstream
-            is_current = state.health_by_id.get(upstream.id) is health
+            is_current = state.health.by_id.get(upstream.id) is health
             if is_current and zone in (None, upstream.zone):
                 count_by_upstream[upstream.id] = health.own_in_flight
         return count_by_upstream
@@ -379,9 +377,12 @@
                 in_flight.is_slow = True
                 record_outcome(in_flight.health, Outcome.SLOW)
         remote_counts.expire()
+        log_of_cold.step()
 
     busiest = stale_loads.busiest_to_mean
-    metrics.gauge("busiest_upstream_to_mean", lambda: busiest(state.health_by_pool))
+    metrics.gauge(
+        "busiest_upstream_to_mean", lambda: busiest(state.health.by_id_by_pool)
+    )
     document_cache.subscribe(UPSTREAMS, rebuild)
     departure_service.on_merged(apply_departure)
     service = Upstreams(
@@ -394,7 +395,7 @@
         in_flight_counts,
         state.outcome_listeners.append,
         check_overdue,
-        lambda pool_id: tuple(state.health_by_pool.get(pool_id, {}).values()),
+        lambda pool_id: tuple(state.health.by_id_by_pool.get(pool_id, {}).values()),
     )
     kernel.register("upstreams", service)
     return service
