Test: a cold upstream is flooded by the first request of each sender

Each host has a token for a cold upstream at once and then its part of the rate, so the worst second grows with the hosts that send.

--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -101,6 +101,9 @@
         As in ``daemons.Adapter``.
     rollout_bounds : RolloutBounds or None
         As in ``daemons.GatewaySettings``.
+    counts_senders : bool
+        Whether the hosts that send requests are those that ``gossip`` counts; otherwise
+        each host takes itself for the only one.
     """
 
     link: Link = UNCONGESTED_LINK
@@ -109,6 +112,7 @@
     split: Any = split
     decode_by_kind: Any = decode_by_kind
     rollout_bounds: Any = None
+    counts_senders: bool = False
 
 
 class StoreContent:
@@ -339,7 +343,16 @@
     account_usage.create(kernel)
     node.pool_pressure = pool_pressure.create(kernel)
     queues.create(kernel, create_event)
-    upstreams.create(kernel, node.zone, lambda: 1)
+    if settings.counts_senders:
+        upstreams.create(
+            kernel,
+            node.zone,
+            lambda: node.gossip.sender_count(),
+            lambda: node.gossip.is_sender(),
+            lambda: node.gossip.zone_sender_count(),
+        )
+    else:
+        upstreams.create(kernel, node.zone, lambda: 1)
     bounds = settings.rollout_bounds
     versions = None if bounds is None else rollouts.create(kernel, own)
     send = partial(fleet.send, node)
