Soak: cold upstreams, volleys to all hosts and faults in series

Change: faults that turn upstreams cold, also again and again and as they join; a request to each host in the same moment; signals, restarts and changes that overlap; callers that stay with one host and keep its connections open until the process is gone. The check counts at the upstream's own socket, from 2 s after its entry changed, or from its start for one that joins.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,7 @@
 import eventlet
 import stand_in_objects
 
-__all__ = ["RequestRecord", "send_requests"]
+__all__ = ["Caller", "RequestRecord", "send_one_per_route", "send_requests"]
 
 REQUEST_TIMEOUT_SECONDS = 1.5
 ADDRESS_LIFETIME_SECONDS = 2.0
@@ -50,14 +50,21 @@
 
 
 class Caller:
-    """A caller's connections and the addresses that the directory gave it."""
+    """A caller's connections and the addresses that the directory gave it.
 
-    def __init__(self, name, zone, hosts, ports, rng):
+    One with a home sends to that host only, whatever the directory says, and keeps each
+    connection to it open until the process is gone.
+    """
+
+    def __init__(self, name, zone, hosts, ports, rng, home=None):
         self.name = name
         self.zone = zone
         self.hosts = hosts
         self.ports = ports
         self.rng = rng
+        self.home = home
+        self.pause_seconds = MEAN_PAUSE_SECONDS
+        self.kept_sockets: list[tuple] = []
         self.addresses: list[str] = []
         self.refreshed_at = float("-inf")
         self.connection_by_address: dict[str, http.client.HTTPConnection] = {}
@@ -87,6 +94,8 @@
 
     def pick_address(self):
         """Return an address at random, or None when none is known."""
+        if self.home is not None:
+            return f"{self.home.ip}:{self.ports.callers}"
         if (
             time.monotonic() - self.refreshed_at > ADDRESS_LIFETIME_SECONDS
             or not self.addresses
@@ -103,6 +112,19 @@
             self.connection_by_address[address] = found
         return found
 
+    def keep_open(self, sock):
+        """Keep a connection open, however it is used, until the process is gone."""
+        if self.home is None:
+            return
+        process_count = len(self.home.process_runs)
+        kept_sockets = []
+        for count, kept in self.kept_sockets:
+            if count == process_count:
+                kept_sockets.append((count, kept))
+                continue
+            kept.close()
+        self.kept_sockets = [*kept_sockets, (process_count, sock.dup())]
+
     def close_connection(self, address):
         """Close and forget the connection to a host."""
         self.connection_by_address.pop(address).close()
@@ -122,6 +144,7 @@
     try:
         if connection.sock is None:
             connection.connect()
+            caller.keep_open(connection.sock)
         connection.request(method, prefix + request_id, body, headers)
         was_written = True
         response = connection.getresponse()
@@ -159,7 +182,7 @@
     while not is_stopped():
         address = caller.pick_address()
         if address is None:
-            eventlet.sleep(MEAN_PAUSE_SECONDS)
+            eventlet.sleep(caller.pause_seconds)
             continue
         account = caller.rng.choice(environment.accounts)
         prefix = caller.rng.choice(tuple(METHOD_BY_PREFIX))
@@ -170,4 +193,17 @@
         )
         if records[-1].status == 0:
             caller.refreshed_at = float("-inf")
-        eventlet.sleep(MEAN_PAUSE_SECONDS * 2 * caller.rng.random())
+        eventlet.sleep(caller.pause_seconds * 2 * caller.rng.random())
+
+
+def send_one_per_route(caller, environment, expected_body, records):
+    """Send one request on each route to a host, which the directory isn't asked for."""
+    address = f"{caller.hosts[0].ip}:{caller.ports.callers}"
+    account = environment.accounts[0]
+    for prefix in METHOD_BY_PREFIX:
+        request_id = f"{caller.name}{prefix.replace('/', '.')}"
+        records.append(
+            send_request(caller, address, account, prefix, request_id, expected_body)
+        )
+    if address in caller.connection_by_address:
+        caller.close_connection(address)
--- a/soak/environments.py
+++ b/soak/environments.py
@@ -11,9 +11,11 @@
 
 __all__ = [
     "Account",
+    "COLD_RATE",
     "Change",
     "ProxiedUpstream",
     "Environment",
+    "POOLS",
     "ZONES",
     "expected_body",
     "create_environment",
@@ -23,6 +25,7 @@
 ZONES = ("a", "b", "c")
 UPSTREAMS_PER_POOL = 6
 LIMITED_RATE = 10
+COLD_RATE = stand_in_objects.COLD_RATE
 
 
 class Account(NamedTuple):
@@ -43,9 +46,11 @@
         Monotonic seconds at which the store had applied it.
     kind : str
         ``key_withdrawn``, ``key_issued``, ``zone_out``, ``zone_restored``,
-        ``draining``, ``drain_ended``, ``removed``, ``route_moved``.
+        ``draining``, ``drain_ended``, ``removed``, ``route_moved``, ``turned_cold``,
+        ``joined_cold``.
     subject : str
-        Account, zone or upstream; for ``route_moved`` the prefix and the pool.
+        Account, zone or upstream; for ``route_moved`` the prefix and the pool; for the
+        last two the upstream and the seconds.
     """
 
     written_at: float
@@ -85,6 +90,7 @@
         self.is_restoring = False
         self.zone_by_upstream: dict[str, str] = {}
         self.pool_by_upstream: dict[str, str] = {}
+        self.cold_until_by_name: dict[str, float] = {}
 
     def record_change(self, kind, subject):
         """Record a change that the store has just applied."""
@@ -114,17 +120,25 @@
         )
         self.store.put("config", "main", content)
 
-    def write_upstream(self, upstream, draining=False, cold_seconds=0.0):
-        """Write an upstream's entry to the store."""
+    def start_cold(self, upstream, seconds):
+        """Turn an upstream cold, for longer if it is cold already."""
+        name = upstream.fake.name
+        until = max(time.monotonic() + seconds, self.cold_until_by_name.get(name, 0.0))
+        self.cold_until_by_name[name] = until
+        self.write_upstream(upstream, draining=name in self.draining_names)
+
+    def write_upstream(self, upstream, draining=False):
+        """Write an upstream's entry, with what is left of a cold start."""
+        name = upstream.fake.name
+        cold_seconds = self.cold_until_by_name.get(name, 0.0) - time.monotonic()
         entry = stand_in_objects.upstream_entry(
             upstream.proxy.address,
             upstream.pool,
             upstream.zone,
             upstream.born,
             draining,
-            cold_seconds,
+            max(round(cold_seconds, 2), 0.0),
         )
-        name = upstream.fake.name
         self.draining_names.discard(name)
         if draining:
             self.draining_names.add(name)
@@ -153,14 +167,14 @@
         for name in set(self.store.object_by_name_by_kind["servers"]) - current_names:
             self.remove("servers", name)
 
-    def replace(self, upstream, pool):
+    def replace(self, upstream, pool, cold_seconds=0.0):
         """Replace an upstream by a new instance at its address, in a given pool."""
         self.remove("servers", upstream.fake.name)
         self.record_change("removed", upstream.fake.name)
         upstream.born += 1
         upstream.pool = pool
         upstream.fake.name = f"{upstream.fake.name.split('.')[0]}.{upstream.born}"
-        self.write_upstream(upstream)
+        self.start_cold(upstream, cold_seconds)
 
 
 def expected_body(request_id):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 from soak import hosts
 from soak.fault_proxies import MODES
 
-__all__ = ["FAULTS", "Fault", "Disturbance", "inject_faults"]
+__all__ = ["FAULTS", "Fault", "Disturbance", "inject_faults", "record_disturbance"]
 
 PAUSE_SECONDS_RANGE = (0.4, 3.0)
 DOWNTIME_SECONDS_RANGE = (0.3, 1.5)
@@ -345,16 +345,17 @@
 )
 
 
-def inject_faults(run, end_at):
+def inject_faults(run, end_at, fault_table=FAULTS, rng=None):
     """Start faults at random intervals until a time, then wait until all have ended."""
-    weights = [fault.weight for fault in FAULTS]
+    rng = rng or run.rng
+    weights = [fault.weight for fault in fault_table]
     tasks = []
     while time.monotonic() < end_at:
-        fault = run.rng.choices(FAULTS, weights)[0]
+        fault = rng.choices(fault_table, weights)[0]
         run.injected_faults.append(
             (round(time.monotonic() - run.began_at, 2), fault.name)
         )
         tasks.append(eventlet.spawn(fault.inject, run))
-        eventlet.sleep(draw_seconds(run, INTERVAL_SECONDS_RANGE))
+        eventlet.sleep(rng.uniform(*INTERVAL_SECONDS_RANGE))
     for task in tasks:
         task.wait()
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -8,7 +8,7 @@
 
 import eventlet
 
-from soak import callers, checks, environments, faults, hosts
+from soak import callers, checks, environments, fault_series, faults, hosts
 from soak.fault_proxies import start_proxy
 
 __all__ = ["SoakResult", "run_seed"]
@@ -16,6 +16,8 @@
 WARM_UP_SECONDS = 4.0
 COOL_DOWN_SECONDS = 2.0
 CALLER_COUNT = 12
+# Of the callers with a home, one for each host, all together.
+HOME_REQUESTS_PER_SECOND = 90.0
 
 
 class SoakResult(NamedTuple):
@@ -47,6 +49,8 @@
         self.seed = seed
         self.ports = ports
         self.rng = random.Random(seed)
+        self.series_rng = random.Random(f"series {seed}")
+        self.volley_count = 0
         self.environment = environment
         self.hosts = all_hosts
         self.store_proxy_by_ip = store_proxy_by_ip
@@ -84,10 +88,15 @@
 def start_callers(run):
     """Start callers that send requests until the run is over."""
     seed, environment = run.seed, run.environment
-    for number in range(CALLER_COUNT):
+    homes = [None] * CALLER_COUNT + run.hosts
+    for number, home in enumerate(homes):
         zone = environments.ZONES[number % len(environments.ZONES)]
         rng = random.Random(seed * 1000 + number)
-        caller = callers.Caller(f"s{seed}c{number}", zone, run.hosts, run.ports, rng)
+        caller = callers.Caller(
+            f"s{seed}c{number}", zone, run.hosts, run.ports, rng, home
+        )
+        if home is not None:
+            caller.pause_seconds = len(run.hosts) / HOME_REQUESTS_PER_SECOND
         eventlet.spawn(
             callers.send_requests,
             caller,
@@ -101,19 +110,18 @@
 def collect_observations(run):
     """Return the ``Observations`` of a run."""
     environment = run.environment
-    sorted_executions = sorted(
-        (
-            execution
-            for upstream in environment.upstreams
-            for execution in upstream.fake.executions
-        ),
-        key=lambda execution: execution.started_at,
-    )
+    executions, rejected = [], []
+    for upstream in environment.upstreams:
+        executions.extend(upstream.fake.executions)
+        rejected.extend(upstream.fake.rejected)
+    for requests in (executions, rejected):
+        requests.sort(key=lambda request: request.started_at)
     for host in run.hosts:
         host.is_running()
     return checks.Observations(
         run.records,
-        sorted_executions,
+        executions,
+        rejected,
         run.disturbances,
         environment.changes,
         {host.ip: host.process_runs for host in run.hosts},
@@ -130,7 +138,10 @@
     run = create_run(seed, host_count, folder)
     try:
         eventlet.sleep(WARM_UP_SECONDS)
-        faults.inject_faults(run, time.monotonic() + seconds)
+        end_at = time.monotonic() + seconds
+        series = eventlet.spawn(fault_series.inject_series, run, end_at)
+        faults.inject_faults(run, end_at)
+        series.wait()
         eventlet.sleep(COOL_DOWN_SECONDS)
         run.is_over = True
         eventlet.sleep(callers.REQUEST_TIMEOUT_SECONDS)
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -63,6 +63,7 @@
         list(executions),
         [],
         [],
+        [],
         {"h1": [ProcessRun(0.0, None, "")]},
         {"u1": "a"},
         {"u1": "first"},
@@ -107,6 +108,11 @@
             for n in range(120)
         ],
     ),
+    "cold": build_observations(
+        [build_record(f"a{n}", 12.0) for n in range(15)],
+        [build_execution(f"a{n}", 12.1 + n / 100) for n in range(15)],
+        changes=[Change(10.0, "turned_cold", "u1 4.0")],
+    ),
     "stops": build_observations(
         [build_record("a", 20.0, status=0)],
         [build_execution("a", 20.1)],
