--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,15 +28,16 @@
     Parameters
     ----------
     seeds : str or int or tuple
-        Numbers, ``first-last``, or ``failed`` for those in ``seeds.txt``.
+        Numbers, ``first-last``, or ``failed`` for those in ``seeds.txt``, which have
+        their own seconds and hosts.
     seconds : float
         Time during which faults are injected.
     hosts : int
         Number of host processes.
     """
     failed = 0
-    for seed in parse_seeds(seeds):
-        result = runs.run_seed(seed, float(seconds), int(hosts))
+    for seed, seed_seconds, seed_hosts in parse_seeds(seeds, seconds, hosts):
+        result = runs.run_seed(int(seed), float(seed_seconds), int(seed_hosts))
         state = "broken" if result.violations else "kept"
         print(
             f"seed {seed}: {state}; {result.served} of {result.requests} served,"
@@ -51,19 +52,19 @@
     sys.exit(1 if failed else 0)
 
 
-def parse_seeds(text):
-    """Return the seeds that the argument ``seeds`` names."""
+def parse_seeds(text, seconds, hosts):
+    """Return seed, seconds and hosts of each run that the argument ``seeds`` names."""
     if text == "failed":
         lines = (pathlib.Path(__file__).parent / "seeds.txt").read_text().splitlines()
-        return [int(line.split("|")[0]) for line in lines if not line.startswith("#")]
-    if isinstance(text, int):
-        return [text]
-    if isinstance(text, (tuple, list)):
-        return [int(part) for part in text]
+        return [line.split("|")[:3] for line in lines if not line.startswith("#")]
     first, dash, last = str(text).partition("-")
     if dash:
-        return list(range(int(first), int(last) + 1))
-    return [int(part) for part in str(text).split(",")]
+        numbers = range(int(first), int(last) + 1)
+    elif isinstance(text, (tuple, list)):
+        numbers = text
+    else:
+        numbers = str(text).split(",")
+    return [(int(number), seconds, hosts) for number in numbers]
 
 
 def main():
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -258,9 +258,9 @@
     check_keys,
     check_drains,
     check_rates,
-    check_cold,
     check_stops,
     check_recovery,
+    check_cold,
 )
 
 
