--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -21,13 +21,26 @@
 TIMEOUT_SECONDS = 120
 
 
-def test_a_short_soak_violates_no_invariant():
+@pytest.fixture(scope="module")
+def short_soak():
     command = [sys.executable, "-m", "soak", "--seeds", SEEDS]
     command += ["--seconds", SECONDS, "--hosts", HOST_COUNT]
-    result = subprocess.run(
+    return subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_SECONDS
     )
-    assert result.returncode == 0, result.stdout
+
+
+def test_a_short_soak_violates_no_invariant(short_soak):
+    broken = []
+    for line in short_soak.stdout.splitlines():
+        if line.startswith("  ") and not line.startswith(("  cold: ", "  faults: ")):
+            broken.append(line)
+    assert not broken, short_soak.stdout
+    assert short_soak.stdout.count("logs in") == 2, short_soak.stderr
+
+
+def test_a_short_soak_floods_no_cold_upstream(short_soak):
+    assert short_soak.returncode == 0, short_soak.stdout
 
 
 def build_execution(name, started_at=10.0, method="POST", upstream="u1", **headers):
@@ -63,6 +76,7 @@
         list(executions),
         [],
         [],
+        [],
         {"h1": [ProcessRun(0.0, None, "")]},
         {"u1": "a"},
         {"u1": "first"},
@@ -107,6 +121,11 @@
             for n in range(120)
         ],
     ),
+    "cold": build_observations(
+        [build_record(f"a{n}", 12.0) for n in range(15)],
+        [build_execution(f"a{n}", 12.1 + n / 100) for n in range(15)],
+        changes=[Change(10.0, "turned_cold", "u1 4.0")],
+    ),
     "stops": build_observations(
         [build_record("a", 20.0, status=0)],
         [build_execution("a", 20.1)],
