--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,7 +22,7 @@
 __all__ = ["main"]
 
 
-def soak(seeds="1", seconds=20.0, hosts=6):
+def soak(seeds="1", seconds=20.0, hosts=6, copies=0.0):
     """Run seeds one after another; exit with 1 if an invariant was violated.
 
     Parameters
@@ -33,10 +33,12 @@
         Time during which faults are injected.
     hosts : int
         Number of host processes.
+    copies : float
+        Share of requests that upstreams refuse, and that come behind copied refusals.
     """
     failed = 0
     for seed in parse_seeds(seeds):
-        result = runs.run_seed(seed, float(seconds), int(hosts))
+        result = runs.run_seed(seed, float(seconds), int(hosts), float(copies))
         state = "broken" if result.violations else "kept"
         print(
             f"seed {seed}: {state}; {result.served} of {result.requests} served,"
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -124,10 +124,12 @@
     )
 
 
-def run_seed(seed, seconds, host_count=6):
+def run_seed(seed, seconds, host_count=6, copy_share=0.0):
     """Run hosts under the faults of a seed and return the ``SoakResult``."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     run = create_run(seed, host_count, folder)
+    for upstream in run.environment.upstreams:
+        upstream.fake.copy_share = copy_share
     try:
         eventlet.sleep(WARM_UP_SECONDS)
         faults.inject_faults(run, time.monotonic() + seconds)
