Upstreams count as warm only on evidence of at most 2.5 s

Cause: a host with an old document of upstreams (cut off, paused, just healed) sends to an upstream that turned cold as to a warm one. Change: service cold_checks decides from the age of the document and of health answers whether it is known that an upstream is warm; one that isn't gets no requests. While a document is older than 1.9 s a task asks upstreams that requests would use, two for each request, each once in 1 to 1.5 s; results are shared within the zone (field 80). While no host reaches the store, upstreams go on in use, and only those are held back that could not be reached since, or say that they are cold.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -413,6 +413,37 @@
     "An upstream got a request as it joined, or was unused while many requests fail.",
     sampled=True,
 )
+WARMTH_UNKNOWN = Event(
+    640,
+    "warmth_unknown",
+    logging.WARNING,
+    ("pool", "age", "store_away", "upstreams"),
+    "The list of upstreams is so old that some of a pool's may have turned cold since;"
+    " these get no requests until they say that they are warm, or the list is recent.",
+)
+WARMTH_KNOWN = Event(
+    641,
+    "warmth_known",
+    logging.INFO,
+    ("pool", "seconds"),
+    "Of each upstream of a pool it is known again whether it is cold.",
+)
+HEALTH_CHECKED = Event(
+    642,
+    "health_checked",
+    logging.INFO,
+    ("pool", "upstream", "cold_seconds", "milliseconds"),
+    "An upstream was asked for its health and said how long it stays cold.",
+    sampled=True,
+)
+HEALTH_CHECK_FAILED = Event(
+    643,
+    "health_check_failed",
+    logging.INFO,
+    ("pool", "upstream", "detail"),
+    "An upstream that was asked for its health did not say how long it stays cold.",
+    limited=True,
+)
 
 # 7xx: the gateway over a store that others write.
 GATEWAY_ANSWERED = Event(
--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -21,7 +21,7 @@
     queues,
     rate_limits,
 )
-from trefoilpin.gateway.balancing import upstreams
+from trefoilpin.gateway.balancing import cold_checks, upstreams
 from trefoilpin.gateway.fleet import (
     anti_entropy,
     directories,
@@ -339,7 +339,8 @@
     account_usage.create(kernel)
     node.pool_pressure = pool_pressure.create(kernel)
     queues.create(kernel, create_event)
-    upstreams.create(kernel, node.zone, lambda: 1)
+    checks = cold_checks.create(kernel, node.zone, node.members.is_store_away)
+    upstreams.create(kernel, node.zone, lambda: 1, cold_checks=checks)
     bounds = settings.rollout_bounds
     versions = None if bounds is None else rollouts.create(kernel, own)
     send = partial(fleet.send, node)
--- /dev/null
+++ b/trefoilpin/gateway/balancing/cold_checks.py
@@ -0,0 +1,318 @@
+"""Whether it is known that an upstream is warm, and which upstreams to ask for it.
+
+An upstream may turn cold at any time, so that it is warm is known only as of some time:
+that at which the store held this host's document of upstreams, or at which a host of
+the zone asked the upstream itself. Where that is too long ago the upstream gets no
+requests. While no host reaches the store, nothing later can be known of most upstreams;
+then only those are held back that this host could not reach since.
+"""
+
+from typing import Callable, NamedTuple
+
+from returns.result import Failure
+
+from trefoilpin import events
+from trefoilpin.gateway.store.document_cache import CONFIGURATION, UPSTREAMS, ZONES_OUT
+
+__all__ = [
+    "AWAY_CHECK_INTERVAL_SECONDS",
+    "CHECK_FROM_AGE_SECONDS",
+    "CHECK_INTERVAL_SECONDS",
+    "MAX_REPORTS",
+    "MAX_WARMTH_AGE_SECONDS",
+    "ColdChecks",
+    "ColdReport",
+    "DueCheck",
+    "create",
+    "is_unsure",
+]
+
+# An upstream counts as warm for this time after it was known to be. The last host in
+# the order of readers reads the store at an age of 1.83 s; the call and two gossip
+# messages take up to 0.65 s.
+MAX_WARMTH_AGE_SECONDS = 2.5
+# Upstreams are asked from this age of the document on, above that of a new reader.
+CHECK_FROM_AGE_SECONDS = 1.9
+# An upstream is asked again after this time, and up to half of it more, so that one
+# host of a zone is first and the others take its result.
+CHECK_INTERVAL_SECONDS = 1.0
+CHECK_SPREAD = 0.5
+# The same while no host reaches the store, when a result only holds upstreams back.
+AWAY_CHECK_INTERVAL_SECONDS = 2.0
+STEP_INTERVAL_SECONDS = 0.05
+# A host with few requests needs few upstreams.
+CHECKS_PER_REQUEST = 2
+MAX_CHECKS_AHEAD = 8
+# Results are in the messages within the zone for this time. The relays pass them on to
+# hosts outside the mesh, each 0.4 s.
+REPORT_SECONDS = 1.0
+MAX_REPORTS = 64
+
+
+class ColdReport(NamedTuple):
+    """What a host learned from an upstream's answer.
+
+    Attributes
+    ----------
+    pool, upstream : str
+    born : int
+    cold_seconds : float
+        Upper bound on how long it stays cold, counted from ``age`` ago.
+    age : float
+        Upper bound in seconds since the upstream was asked.
+    """
+
+    pool: str
+    upstream: str
+    born: int
+    cold_seconds: float
+    age: float
+
+
+class DueCheck(NamedTuple):
+    """An upstream to ask, and the path to ask at.
+
+    Attributes
+    ----------
+    health : UpstreamHealth
+    upstream : Upstream
+    path : str
+    """
+
+    health: tuple
+    upstream: tuple
+    path: str
+
+
+class ColdChecks(NamedTuple):
+    """``cold_checks``: whether upstreams are known to be warm.
+
+    ``mark(pool, healths)`` is called before each choice of an upstream of a pool and
+    sets ``is_unsure`` of its ``UpstreamHealth``. ``take_due()`` returns the upstreams
+    to ask now, at most some at once, as ``DueCheck``. ``record(check, asked_at,
+    outcome)`` records a ``Result`` with the seconds for which an upstream stays cold.
+    ``reports()`` are the recent results that this host knows, and ``merge(reports)``
+    takes those of another host. ``pause()`` returns the seconds until upstreams may be
+    due.
+    """
+
+    mark: Callable
+    take_due: Callable[[], tuple[DueCheck, ...]]
+    record: Callable
+    reports: Callable[[], tuple[ColdReport, ...]]
+    merge: Callable
+    pause: Callable[[], float]
+
+
+class ColdCheckState:
+    """Pools in use, those with marked upstreams, and recent results.
+
+    Attributes
+    ----------
+    checks_left_by_pool : dict
+        Questions that the requests of a pool are worth.
+    unsure_since_by_pool : dict
+        When a pool's upstreams began to be marked.
+    report_by_upstream : dict
+        Recent results, and the clock times at which the upstreams were asked.
+    """
+
+    def __init__(self):
+        self.checks_left_by_pool: dict[str, int] = {}
+        self.unsure_since_by_pool: dict[str, float] = {}
+        self.report_by_upstream: dict[str, tuple[float, ColdReport]] = {}
+
+
+def is_unsure(health, known_at, is_store_away, now):
+    """Tell whether an upstream may have turned cold without this host's knowledge.
+
+    Parameters
+    ----------
+    health : UpstreamHealth
+    known_at : float
+        Clock time at which it was last known whether it is cold.
+    is_store_away : bool
+        True when no host reaches the store.
+    now : float
+    """
+    if now - known_at <= MAX_WARMTH_AGE_SECONDS:
+        return False
+    # An upstream that could not be reached may have started again.
+    return not is_store_away or known_at <= health.avoided_until
+
+
+def create(kernel, own_zone, is_store_away, is_sender=lambda: True):
+    """Create the service ``cold_checks``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    own_zone : str
+    is_store_away : callable
+        Tells whether no host reaches the store.
+    is_sender : callable, optional
+        Tells whether this host is one of those that send most requests. While no host
+        reaches the store, only these ask upstreams that they could reach.
+
+    Returns
+    -------
+    ColdChecks
+    """
+    state = ColdCheckState()
+    now = kernel.clock.now
+    emit = kernel.find("events").emit
+    metrics = kernel.find("metrics")
+    document_cache = kernel.find("document_cache")
+
+    def mark(pool_id, healths):
+        age = document_cache.age(UPSTREAMS)
+        if age > CHECK_FROM_AGE_SECONDS:
+            left = state.checks_left_by_pool.get(pool_id, 0) + CHECKS_PER_REQUEST
+            state.checks_left_by_pool[pool_id] = min(left, MAX_CHECKS_AHEAD)
+        is_stale = age > MAX_WARMTH_AGE_SECONDS
+        if not is_stale and pool_id not in state.unsure_since_by_pool:
+            return
+        is_away = is_stale and is_store_away()
+        unsure = 0
+        for health in healths:
+            known_at = max(now() - age, health.checked_at)
+            health.is_unsure = is_unsure(health, known_at, is_away, now())
+            unsure += health.is_unsure
+        log_change(pool_id, age, is_away, unsure)
+
+    def log_change(pool_id, age, is_away, unsure):
+        """Log that a pool begins or ends to have upstreams that are held back."""
+        since = state.unsure_since_by_pool.get(pool_id)
+        if unsure and since is None:
+            state.unsure_since_by_pool[pool_id] = now()
+            emit(
+                events.WARMTH_UNKNOWN,
+                pool=pool_id,
+                age=round(age, 3),
+                store_away=is_away,
+                upstreams=unsure,
+            )
+        elif not unsure and since is not None:
+            del state.unsure_since_by_pool[pool_id]
+            metrics.time("warmth_unknown_seconds", now() - since)
+            emit(events.WARMTH_KNOWN, pool=pool_id, seconds=round(now() - since, 3))
+
+    def take_due():
+        if document_cache.age(UPSTREAMS) <= CHECK_FROM_AGE_SECONDS:
+            state.checks_left_by_pool.clear()
+            return ()
+        taken = []
+        for pool_id, left in state.checks_left_by_pool.items():
+            due = list_due(pool_id)
+            due.sort(key=lambda check: check.health.checked_at)
+            taken.extend(due[:left])
+            state.checks_left_by_pool[pool_id] = max(left - len(due), 0)
+        for check in taken:
+            check.health.check_due_at = next_check_at(now())
+        return tuple(taken)
+
+    def next_check_at(asked_at):
+        interval = CHECK_INTERVAL_SECONDS
+        if is_store_away():
+            interval = AWAY_CHECK_INTERVAL_SECONDS
+        return asked_at + interval * (1.0 + CHECK_SPREAD * kernel.rng.random())
+
+    def list_due(pool_id):
+        """Return the upstreams of a pool that are due, of the own zone if it has any.
+
+        Those of other zones are used by requests only when there are none of this one.
+        """
+        pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
+        if pool is None or not pool.health_path:
+            return []
+        in_use = list_in_use(pool_id)
+        if is_store_away() and not is_sender():
+            in_use = [health for health in in_use if health.is_unsure]
+        in_zone = [health for health in in_use if health.upstream.zone == own_zone]
+        due = []
+        for health in in_zone or in_use:
+            not_before = max(
+                health.check_due_at, health.cold_until, health.avoided_until
+            )
+            if now() >= not_before:
+                due.append(DueCheck(health, health.upstream, pool.health_path))
+        return due
+
+    def list_in_use(pool_id):
+        zones_out = document_cache.value(ZONES_OUT)
+        found = []
+        for health in kernel.find("upstreams").pool_health(pool_id):
+            upstream = health.upstream
+            is_departing = upstream.draining or health.is_leaving
+            if not is_departing and upstream.zone not in zones_out:
+                found.append(health)
+        return found
+
+    def record(check, asked_at, outcome):
+        health, upstream = check.health, check.upstream
+        metrics.count("health_checks")
+        if isinstance(outcome, Failure):
+            metrics.count("health_checks_failed")
+            emit(
+                events.HEALTH_CHECK_FAILED,
+                pool=upstream.pool,
+                upstream=upstream.id,
+                detail=outcome.failure(),
+            )
+            return
+        # Counted from the question, this is an upper bound on what is left.
+        cold_seconds = outcome.unwrap()
+        if cold_seconds > 0.0:
+            cold_seconds += now() - asked_at
+        learn(health, asked_at, cold_seconds)
+        report = ColdReport(
+            upstream.pool, upstream.id, upstream.born, cold_seconds, 0.0
+        )
+        keep(report, asked_at)
+        emit(
+            events.HEALTH_CHECKED,
+            pool=upstream.pool,
+            upstream=upstream.id,
+            cold_seconds=round(cold_seconds, 3),
+            milliseconds=round((now() - asked_at) * 1000, 1),
+        )
+
+    def keep(report, asked_at):
+        known_at, _ = state.report_by_upstream.get(report.upstream, (asked_at, None))
+        if asked_at >= known_at:
+            state.report_by_upstream[report.upstream] = (asked_at, report)
+
+    def learn(health, asked_at, cold_seconds):
+        health.checked_at = max(health.checked_at, asked_at)
+        if cold_seconds > 0.0:
+            health.cold_until = max(health.cold_until, asked_at + cold_seconds)
+
+    def reports():
+        recent = []
+        for upstream, (asked_at, report) in list(state.report_by_upstream.items()):
+            age = now() - asked_at
+            if age > REPORT_SECONDS:
+                del state.report_by_upstream[upstream]
+            else:
+                recent.append(report._replace(age=age))
+        recent.sort(key=lambda report: report.age)
+        return tuple(recent[:MAX_REPORTS])
+
+    def merge(received):
+        for report in received:
+            for health in kernel.find("upstreams").pool_health(report.pool):
+                upstream = health.upstream
+                if (upstream.id, upstream.born) != (report.upstream, report.born):
+                    continue
+                asked_at = now() - report.age
+                learn(health, asked_at, report.cold_seconds)
+                keep(report, asked_at)
+                health.check_due_at = max(health.check_due_at, next_check_at(asked_at))
+
+    def pause():
+        remaining = CHECK_FROM_AGE_SECONDS - document_cache.age(UPSTREAMS)
+        return max(remaining, STEP_INTERVAL_SECONDS)
+
+    service = ColdChecks(mark, take_due, record, reports, merge, pause)
+    kernel.register("cold_checks", service)
+    return service
--- a/trefoilpin/gateway/balancing/remote_in_flight.py
+++ b/trefoilpin/gateway/balancing/remote_in_flight.py
@@ -2,7 +2,7 @@
 
 from typing import Callable, NamedTuple
 
-__all__ = ["IN_FLIGHT_EXPIRY_SECONDS", "RemoteInFlight", "create"]
+__all__ = ["IN_FLIGHT_EXPIRY_SECONDS", "RemoteInFlight", "create", "own_counts"]
 
 # Counts of a host that no longer reports expire after this time.
 IN_FLIGHT_EXPIRY_SECONDS = 1.5
@@ -19,6 +19,18 @@
     expire: Callable[[], None]
 
 
+def own_counts(in_flights, health_by_id, zone):
+    """Return this host's requests in flight by upstream, of one zone or all (None)."""
+    count_by_upstream = {}
+    for in_flight in in_flights:
+        health = in_flight.health
+        upstream = health.upstream
+        is_current = health_by_id.get(upstream.id) is health
+        if is_current and zone in (None, upstream.zone):
+            count_by_upstream[upstream.id] = health.own_in_flight
+    return count_by_upstream
+
+
 def create(now, find_health, mark_used):
     """Create the functions that keep the counts.
 
--- a/trefoilpin/gateway/balancing/upstream_health.py
+++ b/trefoilpin/gateway/balancing/upstream_health.py
@@ -67,6 +67,10 @@
         Clock times until which it is cold, unreachable from this host, or full.
     paused_until : float
         Clock time until which it asked this host to send it nothing.
+    checked_at, check_due_at : float
+        Clock times of the last question for its health, and from which it may be asked.
+    is_unsure : bool
+        True while it may have turned cold without this host's knowledge.
     is_leaving : bool
         True once one of its answers said that it is leaving.
     used_at : float
@@ -99,6 +103,9 @@
         self.failed_connects = 0
         self.full_until = float("-inf")
         self.paused_until = float("-inf")
+        self.checked_at = float("-inf")
+        self.check_due_at = float("-inf")
+        self.is_unsure = False
         self.is_leaving = False
         self.used_at = now
         self.is_newcomer = False
@@ -195,7 +202,7 @@
     if in_flight >= health.upstream.slots + MAX_QUEUED_REQUESTS:
         return False
     if now >= health.cold_until:
-        return True
+        return not health.is_unsure
     return cold_share is not None and has_cold_token(health, now, cold_share)
 
 
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -99,6 +99,7 @@
     sender_count,
     is_sender=lambda: True,
     zone_sender_count=lambda: 1,
+    cold_checks=None,
 ):
     """Create the service ``upstreams``.
 
@@ -114,6 +115,8 @@
         use, so they leave cold ones and newcomers alone.
     zone_sender_count : callable, optional
         As ``sender_count``, of the own zone.
+    cold_checks : ColdChecks, optional
+        Without it upstreams are warm as the document says, however old it is.
 
     Returns
     -------
@@ -181,6 +184,8 @@
 
     def choose(pool_id, tried, retry_policy, typical, body_bytes=0, accepts=None):
         record_survivors()
+        if cold_checks is not None:
+            cold_checks.mark(pool_id, state.health_by_pool.get(pool_id, {}).values())
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
         cold_rate = pool.cold_rate if pool is not None else 0.0
         request = pool_surveys.SurveyRequest(
@@ -362,14 +367,8 @@
 
     def in_flight_counts(zone):
         """Return this host's in-flight requests by upstream, of one zone or all."""
-        count_by_upstream = {}
-        for in_flight in state.in_flight_by_number.values():
-            health = in_flight.health
-            upstream = health.upstream
-            is_current = state.health_by_id.get(upstream.id) is health
-            if is_current and zone in (None, upstream.zone):
-                count_by_upstream[upstream.id] = health.own_in_flight
-        return count_by_upstream
+        in_flights = state.in_flight_by_number.values()
+        return remote_in_flight.own_counts(in_flights, state.health_by_id, zone)
 
     def check_overdue():
         """Record in-flight requests that take far too long as slow, once each."""
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -8,7 +8,15 @@
 import eventlet
 import eventlet.event
 
-from trefoilpin import clocks, events, forwarders, logs, metrics, retries
+from trefoilpin import (
+    clocks,
+    events,
+    forwarders,
+    health_probes,
+    logs,
+    metrics,
+    retries,
+)
 from trefoilpin.dialects import Dialect
 from trefoilpin.gateway import loops, monitors, shutdowns
 from trefoilpin.gateway.admission import (
@@ -21,7 +29,7 @@
     response_memory,
     send_pacing,
 )
-from trefoilpin.gateway.balancing import upstreams
+from trefoilpin.gateway.balancing import cold_checks, upstreams
 from trefoilpin.gateway.fleet import (
     anti_entropy,
     directories,
@@ -36,6 +44,7 @@
     dispatchers,
     first_documents,
     frontends,
+    health_checks,
     proxies,
     routing,
 )
@@ -138,6 +147,8 @@
     dialect : Dialect
     account_header, expected_header : str
     encode_addresses : callable
+    read_cold_seconds : callable or None
+        See ``health_probes.create``; None where upstreams can't be asked.
     """
 
     load_settings: Callable
@@ -148,6 +159,7 @@
     account_header: str
     expected_header: str
     encode_addresses: Callable
+    read_cold_seconds: Callable | None = None
 
 
 def assemble(settings, adapter, kernel=None, write_log=None):
@@ -217,6 +229,12 @@
         lambda: kernel.find("gossip").sender_count(),
         lambda: kernel.find("gossip").is_sender(),
         lambda: kernel.find("gossip").zone_sender_count(),
+        cold_checks.create(
+            kernel,
+            settings.own.zone,
+            membership.is_store_away,
+            lambda: kernel.find("gossip").is_sender(),
+        ),
     )
 
 
@@ -286,6 +304,9 @@
         settings.key_seconds, adapter.account_header, adapter.expected_header
     )
     dispatchers.create(kernel, dispatch_settings, eventlet.event.Event, versions)
+    if adapter.read_cold_seconds is not None:
+        health_probes.create(kernel, adapter.read_cold_seconds)
+        health_checks.create(kernel)
     first_documents.create(kernel, eventlet.event.Event)
     proxies.create(kernel)
     directories.create(kernel)
--- a/trefoilpin/gateway/fleet/failure_detection.py
+++ b/trefoilpin/gateway/fleet/failure_detection.py
@@ -17,6 +17,7 @@
     "SUSPICION_TIMEOUT_SECONDS",
     "create_member",
     "is_live",
+    "is_store_away",
     "member_digest",
     "is_suspected",
     "record_digest",
@@ -34,6 +35,13 @@
 # Callers are not directed to a host whose configuration is older.
 MAX_CONFIGURATION_AGE_SECONDS = 2.8
 DIGEST_BYTES = 8
+# A host that was heard within this time counts when hosts are asked for the store.
+MAX_HEARD_AGE_SECONDS = 2.5
+# Hosts that send to this one regularly do so every 0.4 s; one datagram may be lost.
+MAX_DIRECT_SILENCE_SECONDS = 1.0
+# Documents of hosts that hear each other differ in age by a read, a message, and the
+# time since the message.
+MAX_AGE_DIFFERENCE_SECONDS = 1.5
 
 
 class Member:
@@ -169,3 +177,28 @@
         member.suspected_at = member.last_alive_at
     member.changed_at = now
     return True
+
+
+def is_store_away(members, own_configuration_age, now):
+    """Tell whether it seems that no host reaches the store.
+
+    That is so when most hosts are heard, and those that this one hears itself have
+    documents as old as its own. A host that is cut off hears few or none; one that was
+    suspended, or is back from a cut, soon hears of later documents.
+
+    Parameters
+    ----------
+    members : iterable of Member
+    own_configuration_age, now : float
+    """
+    known, heard, heard_directly = 1, 1, 0
+    for member in members:
+        known += 1
+        heard += now - member.last_alive_at <= MAX_HEARD_AGE_SECONDS
+        if now - member.last_message_at > MAX_DIRECT_SILENCE_SECONDS:
+            continue
+        heard_directly += 1
+        difference = own_configuration_age - member.record.configuration_age
+        if difference > MAX_AGE_DIFFERENCE_SECONDS:
+            return False
+    return heard_directly > 0 and heard * 2 > known
--- a/trefoilpin/gateway/fleet/gossip_builders.py
+++ b/trefoilpin/gateway/fleet/gossip_builders.py
@@ -93,6 +93,7 @@
     poison_requests = kernel.find("poison_requests")
     senders = sender_reports.create(kernel)
     departures = kernel.find("departures")
+    cold_checks = kernel.find("cold_checks")
     own = members.own
 
     def build(with_versions=True, records=(), wants_reply=False):
@@ -229,6 +230,7 @@
             sends_regularly=True,
             zone_views=views,
             departures=departures.recent(peer.zone == own.zone),
+            cold_reports=cold_checks.reports() if peer.zone == own.zone else (),
         )
         if rollouts is not None and peer.is_relay:
             message = message._replace(
--- a/trefoilpin/gateway/fleet/gossip_codecs.py
+++ b/trefoilpin/gateway/fleet/gossip_codecs.py
@@ -12,6 +12,10 @@
 from trefoilpin.gateway.balancing.departures import Departure
 from trefoilpin.gateway.balancing.failure_models import Outcome, UpstreamOutcome
 from trefoilpin.gateway.fleet import rollout_codecs
+from trefoilpin.gateway.fleet.cold_report_codecs import (
+    read_cold_reports,
+    write_cold_reports,
+)
 from trefoilpin.gateway.fleet.member_codecs import (
     pack_ages,
     pack_members,
@@ -111,6 +115,7 @@
         reads_compressed=gossip_message.reads_compressed or None,
         rollout_stages=rollout_codecs.write_stages(gossip_message.rollout_stages),
         rollout_counts=rollout_codecs.write_counts(gossip_message.rollout_counts),
+        cold_reports=write_cold_reports(gossip_message.cold_reports),
     )
     set_pool_reports(message, gossip_message.pool_reports)
     add_pressure(message, gossip_message.pressure_reports)
@@ -304,4 +309,5 @@
         read_pressure(message),
         rollout_codecs.read_stages(message.rollout_stages),
         rollout_codecs.read_counts(message.rollout_counts),
+        read_cold_reports(message.cold_reports),
     )
--- a/trefoilpin/gateway/fleet/members.py
+++ b/trefoilpin/gateway/fleet/members.py
@@ -86,7 +86,8 @@
     ``count_request()`` counts a request at this host, and ``tick(seconds)`` turns the
     count into ``load()``; it returns True when another host became suspected or was
     cleared. ``is_serving()`` tells whether the load exceeds that of the health checks,
-    which reach every host.
+    which reach every host. ``is_store_away()`` tells whether it seems that no host
+    reaches the store.
     """
 
     own: OwnHost
@@ -109,6 +110,7 @@
     tick: Callable[[float], bool]
     load: Callable[[], float]
     is_serving: Callable[[], bool]
+    is_store_away: Callable[[], bool]
 
 
 class MembershipState:
@@ -245,8 +247,7 @@
         """Tell whether most records are recent but none has a recent configuration."""
         current = view()
         if current.is_store_unreachable is None:
-            heard = 0
-            has_recent = False
+            heard, has_recent = 0, False
             for member in current.live:
                 if is_overdue(member.address):
                     continue
@@ -257,6 +258,14 @@
             current.is_store_unreachable = is_most and not has_recent
         return current.is_store_unreachable
 
+    def is_store_away():
+        current = view()
+        if current.is_store_away is None:
+            current.is_store_away = failure_detection.is_store_away(
+                state.member_by_address.values(), configuration_age(), now()
+            )
+        return current.is_store_away
+
     def caller_hosts(zone):
         callers_by_zone = view().callers_by_zone
         if zone not in callers_by_zone:
@@ -385,6 +394,7 @@
         tick,
         lambda: state.load,
         is_serving,
+        is_store_away,
     )
     kernel.register("members", service)
     return service
--- a/trefoilpin/gateway/fleet/messages.py
+++ b/trefoilpin/gateway/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
+from trefoilpin.gateway.balancing.cold_checks import ColdReport
 from trefoilpin.gateway.balancing.departures import Departure
 from trefoilpin.gateway.balancing.failure_models import UpstreamOutcome
 from trefoilpin.gateway.rollouts.records import CountRow, StageRecord
@@ -156,6 +157,8 @@
     rollout_stages : tuple of StageRecord
     rollout_counts : tuple of CountRow
         For relays only: the sender's counts, and the sums of zones that it knows.
+    cold_reports : tuple of ColdReport
+        What upstreams of the zone told hosts of it of how long they stay cold.
     """
 
     incarnation: int
@@ -184,6 +187,7 @@
     pressure_reports: tuple[PressureReport, ...] = ()
     rollout_stages: tuple[StageRecord, ...] = ()
     rollout_counts: tuple[CountRow, ...] = ()
+    cold_reports: tuple[ColdReport, ...] = ()
 
 
 def aged(message, seconds):
@@ -219,7 +223,11 @@
     pressure_reports = [
         report._replace(age=report.age + seconds) for report in message.pressure_reports
     ]
+    cold_reports = [
+        report._replace(age=report.age + seconds) for report in message.cold_reports
+    ]
     return message._replace(
+        cold_reports=tuple(cold_reports),
         rollout_stages=tuple(rollout_stages),
         pressure_reports=tuple(pressure_reports),
         zone_views=tuple(zone_views),
--- a/trefoilpin/gateway/store/records.py
+++ b/trefoilpin/gateway/store/records.py
@@ -92,11 +92,14 @@
         Connections that one upstream accepts from the whole fleet.
     cold_rate : float
         Requests per second that one cold upstream can serve from the whole fleet.
+    health_path : str
+        Path at which its upstreams tell their health; empty where they don't.
     """
 
     id: str
     max_connections: int
     cold_rate: float
+    health_path: str = ""
 
 
 class CallerLimits(NamedTuple):
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -56,6 +56,14 @@
   10: i64 bad
 }
 
+struct ColdReportStruct {
+  1: string pool
+  2: string upstream
+  3: i64 born
+  4: double cold_seconds
+  5: double age
+}
+
 struct BulletinStruct {
   1: i64 incarnation
   2: i64 sequence
@@ -96,4 +104,5 @@
   43: list<binary> pressure_waits
   26: list<RolloutStageStruct> rollout_stages
   27: list<RolloutCountStruct> rollout_counts
+  80: list<ColdReportStruct> cold_reports
 }
--- a/trefoilpin/request_services.py
+++ b/trefoilpin/request_services.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "Forwarders",
+    "HealthProbes",
     "Keys",
     "Limits",
     "PoisonRequests",
@@ -50,6 +51,16 @@
     balance: Callable[..., float]
 
 
+class HealthProbes(NamedTuple):
+    """``health_probes``: ``ask(upstream, path)`` asks an upstream for its health.
+
+    It returns a ``Result`` with the seconds for which the upstream stays cold, or why
+    that isn't known.
+    """
+
+    ask: Callable[..., Result]
+
+
 class Routes(NamedTuple):
     """``routes``: ``match(host, path, method)`` gives a ``Route`` or ``Refusal``."""
 
--- a/trefoilpin/tests/gateway/test_stale_views.py
+++ b/trefoilpin/tests/gateway/test_stale_views.py
@@ -9,7 +9,7 @@
     table,
     upstream,
 )
-from trefoilpin.gateway.balancing import upstreams
+from trefoilpin.gateway.balancing import cold_checks, upstreams
 from trefoilpin.gateway.balancing.upstream_selection import RetryPolicy
 from trefoilpin.gateway.store.document_cache import CONFIGURATION, UPSTREAMS
 from trefoilpin.messages import Answer, Attempt
@@ -32,7 +32,8 @@
     for number in range(count):
         kernel, clock, _ = create_host(number)
         _, put = create_document_cache(kernel)
-        service = upstreams.create(kernel, "a", lambda: count)
+        checks = cold_checks.create(kernel, "a", lambda: False)
+        service = upstreams.create(kernel, "a", lambda: count, cold_checks=checks)
         put(CONFIGURATION, 1, configuration(cold_rate=COLD_RATE))
         put(UPSTREAMS, 1, table(upstream(1, slots=1000)))
         hosts.append((service, clock))
--- a/trefoilpin/tests/test_imports.py
+++ b/trefoilpin/tests/test_imports.py
@@ -19,6 +19,7 @@
     "exchanges",
     "forwarders",
     "frontends",
+    "health_probes",
     "listeners",
     "peer_codecs",
     "peer_connections",
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -705,6 +705,107 @@
         return not (self == other)
 
 
+class ColdReportStruct(object):
+    """
+    Attributes:
+     - pool
+     - upstream
+     - born
+     - cold_seconds
+     - age
+
+    """
+
+
+    def __init__(self, pool=None, upstream=None, born=None, cold_seconds=None, age=None,):
+        self.pool = pool
+        self.upstream = upstream
+        self.born = born
+        self.cold_seconds = cold_seconds
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.cold_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdReportStruct')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 3)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.cold_seconds is not None:
+            oprot.writeFieldBegin('cold_seconds', TType.DOUBLE, 4)
+            oprot.writeDouble(self.cold_seconds)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 5)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BulletinStruct(object):
     """
     Attributes:
@@ -747,11 +848,12 @@
      - pressure_waits
      - rollout_stages
      - rollout_counts
+     - cold_reports
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -791,6 +893,7 @@
         self.pressure_waits = pressure_waits
         self.rollout_stages = rollout_stages
         self.rollout_counts = rollout_counts
+        self.cold_reports = cold_reports
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1146,6 +1249,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 80:
+                if ftype == TType.LIST:
+                    self.cold_reports = []
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = ColdReportStruct()
+                        _elem186.read(iprot)
+                        self.cold_reports.append(_elem186)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1195,8 +1309,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter181 in self.stamps:
-                iter181.write(oprot)
+            for iter187 in self.stamps:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -1206,64 +1320,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter182 in self.outcome_upstreams:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter188 in self.outcome_upstreams:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter183 in self.outcome_kinds:
-                oprot.writeByte(iter183)
+            for iter189 in self.outcome_kinds:
+                oprot.writeByte(iter189)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter184 in self.outcome_numbers:
-                oprot.writeI64(iter184)
+            for iter190 in self.outcome_numbers:
+                oprot.writeI64(iter190)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter185 in self.flight_upstreams:
-                oprot.writeString(iter185.encode('utf-8') if sys.version_info[0] == 2 else iter185)
+            for iter191 in self.flight_upstreams:
+                oprot.writeString(iter191.encode('utf-8') if sys.version_info[0] == 2 else iter191)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter186 in self.flight_counts:
-                oprot.writeI32(iter186)
+            for iter192 in self.flight_counts:
+                oprot.writeI32(iter192)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter187 in self.admitted_accounts:
-                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            for iter193 in self.admitted_accounts:
+                oprot.writeString(iter193.encode('utf-8') if sys.version_info[0] == 2 else iter193)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter188 in self.admitted_counts:
-                oprot.writeI64(iter188)
+            for iter194 in self.admitted_counts:
+                oprot.writeI64(iter194)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter189 in self.broken_fingerprints:
-                oprot.writeI64(iter189)
+            for iter195 in self.broken_fingerprints:
+                oprot.writeI64(iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter190 in self.broken_upstreams:
-                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
+            for iter196 in self.broken_upstreams:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -1273,8 +1387,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter191 in self.documents:
-                iter191.write(oprot)
+            for iter197 in self.documents:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -1284,121 +1398,128 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter192 in self.zone_views:
-                iter192.write(oprot)
+            for iter198 in self.zone_views:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter193 in self.answered_fingerprints:
-                oprot.writeI64(iter193)
+            for iter199 in self.answered_fingerprints:
+                oprot.writeI64(iter199)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter194 in self.rollout_stages:
-                iter194.write(oprot)
+            for iter200 in self.rollout_stages:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter195 in self.rollout_counts:
-                iter195.write(oprot)
+            for iter201 in self.rollout_counts:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter196 in self.departed_upstreams:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter202 in self.departed_upstreams:
+                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter197 in self.departed_born:
-                oprot.writeI64(iter197)
+            for iter203 in self.departed_born:
+                oprot.writeI64(iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter198 in self.pressed_pools:
-                oprot.writeString(iter198.encode('utf-8') if sys.version_info[0] == 2 else iter198)
+            for iter204 in self.pressed_pools:
+                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter199 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter199))
-                for iter200 in iter199:
-                    oprot.writeDouble(iter200)
+            for iter205 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter205))
+                for iter206 in iter205:
+                    oprot.writeDouble(iter206)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter201 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter201))
-                for iter202 in iter201:
-                    oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
+            for iter207 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter207))
+                for iter208 in iter207:
+                    oprot.writeString(iter208.encode('utf-8') if sys.version_info[0] == 2 else iter208)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter203 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter203))
-                for iter204 in iter203:
-                    oprot.writeDouble(iter204)
+            for iter209 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter209))
+                for iter210 in iter209:
+                    oprot.writeDouble(iter210)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter205 in self.pressure_pools:
-                oprot.writeString(iter205.encode('utf-8') if sys.version_info[0] == 2 else iter205)
+            for iter211 in self.pressure_pools:
+                oprot.writeString(iter211.encode('utf-8') if sys.version_info[0] == 2 else iter211)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter206 in self.pressure_rooms:
-                oprot.writeBool(iter206)
+            for iter212 in self.pressure_rooms:
+                oprot.writeBool(iter212)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter207 in self.pressure_drain_rates:
-                oprot.writeDouble(iter207)
+            for iter213 in self.pressure_drain_rates:
+                oprot.writeDouble(iter213)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter208 in self.pressure_shed_shares:
-                oprot.writeDouble(iter208)
+            for iter214 in self.pressure_shed_shares:
+                oprot.writeDouble(iter214)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter209 in self.pressure_waits:
-                oprot.writeBinary(iter209)
+            for iter215 in self.pressure_waits:
+                oprot.writeBinary(iter215)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
             oprot.writeFieldBegin('reads_compressed', TType.BOOL, 44)
             oprot.writeBool(self.reads_compressed)
             oprot.writeFieldEnd()
+        if self.cold_reports is not None:
+            oprot.writeFieldBegin('cold_reports', TType.LIST, 80)
+            oprot.writeListBegin(TType.STRUCT, len(self.cold_reports))
+            for iter216 in self.cold_reports:
+                iter216.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1476,6 +1597,15 @@
     (9, TType.I64, 'ended', None, None, ),  # 9
     (10, TType.I64, 'bad', None, None, ),  # 10
 )
+all_structs.append(ColdReportStruct)
+ColdReportStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born', None, None, ),  # 3
+    (4, TType.DOUBLE, 'cold_seconds', None, None, ),  # 4
+    (5, TType.DOUBLE, 'age', None, None, ),  # 5
+)
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
     None,  # 0
@@ -1523,6 +1653,42 @@
     (42, TType.LIST, 'pressure_shed_shares', (TType.DOUBLE, None, False), None, ),  # 42
     (43, TType.LIST, 'pressure_waits', (TType.STRING, 'BINARY', False), None, ),  # 43
     (44, TType.BOOL, 'reads_compressed', None, None, ),  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    None,  # 60
+    None,  # 61
+    None,  # 62
+    None,  # 63
+    None,  # 64
+    None,  # 65
+    None,  # 66
+    None,  # 67
+    None,  # 68
+    None,  # 69
+    None,  # 70
+    None,  # 71
+    None,  # 72
+    None,  # 73
+    None,  # 74
+    None,  # 75
+    None,  # 76
+    None,  # 77
+    None,  # 78
+    None,  # 79
+    (80, TType.LIST, 'cold_reports', (TType.STRUCT, [ColdReportStruct, None], False), None, ),  # 80
 )
 fix_spec(all_structs)
 del all_structs
