--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -21,7 +21,7 @@
     queues,
     rate_limits,
 )
-from trefoilpin.gateway.balancing import upstreams
+from trefoilpin.gateway.balancing import cold_checks, upstreams
 from trefoilpin.gateway.fleet import (
     anti_entropy,
     directories,
@@ -343,6 +343,7 @@
     account_usage.create(kernel)
     node.pool_pressure = pool_pressure.create(kernel)
     queues.create(kernel, create_event)
+    checks = cold_checks.create(kernel, node.zone, node.members.is_store_away)
     if settings.counts_senders:
         upstreams.create(
             kernel,
@@ -350,9 +351,10 @@
             lambda: node.gossip.sender_count(),
             lambda: node.gossip.is_sender(),
             lambda: node.gossip.zone_sender_count(),
+            checks,
         )
     else:
-        upstreams.create(kernel, node.zone, lambda: 1)
+        upstreams.create(kernel, node.zone, lambda: 1, cold_checks=checks)
     bounds = settings.rollout_bounds
     versions = None if bounds is None else rollouts.create(kernel, own)
     send = partial(fleet.send, node)
