Stale views: results that say cold hold, drawn once for each result; tests with answers

Change: the time left is counted from the sending of a report, a result that says cold isn't replaced by one at about the same time, and the next question is drawn once for each result.

--- a/trefoilpin/gateway/balancing/cold_checks.py
+++ b/trefoilpin/gateway/balancing/cold_checks.py
@@ -47,6 +47,8 @@
 # hosts outside the mesh, each 0.4 s.
 REPORT_SECONDS = 1.0
 MAX_REPORTS = 64
+# Ages of one result in several messages differ by their time in queues.
+SAME_RESULT_SECONDS = 0.2
 
 
 class ColdReport(NamedTuple):
@@ -57,7 +59,7 @@
     pool, upstream : str
     born : int
     cold_seconds : float
-        Upper bound on how long it stays cold, counted from ``age`` ago.
+        Upper bound on how long it stays cold, counted from the sending of the report.
     age : float
         Upper bound in seconds since the upstream was asked.
     """
@@ -114,13 +116,14 @@
     unsure_since_by_pool : dict
         When a pool's upstreams began to be marked.
     report_by_upstream : dict
-        Recent results, and the clock times at which the upstreams were asked.
+        Recent results, and the clock times at which the upstreams were asked, and at
+        which this host learned the result.
     """
 
     def __init__(self):
         self.checks_left_by_pool: dict[str, int] = {}
         self.unsure_since_by_pool: dict[str, float] = {}
-        self.report_by_upstream: dict[str, tuple[float, ColdReport]] = {}
+        self.report_by_upstream: dict[str, tuple[float, float, ColdReport]] = {}
 
 
 def is_unsure(health, known_at, is_store_away, now):
@@ -260,15 +263,11 @@
                 detail=outcome.failure(),
             )
             return
-        # Counted from the question, this is an upper bound on what is left.
         cold_seconds = outcome.unwrap()
-        if cold_seconds > 0.0:
-            cold_seconds += now() - asked_at
-        learn(health, asked_at, cold_seconds)
         report = ColdReport(
-            upstream.pool, upstream.id, upstream.born, cold_seconds, 0.0
+            upstream.pool, upstream.id, upstream.born, cold_seconds, now() - asked_at
         )
-        keep(report, asked_at)
+        learn(health, report)
         emit(
             events.HEALTH_CHECKED,
             pool=upstream.pool,
@@ -277,24 +276,32 @@
             milliseconds=round((now() - asked_at) * 1000, 1),
         )
 
-    def keep(report, asked_at):
-        known_at, _ = state.report_by_upstream.get(report.upstream, (asked_at, None))
-        if asked_at >= known_at:
-            state.report_by_upstream[report.upstream] = (asked_at, report)
+    def learn(health, report):
+        """Take a result, and keep it to be passed on.
 
-    def learn(health, asked_at, cold_seconds):
+        Ages are upper bounds, so of two results at about the same time either may be
+        the later one; then the one that says cold holds.
+        """
+        if report.cold_seconds > 0.0:
+            health.cold_until = max(health.cold_until, now() + report.cold_seconds)
+        asked_at = now() - report.age
+        if asked_at < health.checked_at and not report.cold_seconds:
+            return
         health.checked_at = max(health.checked_at, asked_at)
-        if cold_seconds > 0.0:
-            health.cold_until = max(health.cold_until, asked_at + cold_seconds)
+        kept = state.report_by_upstream.get(report.upstream)
+        if report.cold_seconds or kept is None or not kept[-1].cold_seconds:
+            state.report_by_upstream[report.upstream] = (asked_at, now(), report)
 
     def reports():
         recent = []
-        for upstream, (asked_at, report) in list(state.report_by_upstream.items()):
+        for upstream, kept in list(state.report_by_upstream.items()):
+            asked_at, learned_at, report = kept
             age = now() - asked_at
             if age > REPORT_SECONDS:
                 del state.report_by_upstream[upstream]
-            else:
-                recent.append(report._replace(age=age))
+                continue
+            left = max(report.cold_seconds - (now() - learned_at), 0.0)
+            recent.append(report._replace(cold_seconds=left, age=age))
         recent.sort(key=lambda report: report.age)
         return tuple(recent[:MAX_REPORTS])
 
@@ -305,9 +312,11 @@
                 if (upstream.id, upstream.born) != (report.upstream, report.born):
                     continue
                 asked_at = now() - report.age
-                learn(health, asked_at, report.cold_seconds)
-                keep(report, asked_at)
-                health.check_due_at = max(health.check_due_at, next_check_at(asked_at))
+                if asked_at > health.checked_at + SAME_RESULT_SECONDS:
+                    # Drawn once for each result, not for each message with it.
+                    due_at = next_check_at(asked_at)
+                    health.check_due_at = max(health.check_due_at, due_at)
+                learn(health, report)
 
     def pause():
         remaining = CHECK_FROM_AGE_SECONDS - document_cache.age(UPSTREAMS)
--- a/trefoilpin/tests/gateway/test_cold_checks.py
+++ b/trefoilpin/tests/gateway/test_cold_checks.py
@@ -165,6 +165,22 @@
     assert host.checks.reports() == ()
 
 
+def test_result_that_says_cold_holds_though_it_may_be_the_earlier_one():
+    host = Host(upstream(1, slots=1000))
+    host.grow_old()
+    host.is_served()
+    assert host.ask(WARM) == ["u1"]
+    host.checks.merge((ColdReport("p", "u1", 1, 2.0, 0.05),))
+    cold_until = host.clock.time + 2.0
+    host.clock.time += 0.1
+    host.checks.merge((ColdReport("p", "u1", 1, 0.0, 0.12),))
+    health = host.upstreams.pool_health("p")[0]
+    assert health.cold_until == pytest.approx(cold_until)
+    # What is passed on says so as well, with the time that is left.
+    (report,) = host.checks.reports()
+    assert report.cold_seconds == pytest.approx(1.9)
+
+
 def test_only_upstreams_that_requests_would_use_are_asked():
     host = Host(
         upstream(1),
