--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -981,11 +981,11 @@
         "age",
         "rate",
         "senders",
-        "sends",
     ),
     "This host holds an upstream for cold from now on, for this many seconds (before:"
     " how many were left by what it knew until now), by the document with this revision"
-    " and age; rate is the host's part of the cold rate as one of senders hosts.",
+    " and age; rate is what the upstream bears from the fleet, senders how many hosts"
+    " send requests as this one sees it.",
 )
 COLD_ENDED = Event(
     831,
@@ -1002,5 +1002,35 @@
     ("pool", "upstream", "born", "sent", "seconds", "rate", "senders"),
     "Requests that this host sent a cold upstream in the last seconds.",
 )
+LEASE_SEEN = Event(
+    833,
+    "lease_seen",
+    logging.INFO,
+    ("lease", "holder", "revision", "era", "own"),
+    "The store was read for who holds a lease; own when this start of the host does.",
+)
+LEASE_TAKEN = Event(
+    834,
+    "lease_taken",
+    logging.INFO,
+    ("lease", "revision", "era", "before"),
+    "This host took a lease from another holder, or as the first one.",
+)
+LEASE_CALL_FAILED = Event(
+    835,
+    "lease_call_failed",
+    logging.WARNING,
+    ("lease", "detail"),
+    "A call to the store for a lease failed; further failures in a row aren't logged.",
+)
+COLD_ASKS_UNANSWERED = Event(
+    836,
+    "cold_asks_unanswered",
+    logging.WARNING,
+    ("host", "seconds"),
+    "A host that was asked for tokens for cold upstreams did not respond for this time;"
+    " another one is asked.",
+    sampled=True,
+)
 
 CATALOGUE = tuple(value for value in globals().values() if isinstance(value, Event))
--- a/trefoilpin/fakes/cold_fleets.py
+++ b/trefoilpin/fakes/cold_fleets.py
@@ -24,7 +24,8 @@
 SINGLE_ATTEMPT = RetryPolicy(False, False)
 TYPICAL_SECONDS = 0.1
 SLOTS = 4
-SETTLE_SECONDS = 5.0
+SETTLE_SECONDS = 8.0
+TOO_LATE = Attempt(Verdict.NOT_RUN, None, None, "", 0.0, is_too_late=True)
 # A request that finds no upstream tries again at this interval, for this time.
 RETRY_SECONDS = 0.05
 MAX_WAIT_SECONDS = 0.8
@@ -164,6 +165,9 @@
         tasks = self.fleet.tasks
         tasks.sleep(self.rng.random() * MAX_CONNECT_SECONDS)
         sent_at = self.fleet.now()
+        if sent_at >= choice.send_by:
+            upstreams.release(choice, TOO_LATE, TYPICAL_SECONDS)
+            return
         self.sends_by_upstream.setdefault(choice.upstream.id, []).append(sent_at)
         tasks.sleep(TYPICAL_SECONDS * (0.5 + self.rng.random()))
         seconds = self.fleet.now() - sent_at
--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -12,6 +12,11 @@
 from returns.result import Failure, Success
 
 from trefoilpin import metrics
+from trefoilpin.fakes.fleet_stores import (
+    STORE_LATENCY_SECONDS,
+    StoreContent,
+    create_object_calls,
+)
 from trefoilpin.fakes.loops import LoopState
 from trefoilpin.fakes.tasks import create_tasks
 from trefoilpin.gateway.admission import (
@@ -33,8 +38,13 @@
     send_queues,
 )
 from trefoilpin.gateway.rollouts import coordinators, rollouts
-from trefoilpin.gateway.store import document_cache, documents, store_readers
-from trefoilpin.gateway.store.document_cache import CONFIGURATION, ROLLOUTS, UPSTREAMS
+from trefoilpin.gateway.store import (
+    document_cache,
+    documents,
+    leases,
+    store_readers,
+)
+from trefoilpin.gateway.store.document_cache import CONFIGURATION, UPSTREAMS
 from trefoilpin.gateway.store.stores import Listing, Store, StoreFailure
 from trefoilpin.kernel import Clock, create_kernel
 from trefoilpin.services import Events
@@ -48,7 +58,6 @@
 FETCH_SERVICE_SECONDS = 0.01
 # Longest delay from a datagram's arrival until its task runs on a busy host.
 MAX_WAKE_UP_SECONDS = 0.03
-STORE_LATENCY_SECONDS = 0.004
 # Fractional, like capacities derived from link rates and processor shares.
 CAPACITY = 104.17
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -115,50 +124,6 @@
     counts_senders: bool = False
 
 
-class StoreContent:
-    """Objects of the fake store; while ``is_down``, every call fails.
-
-    Calls of the hosts in ``refused`` fail while the store answers the others.
-    """
-
-    def __init__(self):
-        self.revision = 1
-        self.era = 0
-        self.objects_by_kind: dict[str, dict] = {
-            kind: {} for kind in (*document_cache.KINDS, ROLLOUTS)
-        }
-        self.is_down = False
-        self.refused: frozenset[str] = frozenset()
-        self.calls = 0
-
-    def put(self, kind, name, content):
-        self.revision += 1
-        objects = self.objects_by_kind[kind]
-        self.objects_by_kind[kind] = objects | {name: content}
-
-    def put_order(self, name, spec, status=None):
-        """Create or replace an order of a rollout, which has a revision of its own."""
-        metadata = {"name": name, "revision": self.revision + 1}
-        content = {"metadata": metadata, "spec": spec, "status": status}
-        self.put(ROLLOUTS, name, content)
-
-    def remove(self, kind, name):
-        self.revision += 1
-        objects = dict(self.objects_by_kind[kind])
-        del objects[name]
-        self.objects_by_kind[kind] = objects
-
-    def take_snapshot(self):
-        """Return the objects and the revision, for ``restore``."""
-        return dict(self.objects_by_kind), self.revision
-
-    def restore(self, snapshot):
-        """Lose all writes since a snapshot; revisions are assigned again from there."""
-        objects_by_kind, self.revision = snapshot
-        self.objects_by_kind = dict(objects_by_kind)
-        self.era += 1
-
-
 class Node:
     """One host: its services, and when its link, reader and server are free again."""
 
@@ -369,6 +334,7 @@
         store = Store(
             partial(fleet.list_all, node.address),
             partial(fleet.write_status, node.address),
+            *create_object_calls(fleet.tasks, fleet.rng, fleet.content, node.address),
         )
         kernel.register("store", store)
         store_readers.create(
@@ -379,6 +345,8 @@
             node.gossip.startup_delay,
             node.gossip.share_read,
         )
+        holder = leases.LeaseHolder(node.address, own.incarnation)
+        leases.create(kernel, holder, node.gossip.is_first_reader)
         if bounds is not None:
             rank, delay = node.gossip.reader_rank, node.gossip.startup_delay
             coordinators.create(kernel, bounds, rank, delay)
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -82,6 +82,8 @@
         Headers that the gateway adds to the caller's.
     uses_new_connection : bool
         True when no idle connection may be used.
+    send_by : float
+        Seconds of the clock from which on nothing may be written.
     """
 
     upstream: str
@@ -93,6 +95,7 @@
     may_be_stale: bool = False
     extra_headers: tuple[tuple[str, str], ...] = ()
     uses_new_connection: bool = False
+    send_by: float = float("inf")
 
 
 def keep_alive_seconds(value_by_name):
@@ -143,6 +146,7 @@
         idempotent,
         extra_headers=(),
         uses_new_connection=False,
+        send_by=float("inf"),
     ):
         outgoing = OutgoingRequest(
             upstream.id,
@@ -153,6 +157,7 @@
             now(),
             extra_headers=extra_headers,
             uses_new_connection=uses_new_connection,
+            send_by=send_by,
         )
         if not is_counted(request):
             return connect_and_send(outgoing)
@@ -225,6 +230,8 @@
                 failed_attempt(outgoing, Verdict.NOT_RUN, Reason.BAD_REQUEST, detail),
                 False,
             )
+        if now() >= outgoing.send_by:
+            return too_late_attempt(outgoing), False
         response = None
         try:
             exchanges.write_request(connection, request.body)
@@ -404,6 +411,12 @@
             outgoing, Verdict.MAY_HAVE_RUN, Reason.CALLER_GONE, CALLER_LEFT
         )
 
+    def too_late_attempt(outgoing):
+        reason = Reason.UPSTREAM_UNREACHABLE
+        detail = "the time by which the request had to be written was over"
+        attempt = failed_attempt(outgoing, Verdict.NOT_RUN, reason, detail)
+        return attempt._replace(is_too_late=True)
+
     def broken_attempt(outgoing, detail):
         report_dropped(outgoing, detail)
         reason = Reason.UPSTREAM_BROKEN
--- a/trefoilpin/gateway/balancing/cold_logs.py
+++ b/trefoilpin/gateway/balancing/cold_logs.py
@@ -8,7 +8,7 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
-from trefoilpin.gateway.store.document_cache import UPSTREAMS
+from trefoilpin.gateway.store.document_cache import CONFIGURATION, UPSTREAMS
 
 __all__ = ["ColdLogs", "create"]
 
@@ -41,15 +41,14 @@
         self.reported_at = now
 
 
-def create(kernel, share):
+def create(kernel, sender_count):
     """Create the service ``cold_logs``.
 
     Parameters
     ----------
     kernel : Kernel
-    share : callable
-        ``share(pool)`` returns this host's part of the cold rate, in requests per
-        second or None when it sends none, and the number of senders.
+    sender_count : callable
+        Returns the number of hosts that send requests to upstreams.
 
     Returns
     -------
@@ -61,6 +60,10 @@
     metrics = kernel.find("metrics")
     document_cache = kernel.find("document_cache")
 
+    def cold_rate(pool_id):
+        pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
+        return pool.cold_rate if pool is not None else 0.0
+
     def update(healths):
         health_by_key = {}
         for health in healths:
@@ -84,7 +87,6 @@
             seconds_before = held.cold_until - now()
         held.health, held.cold_until = health, health.cold_until
         version = document_cache.version(UPSTREAMS)
-        rate, senders = share(health.upstream.pool)
         emit(
             events.COLD_HELD,
             **name(health.upstream),
@@ -92,9 +94,8 @@
             before=round(seconds_before, 3),
             revision=version.revision,
             age=round(version.age, 3),
-            rate=round(rate or 0.0, 3),
-            senders=senders,
-            sends=rate is not None,
+            rate=round(cold_rate(health.upstream.pool), 3),
+            senders=sender_count(),
         )
 
     def end(key, reason):
@@ -120,14 +121,13 @@
         held.reported_sent, held.reported_at = held.sent, now()
         if not sent:
             return
-        rate, senders = share(held.health.upstream.pool)
         emit(
             events.COLD_SENDS,
             **name(held.health.upstream),
             sent=sent,
             seconds=round(seconds, 3),
-            rate=round(rate or 0.0, 3),
-            senders=senders,
+            rate=round(cold_rate(held.health.upstream.pool), 3),
+            senders=sender_count(),
         )
 
     def step():
--- a/trefoilpin/gateway/balancing/pool_surveys.py
+++ b/trefoilpin/gateway/balancing/pool_surveys.py
@@ -8,7 +8,14 @@
     upstream_selection,
 )
 
-__all__ = ["MAX_ACCEPTED_PROBABILITY", "PoolSurvey", "SurveyRequest", "join", "survey"]
+__all__ = [
+    "MAX_ACCEPTED_PROBABILITY",
+    "PoolSurvey",
+    "SurveyRequest",
+    "join",
+    "lacking_tokens",
+    "survey",
+]
 
 # An upstream with a higher failure probability is used only if the pool has no
 # healthier one.
@@ -25,9 +32,8 @@
     tried : frozenset of str
         Upstreams that the request was sent to.
     zones_out : frozenset of str
-    cold_share : float or None
-        Requests a second that this host may send to one cold upstream; None when it may
-        send none.
+    has_cold_token : callable
+        Tells whether this host may send a request to a cold ``Upstream``.
     body_bytes : int
         Size of the request's body.
     sender_count : int
@@ -44,7 +50,7 @@
     own_zone: str
     tried: frozenset[str]
     zones_out: frozenset[str]
-    cold_share: float | None
+    has_cold_token: Callable
     body_bytes: int = 0
     sender_count: int = 1
     accepts: Callable | None = None
@@ -66,6 +72,8 @@
     has_usable : bool
     paused_until : float
         Clock time at which the first upstream's pause ends, infinite without upstreams.
+    lacking_tokens : tuple of Upstream
+        Cold upstreams with room for which this host has no token.
     """
 
     accepted: tuple
@@ -74,6 +82,7 @@
     has_accepted: bool
     has_usable: bool
     paused_until: float
+    lacking_tokens: tuple = ()
 
 
 def is_usable(health, zones_out):
@@ -112,7 +121,7 @@
     request : SurveyRequest
     """
     preference_range = stale_loads.preference_range(request.zone_sender_count)
-    accepted, others, accepted_health = [], [], []
+    accepted, others, accepted_health, lacking_tokens = [], [], [], []
     has_accepted, has_usable = False, False
     paused_until = float("inf")
     for health in healths:
@@ -131,7 +140,11 @@
             health, request.body_bytes, request.sender_count
         ):
             continue
-        if not upstream_health.has_room(health, request.now, request.cold_share):
+        if not upstream_health.has_room(health, request.now):
+            continue
+        is_cold = upstream_health.is_cold(health, request.now)
+        if is_cold and not request.has_cold_token(health.upstream):
+            lacking_tokens.append(health.upstream)
             continue
         if is_accepted:
             accepted.append(candidate)
@@ -145,6 +158,7 @@
         has_accepted,
         has_usable,
         paused_until,
+        tuple(lacking_tokens),
     )
 
 
@@ -157,4 +171,16 @@
         first.has_accepted or second.has_accepted,
         first.has_usable or second.has_usable,
         min(first.paused_until, second.paused_until),
+        first.lacking_tokens + second.lacking_tokens,
     )
+
+
+def lacking_tokens(in_zone, elsewhere, is_sender):
+    """Return the upstreams for which a host asks for tokens after two surveys.
+
+    A host that sends few requests would leave most of its tokens unused, so it asks
+    only when no other upstream can take the request.
+    """
+    if not (in_zone.accepted or elsewhere.accepted):
+        return in_zone.lacking_tokens + elsewhere.lacking_tokens
+    return in_zone.lacking_tokens if is_sender else ()
--- a/trefoilpin/gateway/balancing/upstream_health.py
+++ b/trefoilpin/gateway/balancing/upstream_health.py
@@ -6,7 +6,6 @@
 from trefoilpin.verdicts import Reason, Verdict
 
 __all__ = [
-    "COLD_BURST_REQUESTS",
     "InFlightRequest",
     "MIN_SLOW_SECONDS",
     "SLOW_FACTOR",
@@ -15,6 +14,7 @@
     "end_request",
     "has_body_room",
     "has_room",
+    "is_cold",
     "is_misdirected",
     "is_overdue",
     "is_unreached",
@@ -33,8 +33,6 @@
 # A request that takes this multiple of the typical duration counts as slow.
 SLOW_FACTOR = 4.0
 MIN_SLOW_SECONDS = 0.3
-# Size of the token bucket of a cold upstream, in requests.
-COLD_BURST_REQUESTS = 1.5
 # HTTP status of an upstream that is not the one the request was intended for.
 MISDIRECTED_STATUS = 421
 GATEWAY_TIMEOUT_STATUS = 504
@@ -93,8 +91,6 @@
         self.own_body_bytes = 0
         self.slowness = 1.0
         self.cold_until = now + upstream.cold_remaining
-        self.cold_tokens = 1.0
-        self.cold_filled_at = now
         self.avoided_until = float("-inf")
         self.failed_connects = 0
         self.full_until = float("-inf")
@@ -178,34 +174,17 @@
     return now - in_flight.started_at > limit
 
 
-def has_room(health, now, cold_share):
-    """Tell whether an upstream can take another request.
+def is_cold(health, now):
+    """Tell whether requests to an upstream need a token of the fleet's."""
+    return now < health.cold_until
 
-    Parameters
-    ----------
-    health : UpstreamHealth
-    now : float
-    cold_share : float or None
-        Requests a second that this host may send while the upstream is cold; None when
-        it may send none.
-    """
+
+def has_room(health, now):
+    """Tell whether an upstream can take another request, but for a cold start."""
     if now < max(health.avoided_until, health.full_until, health.paused_until):
         return False
     in_flight = health.own_in_flight + health.other_in_flight
-    if in_flight >= health.upstream.slots + MAX_QUEUED_REQUESTS:
-        return False
-    if now >= health.cold_until:
-        return True
-    return cold_share is not None and has_cold_token(health, now, cold_share)
-
-
-def has_cold_token(health, now, cold_share):
-    """Refill the token bucket of a cold upstream and tell whether it holds a token."""
-    elapsed = now - health.cold_filled_at
-    health.cold_filled_at = now
-    filled = health.cold_tokens + elapsed * cold_share
-    health.cold_tokens = min(filled, COLD_BURST_REQUESTS)
-    return health.cold_tokens >= 1.0
+    return in_flight < health.upstream.slots + MAX_QUEUED_REQUESTS
 
 
 def classify_attempt(attempt, typical_seconds):
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -12,6 +12,7 @@
 
 from trefoilpin import events
 from trefoilpin.gateway.balancing import (
+    cold_grants,
     cold_logs,
     departures,
     early_evidence,
@@ -34,7 +35,7 @@
 )
 from trefoilpin.gateway.balancing.pool_surveys import MAX_ACCEPTED_PROBABILITY
 from trefoilpin.gateway.balancing.upstream_health import is_unreached
-from trefoilpin.gateway.store.document_cache import CONFIGURATION, UPSTREAMS, ZONES_OUT
+from trefoilpin.gateway.store.document_cache import UPSTREAMS, ZONES_OUT
 from trefoilpin.messages import Choice
 
 __all__ = ["Upstreams", "create"]
@@ -93,6 +94,7 @@
     sender_count,
     is_sender=lambda: True,
     zone_sender_count=lambda: 1,
+    cold_bounds=cold_grants.DEFAULT_BOUNDS,
 ):
     """Create the service ``upstreams``.
 
@@ -101,13 +103,13 @@
     kernel : Kernel
     own_zone : str
     sender_count : callable
-        Returns the number of hosts that send requests to upstreams. Each of them may
-        send an equal share of a cold upstream's rate.
+        Returns the number of hosts that send requests to upstreams.
     is_sender : callable, optional
         Tells whether this host is one of them. Others don't know which upstreams are in
-        use, so they leave cold ones and newcomers alone.
+        use, so they leave newcomers alone, and cold ones unless there is no other.
     zone_sender_count : callable, optional
         As ``sender_count``, of the own zone.
+    cold_bounds : ColdBounds, optional
 
     Returns
     -------
@@ -133,15 +135,8 @@
     log = outcome_log.create(now)
     removed = removed_upstreams.create(now)
 
-    def cold_share(pool_id):
-        """Return this host's part of a cold upstream's rate; None when it has none."""
-        pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
-        cold_rate = pool.cold_rate if pool is not None else 0.0
-        return cold_rate / max(sender_count(), 1) if is_sender() else None
-
-    log_of_cold = cold_logs.create(
-        kernel, lambda pool_id: (cold_share(pool_id), sender_count())
-    )
+    grants = cold_grants.create(kernel, cold_bounds)
+    log_of_cold = cold_logs.create(kernel, sender_count)
 
     def rebuild(upstream_by_id):
         healths = []
@@ -185,7 +180,7 @@
             own_zone,
             tried,
             document_cache.value(ZONES_OUT),
-            cold_share(pool_id),
+            grants.has_token,
             body_bytes,
             sender_count(),
             accepts,
@@ -195,8 +190,11 @@
         in_zone = survey_zone(pool_id, request, True)
         chosen = choose_in_zone(pool_id, in_zone, request, retry_policy)
         if chosen is not None:
+            if is_sender():
+                grants.want(in_zone.lacking_tokens)
             return Success(reserve(pool_id, chosen, typical, body_bytes))
         elsewhere = survey_zone(pool_id, request, False)
+        grants.want(pool_surveys.lacking_tokens(in_zone, elsewhere, is_sender()))
         outcome = choose_anywhere(in_zone, elsewhere, retry_policy)
         return outcome.map(lambda health: reserve(pool_id, health, typical, body_bytes))
 
@@ -246,21 +244,22 @@
 
     def reserve(pool_id, health, typical_seconds, body_bytes):
         mark_used(health)
-        if now() < health.cold_until:
-            health.cold_tokens -= 1.0
+        send_by = float("inf")
+        if upstream_health.is_cold(health, now()):
+            send_by = grants.take(health.upstream)
             log_of_cold.record_send(health)
         state.choice_number += 1
         early.add(state.choice_number)
         state.in_flight_by_number[state.choice_number] = upstream_health.start_request(
             health, now(), typical_seconds, body_bytes
         )
-        return Choice(health.upstream, pool_id, state.choice_number)
+        return Choice(health.upstream, pool_id, state.choice_number, send_by)
 
     def release(choice, attempt, typical_seconds):
         in_flight = state.in_flight_by_number.pop(choice.number)
         health = in_flight.health
         upstream_health.end_request(in_flight)
-        if attempt is None:
+        if attempt is None or attempt.is_too_late:
             return
         if is_unreached(attempt):
             back_off(health)
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -21,7 +21,7 @@
     response_memory,
     send_pacing,
 )
-from trefoilpin.gateway.balancing import upstreams
+from trefoilpin.gateway.balancing import cold_grants, upstreams
 from trefoilpin.gateway.fleet import (
     anti_entropy,
     directories,
@@ -41,7 +41,12 @@
 )
 from trefoilpin.gateway.rollouts import coordinators, rollouts
 from trefoilpin.gateway.rollouts.decisions import RolloutBounds
-from trefoilpin.gateway.store import document_cache, documents, store_readers
+from trefoilpin.gateway.store import (
+    document_cache,
+    documents,
+    leases,
+    store_readers,
+)
 from trefoilpin.kernel import create_kernel
 
 __all__ = ["Adapter", "GatewaySettings", "assemble", "run"]
@@ -96,6 +101,7 @@
         Whether sends to a pool that sheds as a whole are paced.
     rollout_bounds : RolloutBounds or None
         None where no rollouts are ordered; their orders are not read then.
+    cold_bounds : ColdBounds
     """
 
     name: str
@@ -119,6 +125,7 @@
     held_bytes: int = DEFAULT_HELD_BYTES
     paces_sends: bool = False
     rollout_bounds: RolloutBounds | None = None
+    cold_bounds: cold_grants.ColdBounds = cold_grants.DEFAULT_BOUNDS
 
 
 class Adapter(NamedTuple):
@@ -217,6 +224,7 @@
         lambda: kernel.find("gossip").sender_count(),
         lambda: kernel.find("gossip").is_sender(),
         lambda: kernel.find("gossip").zone_sender_count(),
+        settings.cold_bounds,
     )
 
 
@@ -249,6 +257,11 @@
         gossip_service.share_read,
     )
     anti_entropy.create(kernel)
+    leases.create(
+        kernel,
+        leases.LeaseHolder(settings.own.address, settings.own.incarnation),
+        gossip_service.is_first_reader,
+    )
     if settings.rollout_bounds is not None:
         coordinators.create(
             kernel,
--- a/trefoilpin/gateway/fleet/gossip.py
+++ b/trefoilpin/gateway/fleet/gossip.py
@@ -11,7 +11,7 @@
 from functools import partial
 from typing import Callable, NamedTuple
 
-from trefoilpin.gateway.fleet import discovery
+from trefoilpin.gateway.fleet import discovery, grant_exchanges
 from trefoilpin.gateway.fleet.messages import aged
 from trefoilpin.gateway.fleet.roles import NO_ROLES, compute_roles
 from trefoilpin.gateway.loops import repeat
@@ -71,7 +71,8 @@
     ``share_read()`` sends the relays what this host has just read from the store.
     ``step()`` recomputes the roles; a task calls it. ``last_update_at()`` is when a
     regular sender last reported its document versions, and ``first_readers()`` are the
-    addresses of the first other hosts in the order of store readers.
+    addresses of the first other hosts in the order of store readers. Once most
+    hosts are known, ``is_first_reader()`` tells whether this host is the first of all.
     """
 
     receive: Callable
@@ -85,6 +86,7 @@
     step: Callable[[], None]
     last_update_at: Callable[[], float]
     first_readers: Callable[[], tuple[str, ...]]
+    is_first_reader: Callable[[], bool]
 
 
 class Peer:
@@ -168,11 +170,13 @@
     poison_requests = kernel.find("poison_requests")
     account_usage = kernel.find("account_usage")
     departures = kernel.find("departures")
+    cold_grants = kernel.find("cold_grants")
     queues = kernel.find("queues")
     pool_pressure = kernel.find("pool_pressure")
     gossip_builders = kernel.find("gossip_builders")
     build = gossip_builders.build
     own = members.own
+    started_at = now()
 
     def receive(address, message, waited):
         if address == own.address:
@@ -204,6 +208,7 @@
         if rollouts is not None:
             rollouts.merge_records(message.rollout_stages)
             rollouts.merge_counts(host, message.zone, message.rollout_counts)
+        exchanges.receive(address, message)
         if message.wants_reply:
             known = (message.versions, message.zone_views)
             state.request_by_address[address] = (now(), known)
@@ -338,6 +343,10 @@
             return 0.0
         return seed_timeout if len(members.live()) == 1 else STARTUP_DELAY_SECONDS
 
+    def is_first_reader():
+        settled_at = started_at + max(startup_delay(), STARTUP_DELAY_SECONDS)
+        return state.roles.rank == 0 and now() >= settled_at
+
     def share_read():
         """Send what this host has read from the store to the relays of its zone.
 
@@ -373,6 +382,11 @@
         step,
         lambda: state.last_update_at,
         lambda: state.roles.first_readers,
+        is_first_reader,
+    )
+    exchanges = grant_exchanges.create(
+        kernel, service, lambda address: address in state.peer_by_address
     )
+    cold_grants.on_granted(queues.wake)
     kernel.register("gossip", service, start)
     return service
--- a/trefoilpin/gateway/fleet/gossip_codecs.py
+++ b/trefoilpin/gateway/fleet/gossip_codecs.py
@@ -11,7 +11,7 @@
 from trefoilpin.gateway.balancing import departures
 from trefoilpin.gateway.balancing.departures import Departure
 from trefoilpin.gateway.balancing.failure_models import Outcome, UpstreamOutcome
-from trefoilpin.gateway.fleet import rollout_codecs
+from trefoilpin.gateway.fleet import cold_grant_codecs, rollout_codecs
 from trefoilpin.gateway.fleet.member_codecs import (
     pack_ages,
     pack_members,
@@ -111,6 +111,8 @@
         reads_compressed=gossip_message.reads_compressed or None,
         rollout_stages=rollout_codecs.write_stages(gossip_message.rollout_stages),
         rollout_counts=rollout_codecs.write_counts(gossip_message.rollout_counts),
+        cold_ask=cold_grant_codecs.write_ask(gossip_message.cold_ask),
+        cold_grant=cold_grant_codecs.write_grant(gossip_message.cold_grant),
     )
     set_pool_reports(message, gossip_message.pool_reports)
     add_pressure(message, gossip_message.pressure_reports)
@@ -304,4 +306,6 @@
         read_pressure(message),
         rollout_codecs.read_stages(message.rollout_stages),
         rollout_codecs.read_counts(message.rollout_counts),
+        cold_grant_codecs.read_ask(message.cold_ask),
+        cold_grant_codecs.read_grant(message.cold_grant),
     )
--- a/trefoilpin/gateway/fleet/messages.py
+++ b/trefoilpin/gateway/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
+from trefoilpin.gateway.balancing.cold_grants import ColdAsk, ColdGrant
 from trefoilpin.gateway.balancing.departures import Departure
 from trefoilpin.gateway.balancing.failure_models import UpstreamOutcome
 from trefoilpin.gateway.rollouts.records import CountRow, StageRecord
@@ -156,6 +157,10 @@
     rollout_stages : tuple of StageRecord
     rollout_counts : tuple of CountRow
         For relays only: the sender's counts, and the sums of zones that it knows.
+    cold_ask : ColdAsk or None
+        Tokens for cold upstreams that the sender wants.
+    cold_grant : ColdGrant or None
+        Response to an ask of the receiver.
     """
 
     incarnation: int
@@ -184,6 +189,8 @@
     pressure_reports: tuple[PressureReport, ...] = ()
     rollout_stages: tuple[StageRecord, ...] = ()
     rollout_counts: tuple[CountRow, ...] = ()
+    cold_ask: ColdAsk | None = None
+    cold_grant: ColdGrant | None = None
 
 
 def aged(message, seconds):
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -235,6 +235,7 @@
                 context.route.idempotent,
                 upstream_headers(context, upstream),
                 poison_requests.is_suspect(context.fingerprint),
+                choice.send_by,
             )
             return attempt
         finally:
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -56,6 +56,31 @@
   10: i64 bad
 }
 
+struct ColdWantStruct {
+  1: string upstream
+  2: i64 born
+  3: string pool
+  4: i32 tokens
+}
+
+struct ColdAskStruct {
+  1: i64 number
+  2: list<ColdWantStruct> wants
+}
+
+struct ColdTokensStruct {
+  1: string upstream
+  2: i64 born
+  3: i32 tokens
+}
+
+struct ColdGrantStruct {
+  1: i64 number
+  2: bool is_holder
+  3: string holder
+  4: list<ColdTokensStruct> granted
+}
+
 struct BulletinStruct {
   1: i64 incarnation
   2: i64 sequence
@@ -96,4 +121,6 @@
   43: list<binary> pressure_waits
   26: list<RolloutStageStruct> rollout_stages
   27: list<RolloutCountStruct> rollout_counts
+  50: ColdAskStruct cold_ask
+  51: ColdGrantStruct cold_grant
 }
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -107,6 +107,8 @@
     broke_idle_connection : bool
         True when a connection broke that had been idle for so long that the upstream
         may have closed it before.
+    is_too_late : bool
+        True when the time by which the request had to be written was over.
     """
 
     verdict: Verdict
@@ -119,14 +121,25 @@
     broke_connection: bool = False
     pause_seconds: float = 0.0
     broke_idle_connection: bool = False
+    is_too_late: bool = False
 
 
 class Choice(NamedTuple):
-    """An upstream chosen for one attempt, to be released with the attempt's outcome."""
+    """An upstream chosen for one attempt, to be released with the attempt's outcome.
+
+    Attributes
+    ----------
+    upstream : Upstream
+    pool : str
+    number : int
+    send_by : float
+        Clock time by which the request has to be written to the upstream.
+    """
 
     upstream: Upstream
     pool: str
     number: int
+    send_by: float = float("inf")
 
 
 class OperationKey(NamedTuple):
--- a/trefoilpin/request_services.py
+++ b/trefoilpin/request_services.py
@@ -128,8 +128,9 @@
 
 class Forwarders(NamedTuple):
     """``forwarders``: ``exchange(upstream, request, deadline, idempotent,
-    extra_headers, uses_new_connection)`` sends a request and gives an ``Attempt``; the
-    last two may be left out."""
+    extra_headers, uses_new_connection, send_by)`` sends a request and gives an
+    ``Attempt``; the last three may be left out. From the time ``send_by`` on nothing is
+    written, and the request did not run."""
 
     exchange: Callable[..., Attempt]
 
--- a/trefoilpin/tests/gateway/test_cold_logs.py
+++ b/trefoilpin/tests/gateway/test_cold_logs.py
@@ -12,6 +12,7 @@
     upstream,
 )
 from trefoilpin.gateway.balancing import upstreams
+from trefoilpin.gateway.balancing.cold_grants import ColdGrant, GrantedTokens
 from trefoilpin.gateway.balancing.upstream_selection import RetryPolicy
 from trefoilpin.gateway.store.document_cache import CONFIGURATION, UPSTREAMS
 
@@ -20,10 +21,17 @@
 
 def create(put_upstreams):
     kernel, clock, lines = create_host()
+    kernel = kernel._replace(spawn=lambda function, *arguments: function(*arguments))
     _, put = create_document_cache(kernel)
     service = upstreams.create(kernel, "a", lambda: 2)
     put(CONFIGURATION, 1, configuration())
     put(UPSTREAMS, 7, put_upstreams, age=0.4)
+    grants = kernel.find("cold_grants")
+    grants.on_ask(
+        lambda ask: grants.receive(
+            ColdGrant(ask.number, True, "", (GrantedTokens("u1", 1, 1),))
+        )
+    )
 
     def run(seconds):
         """Send a request at each step; return how many were sent."""
--- a/trefoilpin/tests/gateway/test_gossip_codecs.py
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -9,6 +9,12 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
+from trefoilpin.gateway.balancing.cold_grants import (
+    ColdAsk,
+    ColdGrant,
+    GrantedTokens,
+    Want,
+)
 from trefoilpin.gateway.fleet import gossip_codecs, member_codecs
 from trefoilpin.gateway.fleet.messages import Document, GossipMessage, ZoneView
 from trefoilpin.gateway.store.document_cache import UPSTREAMS, DocumentVersion
@@ -149,3 +155,32 @@
     damaged = data[:position] + noise + data[position + len(noise) :]
     decoded = gossip_codecs.decode(damaged)
     assert isinstance(decoded, Failure) or decoded.unwrap().zone is not None
+
+
+ASK = ColdAsk(3, (Want("u1", 7, "p", 2), Want("u2", 8, "q", 1)))
+GRANT = ColdGrant(3, True, "10.0.0.1", (GrantedTokens("u1", 7, 1),))
+
+
+def test_ask_for_tokens_and_its_response_arrive_as_sent():
+    data = gossip_codecs.encode(MESSAGE._replace(cold_ask=ASK, cold_grant=GRANT))
+    decoded = gossip_codecs.decode(data).unwrap()
+    assert (decoded.cold_ask, decoded.cold_grant) == (ASK, GRANT)
+    decoded = gossip_codecs.decode(gossip_codecs.encode(MESSAGE)).unwrap()
+    assert (decoded.cold_ask, decoded.cold_grant) == (None, None)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"cold_ask": ASK._replace(number=-1)},
+        {"cold_ask": ASK._replace(wants=(Want("u" * 400, 7, "p", 1),))},
+        {"cold_ask": ASK._replace(wants=ASK.wants * 40)},
+        {"cold_ask": ASK._replace(wants=(Want("u1", 7, "p", -1),))},
+        {"cold_grant": GRANT._replace(granted=(GrantedTokens("u1", -7, 1),))},
+        {"cold_grant": GRANT._replace(granted=(GrantedTokens("u1", 7, 5000),))},
+        {"cold_grant": GRANT._replace(granted=GRANT.granted * 70)},
+    ],
+)
+def test_tokens_out_of_range_are_rejected(fields):
+    data = gossip_codecs.encode(MESSAGE._replace(**fields))
+    assert isinstance(gossip_codecs.decode(data), Failure)
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -107,7 +107,7 @@
         self.queue_requests.append(request)
         return self.enter(choose)
 
-    def exchange(self, chosen, request, deadline, idempotent, headers, is_new=False):
+    def exchange(self, chosen, request, deadline, idempotent, headers, is_new, send_by):
         self.sends.append((chosen.id, deadline, dict(headers)))
         self.used_new.append(is_new)
         attempt = self.attempts.pop(0)
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -17,6 +17,12 @@
     upstream_health,
     upstreams,
 )
+from trefoilpin.gateway.balancing.cold_grants import (
+    ASK_PERIOD_SECONDS,
+    MAX_CAPACITY,
+    TOKEN_SECONDS,
+    ColdGrant,
+)
 from trefoilpin.gateway.balancing.failure_models import Outcome, UpstreamOutcome
 from trefoilpin.gateway.balancing.pool_refusals import SATURATED
 from trefoilpin.gateway.balancing.upstream_selection import RetryPolicy
@@ -96,19 +102,51 @@
     assert choose(service).failure().reason is Reason.NO_UPSTREAM
 
 
-def test_cold_upstream_gets_this_hosts_share_of_the_rate(host):
-    service, put, clock = host
+def test_cold_upstream_gets_a_request_for_each_granted_token():
+    """The only host that asks gets nearly all of the rate, and nothing beyond it."""
+    kernel, clock, _ = create_host()
+    tasks = []
+    kernel = kernel._replace(
+        spawn=lambda *task: tasks.append(task),
+        clock=kernel.clock._replace(sleep=lambda seconds: None),
+    )
+    _, put = create_document_cache(kernel)
+    service = upstreams.create(kernel, "a", lambda: 2)
+    grants = kernel.find("cold_grants")
+    put(CONFIGURATION, 1, configuration())
     put(UPSTREAMS, 1, table(upstream(1, slots=1000, cold=10.0)))
-    sent = 0
-    for _ in range(200):
+    assert not isinstance(choose(service), Success)
+    held_since = clock.time
+    grants.on_ask(
+        lambda ask: grants.receive(
+            ColdGrant(ask.number, True, "", grants.answer(ask, clock.time, held_since))
+        )
+    )
+    sent_at, asked_at = [], clock.time
+    while clock.time < held_since + 4.0:
         clock.time += 0.01
         outcome = choose(service)
+        if clock.time >= asked_at + ASK_PERIOD_SECONDS:
+            asked_at = clock.time
+            while tasks:
+                tasks.pop(0)[0]()
         if isinstance(outcome, Success):
-            sent += 1
+            sent_at.append(clock.time)
             service.release(outcome.unwrap(), GOOD, TYPICAL_SECONDS)
-    share = configuration().pool_by_id["p"].cold_rate / 2
-    assert sent <= share * 2.0 + upstream_health.COLD_BURST_REQUESTS + 1
-    assert sent >= share * 2.0 * 0.8
+    rate = configuration().pool_by_id["p"].cold_rate
+    assert len(sent_at) >= rate * 4.0 * 0.8
+    for at in sent_at:
+        sent = sum(at <= time < at + 1.0 for time in sent_at)
+        assert sent <= rate * (1.0 + TOKEN_SECONDS) + MAX_CAPACITY
+
+
+def test_request_that_became_too_late_is_no_failure_of_its_upstream(host):
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1)))
+    choice = choose(service).unwrap()
+    service.release(choice, UNREACHED._replace(is_too_late=True), TYPICAL_SECONDS)
+    assert service.pool_health("p")[0].failed_connects == 0
+    assert isinstance(choose(service), Success)
 
 
 def test_rate_limit_applies_at_once_when_an_upstream_turns_cold_again(host):
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -91,6 +91,7 @@
         headers=(),
         caller_gone=lambda: False,
         exchange=exchange,
+        send_by=float("inf"),
     ):
         request = CallerRequest(
             "r1", method, "h", "/p", "", headers, body, "", 0.0, caller_gone
@@ -100,6 +101,7 @@
             request,
             clocks.boot_seconds() + seconds,
             method == "GET",
+            send_by=send_by,
         )
 
     script.call = call
@@ -499,8 +501,8 @@
     exchange = create_exchange(DEFAULT)
     assert upstream.call(exchange=exchange).answer
 
-    def exchange_anew(*arguments):
-        return exchange(*arguments, uses_new_connection=True)
+    def exchange_anew(*arguments, **options):
+        return exchange(*arguments, uses_new_connection=True, **options)
 
     assert upstream.call(exchange=exchange_anew).answer
     assert upstream.connections == 2
@@ -528,3 +530,11 @@
     head = b"HTTP/1.1 %d Busy\r\nRetry-After: %s\r\n" % (status, value)
     upstream.steps = [head + b"Content-Length: 0\r\n\r\n"]
     assert upstream.call().pause_seconds == seconds
+
+
+def test_request_is_not_written_after_the_time_by_which_it_had_to_be(upstream):
+    """Guards against permissions to send that are used after they ran out."""
+    assert upstream.call(send_by=clocks.boot_seconds() + 10.0).verdict is Verdict.RAN
+    attempt = upstream.call(send_by=clocks.boot_seconds())
+    assert (attempt.verdict, attempt.is_too_late) == (Verdict.NOT_RUN, True)
+    assert len(upstream.received) == 1
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -705,6 +705,351 @@
         return not (self == other)
 
 
+class ColdWantStruct(object):
+    """
+    Attributes:
+     - upstream
+     - born
+     - pool
+     - tokens
+
+    """
+
+
+    def __init__(self, upstream=None, born=None, pool=None, tokens=None,):
+        self.upstream = upstream
+        self.born = born
+        self.pool = pool
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdWantStruct')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 3)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 4)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ColdAskStruct(object):
+    """
+    Attributes:
+     - number
+     - wants
+
+    """
+
+
+    def __init__(self, number=None, wants=None,):
+        self.number = number
+        self.wants = wants
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.wants = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = ColdWantStruct()
+                        _elem12.read(iprot)
+                        self.wants.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdAskStruct')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.wants is not None:
+            oprot.writeFieldBegin('wants', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.wants))
+            for iter13 in self.wants:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ColdTokensStruct(object):
+    """
+    Attributes:
+     - upstream
+     - born
+     - tokens
+
+    """
+
+
+    def __init__(self, upstream=None, born=None, tokens=None,):
+        self.upstream = upstream
+        self.born = born
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdTokensStruct')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 3)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ColdGrantStruct(object):
+    """
+    Attributes:
+     - number
+     - is_holder
+     - holder
+     - granted
+
+    """
+
+
+    def __init__(self, number=None, is_holder=None, holder=None, granted=None,):
+        self.number = number
+        self.is_holder = is_holder
+        self.holder = holder
+        self.granted = granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_holder = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.granted = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = ColdTokensStruct()
+                        _elem19.read(iprot)
+                        self.granted.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdGrantStruct')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.is_holder is not None:
+            oprot.writeFieldBegin('is_holder', TType.BOOL, 2)
+            oprot.writeBool(self.is_holder)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 3)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.granted))
+            for iter20 in self.granted:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BulletinStruct(object):
     """
     Attributes:
@@ -747,11 +1092,13 @@
      - pressure_waits
      - rollout_stages
      - rollout_counts
+     - cold_ask
+     - cold_grant
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_ask=None, cold_grant=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -791,6 +1138,8 @@
         self.pressure_waits = pressure_waits
         self.rollout_stages = rollout_stages
         self.rollout_counts = rollout_counts
+        self.cold_ask = cold_ask
+        self.cold_grant = cold_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -849,11 +1198,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.stamps = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = StampStruct()
-                        _elem12.read(iprot)
-                        self.stamps.append(_elem12)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = StampStruct()
+                        _elem26.read(iprot)
+                        self.stamps.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -865,90 +1214,90 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.outcome_upstreams = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.outcome_upstreams.append(_elem18)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.outcome_upstreams.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.outcome_kinds = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = iprot.readByte()
-                        self.outcome_kinds.append(_elem24)
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = iprot.readByte()
+                        self.outcome_kinds.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.outcome_numbers = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = iprot.readI64()
-                        self.outcome_numbers.append(_elem30)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = iprot.readI64()
+                        self.outcome_numbers.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.flight_upstreams = []
-                    (_etype34, _size31) = iprot.readListBegin()
-                    for _i35 in range(_size31):
-                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.flight_upstreams.append(_elem36)
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.flight_upstreams.append(_elem50)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.flight_counts = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = iprot.readI32()
-                        self.flight_counts.append(_elem42)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readI32()
+                        self.flight_counts.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.admitted_accounts = []
-                    (_etype46, _size43) = iprot.readListBegin()
-                    for _i47 in range(_size43):
-                        _elem48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_accounts.append(_elem48)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_accounts.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.admitted_counts = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readI64()
-                        self.admitted_counts.append(_elem54)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readI64()
+                        self.admitted_counts.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.broken_fingerprints = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readI64()
-                        self.broken_fingerprints.append(_elem60)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readI64()
+                        self.broken_fingerprints.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.broken_upstreams = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.broken_upstreams.append(_elem66)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.broken_upstreams.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -960,11 +1309,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = DocumentStruct()
-                        _elem72.read(iprot)
-                        self.documents.append(_elem72)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = DocumentStruct()
+                        _elem86.read(iprot)
+                        self.documents.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -976,76 +1325,76 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.zone_views = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = ZoneViewStruct()
-                        _elem78.read(iprot)
-                        self.zone_views.append(_elem78)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = ZoneViewStruct()
+                        _elem92.read(iprot)
+                        self.zone_views.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.answered_fingerprints = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = iprot.readI64()
-                        self.answered_fingerprints.append(_elem84)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readI64()
+                        self.answered_fingerprints.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 35:
                 if ftype == TType.LIST:
                     self.pressed_pools = []
-                    (_etype88, _size85) = iprot.readListBegin()
-                    for _i89 in range(_size85):
-                        _elem90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressed_pools.append(_elem90)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressed_pools.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 36:
                 if ftype == TType.LIST:
                     self.pressed_levels = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = []
-                        (_etype100, _size97) = iprot.readListBegin()
-                        for _i101 in range(_size97):
-                            _elem102 = iprot.readDouble()
-                            _elem96.append(_elem102)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = []
+                        (_etype114, _size111) = iprot.readListBegin()
+                        for _i115 in range(_size111):
+                            _elem116 = iprot.readDouble()
+                            _elem110.append(_elem116)
                         iprot.readListEnd()
-                        self.pressed_levels.append(_elem96)
+                        self.pressed_levels.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 37:
                 if ftype == TType.LIST:
                     self.usage_accounts = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = []
-                        (_etype112, _size109) = iprot.readListBegin()
-                        for _i113 in range(_size109):
-                            _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem108.append(_elem114)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = []
+                        (_etype126, _size123) = iprot.readListBegin()
+                        for _i127 in range(_size123):
+                            _elem128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem122.append(_elem128)
                         iprot.readListEnd()
-                        self.usage_accounts.append(_elem108)
+                        self.usage_accounts.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 38:
                 if ftype == TType.LIST:
                     self.usage_seconds = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = []
-                        (_etype124, _size121) = iprot.readListBegin()
-                        for _i125 in range(_size121):
-                            _elem126 = iprot.readDouble()
-                            _elem120.append(_elem126)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = []
+                        (_etype138, _size135) = iprot.readListBegin()
+                        for _i139 in range(_size135):
+                            _elem140 = iprot.readDouble()
+                            _elem134.append(_elem140)
                         iprot.readListEnd()
-                        self.usage_seconds.append(_elem120)
+                        self.usage_seconds.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1057,95 +1406,107 @@
             elif fid == 33:
                 if ftype == TType.LIST:
                     self.departed_upstreams = []
-                    (_etype130, _size127) = iprot.readListBegin()
-                    for _i131 in range(_size127):
-                        _elem132 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.departed_upstreams.append(_elem132)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.departed_upstreams.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 34:
                 if ftype == TType.LIST:
                     self.departed_born = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = iprot.readI64()
-                        self.departed_born.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = iprot.readI64()
+                        self.departed_born.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 39:
                 if ftype == TType.LIST:
                     self.pressure_pools = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressure_pools.append(_elem144)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressure_pools.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.pressure_rooms = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = iprot.readBool()
-                        self.pressure_rooms.append(_elem150)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = iprot.readBool()
+                        self.pressure_rooms.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 41:
                 if ftype == TType.LIST:
                     self.pressure_drain_rates = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = iprot.readDouble()
-                        self.pressure_drain_rates.append(_elem156)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = iprot.readDouble()
+                        self.pressure_drain_rates.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 42:
                 if ftype == TType.LIST:
                     self.pressure_shed_shares = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = iprot.readDouble()
-                        self.pressure_shed_shares.append(_elem162)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = iprot.readDouble()
+                        self.pressure_shed_shares.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 43:
                 if ftype == TType.LIST:
                     self.pressure_waits = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = iprot.readBinary()
-                        self.pressure_waits.append(_elem168)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readBinary()
+                        self.pressure_waits.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.LIST:
                     self.rollout_stages = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = RolloutStageStruct()
-                        _elem174.read(iprot)
-                        self.rollout_stages.append(_elem174)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = RolloutStageStruct()
+                        _elem188.read(iprot)
+                        self.rollout_stages.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.rollout_counts = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = RolloutCountStruct()
-                        _elem180.read(iprot)
-                        self.rollout_counts.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = RolloutCountStruct()
+                        _elem194.read(iprot)
+                        self.rollout_counts.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 50:
+                if ftype == TType.STRUCT:
+                    self.cold_ask = ColdAskStruct()
+                    self.cold_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 51:
+                if ftype == TType.STRUCT:
+                    self.cold_grant = ColdGrantStruct()
+                    self.cold_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1195,8 +1556,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter181 in self.stamps:
-                iter181.write(oprot)
+            for iter195 in self.stamps:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -1206,64 +1567,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter182 in self.outcome_upstreams:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter196 in self.outcome_upstreams:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter183 in self.outcome_kinds:
-                oprot.writeByte(iter183)
+            for iter197 in self.outcome_kinds:
+                oprot.writeByte(iter197)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter184 in self.outcome_numbers:
-                oprot.writeI64(iter184)
+            for iter198 in self.outcome_numbers:
+                oprot.writeI64(iter198)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter185 in self.flight_upstreams:
-                oprot.writeString(iter185.encode('utf-8') if sys.version_info[0] == 2 else iter185)
+            for iter199 in self.flight_upstreams:
+                oprot.writeString(iter199.encode('utf-8') if sys.version_info[0] == 2 else iter199)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter186 in self.flight_counts:
-                oprot.writeI32(iter186)
+            for iter200 in self.flight_counts:
+                oprot.writeI32(iter200)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter187 in self.admitted_accounts:
-                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            for iter201 in self.admitted_accounts:
+                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter188 in self.admitted_counts:
-                oprot.writeI64(iter188)
+            for iter202 in self.admitted_counts:
+                oprot.writeI64(iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter189 in self.broken_fingerprints:
-                oprot.writeI64(iter189)
+            for iter203 in self.broken_fingerprints:
+                oprot.writeI64(iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter190 in self.broken_upstreams:
-                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
+            for iter204 in self.broken_upstreams:
+                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -1273,8 +1634,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter191 in self.documents:
-                iter191.write(oprot)
+            for iter205 in self.documents:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -1284,121 +1645,129 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter192 in self.zone_views:
-                iter192.write(oprot)
+            for iter206 in self.zone_views:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter193 in self.answered_fingerprints:
-                oprot.writeI64(iter193)
+            for iter207 in self.answered_fingerprints:
+                oprot.writeI64(iter207)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter194 in self.rollout_stages:
-                iter194.write(oprot)
+            for iter208 in self.rollout_stages:
+                iter208.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter195 in self.rollout_counts:
-                iter195.write(oprot)
+            for iter209 in self.rollout_counts:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter196 in self.departed_upstreams:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter210 in self.departed_upstreams:
+                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter197 in self.departed_born:
-                oprot.writeI64(iter197)
+            for iter211 in self.departed_born:
+                oprot.writeI64(iter211)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter198 in self.pressed_pools:
-                oprot.writeString(iter198.encode('utf-8') if sys.version_info[0] == 2 else iter198)
+            for iter212 in self.pressed_pools:
+                oprot.writeString(iter212.encode('utf-8') if sys.version_info[0] == 2 else iter212)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter199 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter199))
-                for iter200 in iter199:
-                    oprot.writeDouble(iter200)
+            for iter213 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter213))
+                for iter214 in iter213:
+                    oprot.writeDouble(iter214)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter201 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter201))
-                for iter202 in iter201:
-                    oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
+            for iter215 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter215))
+                for iter216 in iter215:
+                    oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter203 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter203))
-                for iter204 in iter203:
-                    oprot.writeDouble(iter204)
+            for iter217 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter217))
+                for iter218 in iter217:
+                    oprot.writeDouble(iter218)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter205 in self.pressure_pools:
-                oprot.writeString(iter205.encode('utf-8') if sys.version_info[0] == 2 else iter205)
+            for iter219 in self.pressure_pools:
+                oprot.writeString(iter219.encode('utf-8') if sys.version_info[0] == 2 else iter219)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter206 in self.pressure_rooms:
-                oprot.writeBool(iter206)
+            for iter220 in self.pressure_rooms:
+                oprot.writeBool(iter220)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter207 in self.pressure_drain_rates:
-                oprot.writeDouble(iter207)
+            for iter221 in self.pressure_drain_rates:
+                oprot.writeDouble(iter221)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter208 in self.pressure_shed_shares:
-                oprot.writeDouble(iter208)
+            for iter222 in self.pressure_shed_shares:
+                oprot.writeDouble(iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter209 in self.pressure_waits:
-                oprot.writeBinary(iter209)
+            for iter223 in self.pressure_waits:
+                oprot.writeBinary(iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
             oprot.writeFieldBegin('reads_compressed', TType.BOOL, 44)
             oprot.writeBool(self.reads_compressed)
             oprot.writeFieldEnd()
+        if self.cold_ask is not None:
+            oprot.writeFieldBegin('cold_ask', TType.STRUCT, 50)
+            self.cold_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.cold_grant is not None:
+            oprot.writeFieldBegin('cold_grant', TType.STRUCT, 51)
+            self.cold_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1476,6 +1845,35 @@
     (9, TType.I64, 'ended', None, None, ),  # 9
     (10, TType.I64, 'bad', None, None, ),  # 10
 )
+all_structs.append(ColdWantStruct)
+ColdWantStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.STRING, 'pool', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'tokens', None, None, ),  # 4
+)
+all_structs.append(ColdAskStruct)
+ColdAskStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'wants', (TType.STRUCT, [ColdWantStruct, None], False), None, ),  # 2
+)
+all_structs.append(ColdTokensStruct)
+ColdTokensStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I32, 'tokens', None, None, ),  # 3
+)
+all_structs.append(ColdGrantStruct)
+ColdGrantStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.BOOL, 'is_holder', None, None, ),  # 2
+    (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'granted', (TType.STRUCT, [ColdTokensStruct, None], False), None, ),  # 4
+)
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
     None,  # 0
@@ -1523,6 +1921,13 @@
     (42, TType.LIST, 'pressure_shed_shares', (TType.DOUBLE, None, False), None, ),  # 42
     (43, TType.LIST, 'pressure_waits', (TType.STRING, 'BINARY', False), None, ),  # 43
     (44, TType.BOOL, 'reads_compressed', None, None, ),  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    (50, TType.STRUCT, 'cold_ask', [ColdAskStruct, None], None, ),  # 50
+    (51, TType.STRUCT, 'cold_grant', [ColdGrantStruct, None], None, ),  # 51
 )
 fix_spec(all_structs)
 del all_structs
