Merge the grants to cold upstreams by a lease

The grants replace each host's part of the rate; an upstream of which a host with an old document doesn't know that it is warm still gets no request, and one that it knows to be cold gets those that a grant allows.

--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -101,6 +101,7 @@
         idempotent,
         extra_headers=(),
         uses_new_connection=False,
+        send_by=float("inf"),
     ):
         outgoing = OutgoingRequest(
             upstream.id,
@@ -111,6 +112,7 @@
             now(),
             extra_headers=extra_headers,
             uses_new_connection=uses_new_connection,
+            send_by=send_by,
         )
         if not is_counted(request):
             return connect_and_send(outgoing)
@@ -183,6 +185,8 @@
                 failed_attempt(outgoing, Verdict.NOT_RUN, Reason.BAD_REQUEST, detail),
                 False,
             )
+        if now() >= outgoing.send_by:
+            return too_late_attempt(outgoing), False
         response = None
         try:
             exchanges.write_request(connection, request.body)
@@ -345,6 +349,12 @@
             outgoing, Verdict.MAY_HAVE_RUN, Reason.CALLER_GONE, CALLER_LEFT
         )
 
+    def too_late_attempt(outgoing):
+        reason = Reason.UPSTREAM_UNREACHABLE
+        detail = "the time by which the request had to be written was over"
+        attempt = failed_attempt(outgoing, Verdict.NOT_RUN, reason, detail)
+        return attempt._replace(is_too_late=True)
+
     def broken_attempt(outgoing, detail):
         report_dropped(outgoing, detail)
         reason = Reason.UPSTREAM_BROKEN
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -29,7 +29,7 @@
     response_memory,
     send_pacing,
 )
-from trefoilpin.gateway.balancing import cold_checks, upstreams
+from trefoilpin.gateway.balancing import cold_checks, cold_grants, upstreams
 from trefoilpin.gateway.fleet import (
     anti_entropy,
     directories,
@@ -50,7 +50,12 @@
 )
 from trefoilpin.gateway.rollouts import coordinators, rollouts
 from trefoilpin.gateway.rollouts.decisions import RolloutBounds
-from trefoilpin.gateway.store import document_cache, documents, store_readers
+from trefoilpin.gateway.store import (
+    document_cache,
+    documents,
+    leases,
+    store_readers,
+)
 from trefoilpin.kernel import create_kernel
 
 __all__ = ["Adapter", "GatewaySettings", "assemble", "run"]
@@ -105,6 +110,7 @@
         Whether sends to a pool that sheds as a whole are paced.
     rollout_bounds : RolloutBounds or None
         None where no rollouts are ordered; their orders are not read then.
+    cold_bounds : ColdBounds
     """
 
     name: str
@@ -128,6 +134,7 @@
     held_bytes: int = DEFAULT_HELD_BYTES
     paces_sends: bool = False
     rollout_bounds: RolloutBounds | None = None
+    cold_bounds: cold_grants.ColdBounds = cold_grants.DEFAULT_BOUNDS
 
 
 class Adapter(NamedTuple):
@@ -235,6 +242,7 @@
             membership.is_store_away,
             lambda: kernel.find("gossip").is_sender(),
         ),
+        settings.cold_bounds,
     )
 
 
@@ -267,6 +275,11 @@
         gossip_service.share_read,
     )
     anti_entropy.create(kernel)
+    leases.create(
+        kernel,
+        leases.LeaseHolder(settings.own.address, settings.own.incarnation),
+        gossip_service.is_first_reader,
+    )
     if settings.rollout_bounds is not None:
         coordinators.create(
             kernel,
--- a/trefoilpin/gateway/fleet/messages.py
+++ b/trefoilpin/gateway/fleet/messages.py
@@ -5,6 +5,7 @@
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
 from trefoilpin.gateway.balancing.cold_checks import ColdReport
+from trefoilpin.gateway.balancing.cold_grants import ColdAsk, ColdGrant
 from trefoilpin.gateway.balancing.departures import Departure
 from trefoilpin.gateway.balancing.failure_models import UpstreamOutcome
 from trefoilpin.gateway.rollouts.records import CountRow, StageRecord
@@ -159,6 +160,10 @@
         For relays only: the sender's counts, and the sums of zones that it knows.
     cold_reports : tuple of ColdReport
         What upstreams of the zone told hosts of it of how long they stay cold.
+    cold_ask : ColdAsk or None
+        Tokens for cold upstreams that the sender wants.
+    cold_grant : ColdGrant or None
+        Response to an ask of the receiver.
     """
 
     incarnation: int
@@ -188,6 +193,8 @@
     rollout_stages: tuple[StageRecord, ...] = ()
     rollout_counts: tuple[CountRow, ...] = ()
     cold_reports: tuple[ColdReport, ...] = ()
+    cold_ask: ColdAsk | None = None
+    cold_grant: ColdGrant | None = None
 
 
 def aged(message, seconds):
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -236,6 +236,7 @@
                 context.route.idempotent,
                 upstream_headers(context, upstream),
                 is_return or poison_requests.is_suspect(context.fingerprint),
+                choice.send_by,
             )
             return attempt
         finally:
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -64,6 +64,31 @@
   5: double age
 }
 
+struct ColdWantStruct {
+  1: string upstream
+  2: i64 born
+  3: string pool
+  4: i32 tokens
+}
+
+struct ColdAskStruct {
+  1: i64 number
+  2: list<ColdWantStruct> wants
+}
+
+struct ColdTokensStruct {
+  1: string upstream
+  2: i64 born
+  3: i32 tokens
+}
+
+struct ColdGrantStruct {
+  1: i64 number
+  2: bool is_holder
+  3: string holder
+  4: list<ColdTokensStruct> granted
+}
+
 struct BulletinStruct {
   1: i64 incarnation
   2: i64 sequence
@@ -105,4 +130,6 @@
   26: list<RolloutStageStruct> rollout_stages
   27: list<RolloutCountStruct> rollout_counts
   80: list<ColdReportStruct> cold_reports
+  50: ColdAskStruct cold_ask
+  51: ColdGrantStruct cold_grant
 }
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -82,6 +82,8 @@
         Headers that the gateway adds to the caller's.
     uses_new_connection : bool
         True when no idle connection may be used.
+    send_by : float
+        Seconds of the clock from which on nothing may be written.
     """
 
     upstream: str
@@ -93,6 +95,7 @@
     may_be_stale: bool = False
     extra_headers: tuple[tuple[str, str], ...] = ()
     uses_new_connection: bool = False
+    send_by: float = float("inf")
 
 
 class Answer(NamedTuple):
@@ -138,6 +141,8 @@
     broke_idle_connection : bool
         True when a connection broke that had been idle for so long that the upstream
         may have closed it before.
+    is_too_late : bool
+        True when the time by which the request had to be written was over.
     """
 
     verdict: Verdict
@@ -150,14 +155,25 @@
     broke_connection: bool = False
     pause_seconds: float = 0.0
     broke_idle_connection: bool = False
+    is_too_late: bool = False
 
 
 class Choice(NamedTuple):
-    """An upstream chosen for one attempt, to be released with the attempt's outcome."""
+    """An upstream chosen for one attempt, to be released with the attempt's outcome.
+
+    Attributes
+    ----------
+    upstream : Upstream
+    pool : str
+    number : int
+    send_by : float
+        Clock time by which the request has to be written to the upstream.
+    """
 
     upstream: Upstream
     pool: str
     number: int
+    send_by: float = float("inf")
 
 
 class OperationKey(NamedTuple):
