Count a refusal in doubt as a refusal of its upstream, not as a failure

Cause: since refusals that close a used connection may have run, each counted as a failed attempt: bad evidence on an upstream that is only full, told to all hosts.

Change: the attempt says that its answer was a refusal, though maybe a copy; health and reports count it as shed. The verdict for the caller stays. Both new cases fail before.

--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -198,9 +198,11 @@
             idle.close_address(outgoing.address)
             attempt = broken_attempt(outgoing, detail)
             closed_while_idle = outgoing.may_be_stale and response is None
+            may_be_shed = checks.is_refusal(response)
             attempt = attempt._replace(
-                broke_connection=not (closed_while_idle or checks.is_refusal(response)),
+                broke_connection=not (closed_while_idle or may_be_shed),
                 broke_idle_connection=closed_while_idle,
+                may_be_shed=may_be_shed,
             )
             return attempt, False
 
--- a/trefoilpin/gateway/balancing/upstream_health.py
+++ b/trefoilpin/gateway/balancing/upstream_health.py
@@ -219,7 +219,7 @@
     """
     if attempt.reason is Reason.CALLER_GONE or attempt.detail == "interrupted":
         return None
-    if attempt.shed:
+    if attempt.shed or attempt.may_be_shed:
         return Outcome.SHED
     is_slow = attempt.seconds > max(typical_seconds * SLOW_FACTOR, MIN_SLOW_SECONDS)
     if timed_out(attempt) and not is_slow:
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -138,6 +138,8 @@
     broke_idle_connection : bool
         True when a connection broke that had been idle for so long that the upstream
         may have closed it before.
+    may_be_shed : bool
+        True when the answer was a refusal that may be a copy of an earlier one.
     """
 
     verdict: Verdict
@@ -150,6 +152,7 @@
     broke_connection: bool = False
     pause_seconds: float = 0.0
     broke_idle_connection: bool = False
+    may_be_shed: bool = False
 
 
 class Choice(NamedTuple):
--- a/trefoilpin/reports.py
+++ b/trefoilpin/reports.py
@@ -213,7 +213,7 @@
     """
     if attempt.reason in CALLER_REASONS:
         return
-    if attempt.shed:
+    if attempt.shed or attempt.may_be_shed:
         counts.sheds += 1
         return
     counts.requests += 1
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -138,11 +138,17 @@
         clock.time += 5.0
 
 
-def test_pool_that_sheds_everywhere_is_saturated_but_not_failing(host):
+DOUBTFUL = Attempt(
+    Verdict.MAY_HAVE_RUN, None, Reason.UPSTREAM_BROKEN, "", 0.01, may_be_shed=True
+)
+
+
+@pytest.mark.parametrize("shed", [SHED, DOUBTFUL])
+def test_pool_that_sheds_everywhere_is_saturated_but_not_failing(host, shed):
     service, put, clock = host
     put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
-    send(service, SHED)
-    send(service, SHED)
+    send(service, shed)
+    send(service, shed)
     assert choose(service).failure().reason is Reason.OVERLOADED
     clock.time += upstream_health.FULL_AFTER_SHED_SECONDS + 0.01
     assert isinstance(choose(service), Success)
--- a/trefoilpin/tests/test_forwarders.py
+++ b/trefoilpin/tests/test_forwarders.py
@@ -462,6 +462,7 @@
     assert upstream.call("POST").verdict is Verdict.RAN
     attempt = upstream.call("POST")
     assert attempt.verdict is Verdict.MAY_HAVE_RUN and not attempt.broke_connection
+    assert attempt.may_be_shed and not attempt.shed
     assert upstream.connections == 1
 
 
--- a/trefoilpin/tests/test_reports.py
+++ b/trefoilpin/tests/test_reports.py
@@ -35,3 +35,12 @@
     timed_out = Attempt(Verdict.MAY_HAVE_RUN, None, Reason.UPSTREAM_TIMEOUT, "", 0.1)
     reports.count_attempt(counts, timed_out, "f")
     assert (counts.requests, counts.failures, counts.hard) == (1, 1, 1)
+
+
+def test_refusal_in_doubt_is_no_failure_of_its_upstream():
+    counts = reports.Counts()
+    doubtful = Attempt(
+        Verdict.MAY_HAVE_RUN, None, Reason.UPSTREAM_BROKEN, "", 0.1, may_be_shed=True
+    )
+    reports.count_attempt(counts, doubtful, "f")
+    assert (counts.sheds, counts.failures) == (1, 0)
