--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -143,6 +143,8 @@
         may have closed it before.
     is_too_late : bool
         True when the time by which the request had to be written was over.
+    may_be_shed : bool
+        True when the answer was a refusal that may be a copy of an earlier one.
     """
 
     verdict: Verdict
@@ -156,6 +158,7 @@
     pause_seconds: float = 0.0
     broke_idle_connection: bool = False
     is_too_late: bool = False
+    may_be_shed: bool = False
 
 
 class Choice(NamedTuple):
