Judge two drawn tests by their results alone

Beside load, test_rows_and_deltas_survive_encoding_and_decoding failed once by hypothesis's own limit of 200 ms for an example, which took 356 ms on the first call and 0.2 ms on the second.

--- a/trefoilpin/tests/gateway/test_documents.py
+++ b/trefoilpin/tests/gateway/test_documents.py
@@ -16,7 +16,7 @@
 ROWS = st.dictionaries(st.sampled_from("abcdef"), st.text(max_size=3))
 
 
-@settings(derandomize=True)
+@settings(derandomize=True, deadline=None)
 @given(ROWS, ROWS)
 def test_rows_and_deltas_survive_encoding_and_decoding(before, after):
     assert CODEC.decode_rows(CODEC.encode_rows(before)).unwrap() == before
--- a/trefoilpin/tests/gateway/test_rows.py
+++ b/trefoilpin/tests/gateway/test_rows.py
@@ -8,7 +8,7 @@
 ROWS = st.dictionaries(st.sampled_from("abcdef"), st.text(max_size=3))
 
 
-@settings(derandomize=True)
+@settings(derandomize=True, deadline=None)
 @given(ROWS, ROWS)
 def test_patching_with_the_diff_gives_the_other_rows_and_their_digest(before, after):
     delta = rows.diff(before, after)
