Hold an upstream for cold again when a later heartbeat says the same time

Cause: entries have no heartbeat number in their row, and rebuild compared the remaining time alone; a host that missed the entry in between (cut off, or between two reads) took the same text for no change, and the upstream for warm. Change: while an upstream is cold its row has the number of the heartbeat from which the time counts; rows of others stay without it.

--- a/trefoilpin/gateway/balancing/upstream_health.py
+++ b/trefoilpin/gateway/balancing/upstream_health.py
@@ -22,6 +22,7 @@
     "failure_probability",
     "record_load",
     "start_request",
+    "tells_cold_time",
 ]
 
 # Requests beyond its slots that may be sent to an upstream, which queues them.
@@ -174,6 +175,12 @@
     return now - in_flight.started_at > limit
 
 
+def tells_cold_time(upstream, known):
+    """Tell whether the entry of an upstream newly tells how long it stays cold."""
+    told = (upstream.cold_remaining, upstream.cold_heartbeat)
+    return told != (known.cold_remaining, known.cold_heartbeat)
+
+
 def is_cold(health, now):
     """Tell whether requests to an upstream need a token of the fleet's."""
     return now < health.cold_until
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -146,7 +146,7 @@
             if health is None or health.upstream.born != upstream.born:
                 health = upstream_health.UpstreamHealth(upstream, now(), rng.random())
                 health.is_newcomer = bool(state.health.by_id)
-            elif upstream.cold_remaining != health.upstream.cold_remaining:
+            elif upstream_health.tells_cold_time(upstream, health.upstream):
                 health.cold_until = now() + upstream.cold_remaining
             if upstream.draining and not health.upstream.draining:
                 emit(
--- a/trefoilpin/gateway/store/records.py
+++ b/trefoilpin/gateway/store/records.py
@@ -146,6 +146,8 @@
         Seconds, from when the entry was written, for which it has the cold rate.
     version : str
         Version of the program that it runs; empty when its entry has none.
+    cold_heartbeat : int
+        Number of the heartbeat from which ``cold_remaining`` counts; 0 when it is 0.
     """
 
     id: str
@@ -157,6 +159,7 @@
     draining: bool
     cold_remaining: float
     version: str = ""
+    cold_heartbeat: int = 0
 
 
 class RolloutOrder(NamedTuple):
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -158,6 +158,17 @@
     assert sum(isinstance(outcome, Success) for outcome in outcomes) <= 7
 
 
+def test_upstream_that_is_cold_again_for_as_long_needs_tokens_again(host):
+    """Guards against a host that missed the entry in between, and takes it for warm."""
+    service, put, clock = host
+    entry = upstream(1, cold=3.0)
+    put(UPSTREAMS, 1, table(entry._replace(cold_heartbeat=4)))
+    clock.time += 5.0
+    service.release(choose(service).unwrap(), GOOD, TYPICAL_SECONDS)
+    put(UPSTREAMS, 2, table(entry._replace(cold_heartbeat=9)))
+    assert not isinstance(choose(service), Success)
+
+
 def test_new_incarnation_begins_with_fresh_health(host):
     service, put, clock = host
     put(UPSTREAMS, 1, table(upstream(1)))
