--- a/trefoilpin/tests/conftest.py
+++ b/trefoilpin/tests/conftest.py
@@ -7,6 +7,12 @@
 
 eventlet.monkey_patch()
 
+# Fixtures of several modules.
+from trefoilpin.tests.scripted_upstreams import (  # noqa: E402, F401
+    kept_upstream,
+    upstream,
+)
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent.parent / "KNOWN-RED.txt"
 
 
