--- a/soak/environments.py
+++ b/soak/environments.py
@@ -125,6 +125,7 @@
         name = upstream.fake.name
         until = max(time.monotonic() + seconds, self.cold_until_by_name.get(name, 0.0))
         self.cold_until_by_name[name] = until
+        upstream.fake.cold_until = until
         self.write_upstream(upstream, draining=name in self.draining_names)
 
     def write_upstream(self, upstream, draining=False):
