--- a/soak/environments.py
+++ b/soak/environments.py
@@ -91,6 +91,7 @@
         self.zone_by_upstream: dict[str, str] = {}
         self.pool_by_upstream: dict[str, str] = {}
         self.cold_until_by_name: dict[str, float] = {}
+        self.entry_count = 0
 
     def record_change(self, kind, subject):
         """Record a change that the store has just applied."""
@@ -130,6 +131,7 @@
 
     def write_upstream(self, upstream, draining=False):
         """Write an upstream's entry, with what is left of a cold start."""
+        self.entry_count += 1
         name = upstream.fake.name
         cold_seconds = self.cold_until_by_name.get(name, 0.0) - time.monotonic()
         entry = stand_in_objects.upstream_entry(
@@ -139,6 +141,7 @@
             upstream.born,
             draining,
             max(round(cold_seconds, 2), 0.0),
+            self.entry_count,
         )
         self.draining_names.discard(name)
         if draining:
