--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -163,6 +163,8 @@
         self.content = content
         self.loop = LoopState(settings.seed)
         self.rng = self.loop.rng
+        # Draws of their own, so that calls for leases leave all others as they are.
+        self.object_rng = random.Random(settings.seed)
         self.tasks = create_tasks(self.loop)
         self.cut: frozenset[str] = frozenset()
         self.fetch_count = 0
@@ -334,7 +336,9 @@
         store = Store(
             partial(fleet.list_all, node.address),
             partial(fleet.write_status, node.address),
-            *create_object_calls(fleet.tasks, fleet.rng, fleet.content, node.address),
+            *create_object_calls(
+                fleet.tasks, fleet.object_rng, fleet.content, node.address
+            ),
         )
         kernel.register("store", store)
         store_readers.create(
