End no cold start by an entry from before it

Cause: each entry that differs from the known one set the time until which a host holds an upstream for cold, an earlier one too. Change: for one start of an upstream that time only grows. It may now end later by as long as its last entry took to arrive. What remains: a host that starts after such a restore has no earlier knowledge.

--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -150,7 +150,9 @@
                 health = upstream_health.UpstreamHealth(upstream, now(), rng.random())
                 health.is_newcomer = bool(state.health.by_id)
             elif upstream_health.tells_cold_time(upstream, health.upstream):
-                health.cold_until = now() + upstream.cold_remaining
+                # A restored store, or a late document, may hold an earlier entry.
+                cold_until = now() + upstream.cold_remaining
+                health.cold_until = max(health.cold_until, cold_until)
             if upstream.draining and not health.upstream.draining:
                 emit(
                     events.UPSTREAM_DRAINING,
--- a/trefoilpin/tests/gateway/test_cold_starts.py
+++ b/trefoilpin/tests/gateway/test_cold_starts.py
@@ -153,3 +153,19 @@
     for name in history.joined_at_by_name:
         times.extend(history.cold_fleet.sends(name, killed_at + 1.0, math.inf))
     assert min(times) - killed_at < LEASE_SECONDS + 2.0
+
+
+def test_restore_of_the_store_ends_no_cold_start():
+    """Guards against an entry from before the cold start (issue 47)."""
+    settings = ColdFleetSettings(16, 3, request_seconds=0.05)
+    cold_fleet = ColdFleet(settings)
+    cold_fleet.put_upstream("u", 100)
+    cold_fleet.run(3.0)
+    snapshot = cold_fleet.content.take_snapshot()
+    cold_fleet.put_upstream("u", 100, 20.0)
+    cold_fleet.run(4.0)
+    restored_at = cold_fleet.fleet.now()
+    cold_fleet.content.restore(snapshot)
+    cold_fleet.run(4.0)
+    sends = cold_fleet.sends("u", restored_at, restored_at + 4.0)
+    assert 0 < worst_second(sends) <= bound(settings)
