Ask another host for grants when the one that is asked can't hold the lease

What callers saw: cold upstreams got nothing for as long as the store refused the first host in the order of readers. Cause: only silence moved the asks on; that host answers that it has no right, and names itself as the last holder. Change: an answer that neither grants nor names another host moves the asks on.

--- a/trefoilpin/gateway/fleet/grant_exchanges.py
+++ b/trefoilpin/gateway/fleet/grant_exchanges.py
@@ -133,8 +133,11 @@
             state.holder, state.position = address, 0
         elif grant.holder and grant.holder != address:
             state.holder = grant.holder
-        elif state.holder == address:
+        else:
+            # One that can't take the lease answers all the same.
             state.holder = ""
+            if address == target():
+                state.position += 1
         cold_grants.receive(grant)
 
     def receive(address, message):
--- a/trefoilpin/tests/gateway/test_cold_starts.py
+++ b/trefoilpin/tests/gateway/test_cold_starts.py
@@ -169,3 +169,21 @@
     cold_fleet.run(4.0)
     sends = cold_fleet.sends("u", restored_at, restored_at + 4.0)
     assert 0 < worst_second(sends) <= bound(settings)
+
+
+def test_upstream_is_used_while_the_store_refuses_the_host_that_is_asked_first():
+    """Guards against asks that go on to a host which can't hold the lease (issue 47)."""
+    cold_fleet = ColdFleet(ColdFleetSettings(12, 2, request_seconds=0.05))
+    cold_fleet.put_upstream("u", 100, 40.0)
+    cold_fleet.run(5.0)
+    fleet = cold_fleet.fleet
+    holders = []
+    for address, node in fleet.nodes.items():
+        if node.kernel.find("leases").held_since(fleet.now()) is not None:
+            holders.append(address)
+    cold_fleet.content.refused = frozenset(holders)
+    cold_fleet.run(8.0)
+    since = fleet.now()
+    cold_fleet.run(5.0)
+    rate = cold_fleet.settings.cold_rate
+    assert holders and len(cold_fleet.sends("u", since, since + 5.0)) > rate * 5.0 / 2
