Use an upstream that returns to the list while the document is fresh

Cause: one that was unsure when it left the list came back unsure, and a fresh document marks nothing anew, so it got no request any more. Evidence: found by the review of the fix; the new test fails before and passes now. Change: it returns without the mark, which the next choice sets where the document is old.

--- a/trefoilpin/gateway/balancing/removed_upstreams.py
+++ b/trefoilpin/gateway/balancing/removed_upstreams.py
@@ -46,6 +46,7 @@
         health = removed_by_id[upstream_id][1]
         # Reports of other hosts were not counted while it was not listed.
         health.other_in_flight = 0
+        health.is_unsure = False
         return health
 
     def update(before, after):
--- a/trefoilpin/tests/gateway/test_cold_checks.py
+++ b/trefoilpin/tests/gateway/test_cold_checks.py
@@ -370,3 +370,14 @@
     fleet.content.is_down = False
     watch(fleet, 4.0, check)
     assert wrong == [] or wrong[-1][0] - wrong[0][0] <= 0.5, wrong
+
+
+def test_upstream_that_returns_to_the_list_is_used_while_the_document_is_fresh():
+    """Guards against one that was unsure when it left the list and stays so."""
+    host = Host(upstream(1))
+    host.grow_old()
+    assert not host.is_served()
+    host.put(UPSTREAMS, 2, table(upstream(2)))
+    assert host.is_served()
+    host.put(UPSTREAMS, 3, table(upstream(1)))
+    assert host.is_served()
