Grant one rate to all starts of an upstream

Cause: hosts that still knew an earlier start of an upstream were granted the rate beside those that knew the later one; both reach it, as a request names the id alone. Change: one bucket for each id. The time of a cold start moves to a function of its own.

--- a/trefoilpin/gateway/balancing/cold_grants.py
+++ b/trefoilpin/gateway/balancing/cold_grants.py
@@ -153,7 +153,7 @@
         self.number = 0
         self.asked_at = float("-inf")
         self.is_asking = False
-        self.bucket_by_key: dict[tuple[str, int], Bucket] = {}
+        self.bucket_by_id: dict[str, Bucket] = {}
         self.ask_listeners = []
         self.grant_listeners = []
 
@@ -258,7 +258,7 @@
             tokens = grant(item, time, held_since)
             if tokens:
                 granted.append(GrantedTokens(item.upstream, item.born, tokens))
-        if len(state.bucket_by_key) > MAX_BUCKETS:
+        if len(state.bucket_by_id) > MAX_BUCKETS:
             drop_full_buckets(time, held_since)
         return tuple(granted)
 
@@ -267,8 +267,8 @@
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(item.pool)
         if pool is None:
             return 0
-        key = (item.upstream, item.born)
-        bucket = state.bucket_by_key.setdefault(key, Bucket(held_since))
+        # Hosts may still know an earlier start of the upstream, at the same address.
+        bucket = state.bucket_by_id.setdefault(item.upstream, Bucket(held_since))
         bucket.rate = pool.cold_rate * rate_share
         fill(bucket, time, capacity, held_since)
         tokens = min(int(bucket.tokens), item.tokens, MAX_TOKENS_ASKED)
@@ -278,10 +278,10 @@
 
     def drop_full_buckets(time, held_since):
         """Drop buckets that a new one would equal."""
-        for key, bucket in list(state.bucket_by_key.items()):
+        for upstream_id, bucket in list(state.bucket_by_id.items()):
             fill(bucket, time, capacity, held_since)
             if bucket.tokens >= capacity:
-                del state.bucket_by_key[key]
+                del state.bucket_by_id[upstream_id]
 
     service = ColdGrants(
         has_token,
--- a/trefoilpin/gateway/balancing/upstream_health.py
+++ b/trefoilpin/gateway/balancing/upstream_health.py
@@ -14,6 +14,7 @@
     "end_request",
     "has_body_room",
     "has_room",
+    "hold_cold",
     "is_cold",
     "is_misdirected",
     "is_overdue",
@@ -188,6 +189,14 @@
     return told != (known.cold_remaining, known.cold_heartbeat)
 
 
+def hold_cold(health, until):
+    """Hold an upstream for cold until a time, or longer if that is known.
+
+    A restored store, or a late document, may hold an entry from before the cold start.
+    """
+    health.cold_until = max(health.cold_until, until)
+
+
 def is_cold(health, now):
     """Tell whether requests to an upstream need a token of the fleet's."""
     return now < health.cold_until
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -150,9 +150,7 @@
                 health = upstream_health.UpstreamHealth(upstream, now(), rng.random())
                 health.is_newcomer = bool(state.health.by_id)
             elif upstream_health.tells_cold_time(upstream, health.upstream):
-                # A restored store, or a late document, may hold an earlier entry.
-                cold_until = now() + upstream.cold_remaining
-                health.cold_until = max(health.cold_until, cold_until)
+                upstream_health.hold_cold(health, now() + upstream.cold_remaining)
             if upstream.draining and not health.upstream.draining:
                 emit(
                     events.UPSTREAM_DRAINING,
--- a/trefoilpin/tests/gateway/test_cold_grants.py
+++ b/trefoilpin/tests/gateway/test_cold_grants.py
@@ -135,3 +135,17 @@
     service.receive(grant_of(asks[0], 100))
     service.take(COLD)
     assert not service.has_token(COLD)
+
+
+def test_starts_of_an_upstream_share_a_bucket():
+    """Guards against the rate twice while hosts know different starts (issue 47)."""
+    service, clock, _ = create()
+    held_since = clock.time
+    granted = 0
+    for number in range(1, 41):
+        clock.time += 0.05
+        for born in (1, 2):
+            ask = ColdAsk(number, (Want("u1", born, "p", 2),))
+            for item in service.answer(ask, clock.time, held_since):
+                granted += item.tokens
+    assert granted <= RATE * 2.0 + MAX_CAPACITY
