--- a/trefoilpin/tests/gateway/test_cold_starts.py
+++ b/trefoilpin/tests/gateway/test_cold_starts.py
@@ -171,7 +171,7 @@
     assert 0 < worst_second(sends) <= bound(settings)
 
 
-def test_upstream_is_used_while_the_store_refuses_the_host_asked_first():
+def test_upstream_is_used_while_the_store_refuses_the_host_asked():
     """Guards against asks that go on to a host which can't hold the lease (issue 47)."""
     cold_fleet = ColdFleet(ColdFleetSettings(12, 2, request_seconds=0.05))
     cold_fleet.put_upstream("u", 100, 40.0)
