--- a/trefoilpin/tests/gateway/test_cold_starts.py
+++ b/trefoilpin/tests/gateway/test_cold_starts.py
@@ -172,7 +172,7 @@
 
 
 def test_upstream_is_used_while_the_store_refuses_the_host_asked():
-    """Guards against asks that go on to a host which can't hold the lease (issue 47)."""
+    """Guards against asks that go on to a host that can not hold the lease."""
     cold_fleet = ColdFleet(ColdFleetSettings(12, 2, request_seconds=0.05))
     cold_fleet.put_upstream("u", 100, 40.0)
     cold_fleet.run(5.0)
