Divide the rates of accounts by what each host knows of the others

Cause: a host used the whole rate when it heard all hosts that it took for serving. Those that were silent for 12 s no longer counted, and what they had admitted was a baseline that is not charged. Also, each host could admit the same room until the counts of the others arrived.

Change: a host uses the whole rate only while every serving host reported within 1 s, is known in full for the window, and hears this host too. Otherwise each zone has an equal part that its serving hosts divide; zones are settings, so a side that knows nothing of the others leaves them theirs. Hosts in touch use their parts together. Hosts that come into touch send each other the counts of the window by second. Before its counts are known, a host may admit its part of what is left of limit and tolerance.

Cuts along two lines in a window remain.

--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -51,6 +51,7 @@
 STORE_LATENCY_SECONDS = 0.004
 # Fractional, like capacities derived from link rates and processor shares.
 CAPACITY = 104.17
+RATE_OVERSHOOT, RATE_SLACK = 0.1, 20.0
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
 
@@ -101,6 +102,12 @@
         As in ``daemons.Adapter``.
     rollout_bounds : RolloutBounds or None
         As in ``daemons.GatewaySettings``.
+    starts_full : bool
+        As in ``RateLimitSettings``.
+    planned_hosts : int
+        As in ``RateLimitSettings``.
+    zones : tuple of str
+        As in ``RateLimitSettings``.
     """
 
     link: Link = UNCONGESTED_LINK
@@ -109,6 +116,9 @@
     split: Any = split
     decode_by_kind: Any = decode_by_kind
     rollout_bounds: Any = None
+    starts_full: bool = True
+    planned_hosts: int = 1
+    zones: tuple[str, ...] = ()
 
 
 class StoreContent:
@@ -186,7 +196,8 @@
     """Hosts, the store and the network between them.
 
     While ``cut`` is not empty, the network is partitioned between the addresses in it
-    and all others. ``on_datagram(source, target, size)`` is called for each datagram.
+    and all others, and between hosts with different values in ``side_by_address``.
+    ``on_datagram(source, target, size)`` is called for each datagram.
     """
 
     def __init__(self, settings=FleetSettings(), content=None):
@@ -196,6 +207,7 @@
         self.rng = self.loop.rng
         self.tasks = create_tasks(self.loop)
         self.cut: frozenset[str] = frozenset()
+        self.side_by_address: dict[str, int] = {}
         self.fetch_count = 0
         self.on_datagram = lambda source, target, size: None
         self.nodes: dict[str, Node] = {}
@@ -240,6 +252,9 @@
         self.loop.dead.add(self.nodes.pop(address).owner)
 
     def is_connected(self, source, target):
+        side_by_address = self.side_by_address
+        if side_by_address.get(source) != side_by_address.get(target):
+            return False
         return (source in self.cut) == (target in self.cut)
 
     def send(self, node, target, message):
@@ -331,9 +346,18 @@
     )
     own = members.OwnHost(node.address, node.zone, "r", node.owner[1], CAPACITY)
     node.members = members.create(kernel, own, lambda: cache.age(CONFIGURATION))
-    rate_limit_settings = rate_limits.RateLimitSettings(True, 1, 5.0, own.incarnation)
+    rate_limit_settings = rate_limits.RateLimitSettings(
+        settings.starts_full,
+        settings.planned_hosts,
+        5.0,
+        node.address,
+        node.zone,
+        settings.zones,
+        RATE_OVERSHOOT,
+        RATE_SLACK,
+    )
     node.rate_limits = rate_limits.create(
-        kernel, rate_limit_settings, node.members.mesh_coverage
+        kernel, rate_limit_settings, node.members.sender_view
     )
     poison_requests.create(kernel)
     account_usage.create(kernel)
--- a/trefoilpin/gateway/fleet/messages.py
+++ b/trefoilpin/gateway/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
+from trefoilpin.gateway.admission.rate_reports import RateReport
 from trefoilpin.gateway.balancing.departures import Departure
 from trefoilpin.gateway.balancing.failure_models import UpstreamOutcome
 from trefoilpin.gateway.rollouts.records import CountRow, StageRecord
@@ -156,6 +157,8 @@
     rollout_stages : tuple of StageRecord
     rollout_counts : tuple of CountRow
         For relays only: the sender's counts, and the sums of zones that it knows.
+    rate_report : RateReport
+        What is said beside ``admitted_by_account``.
     """
 
     incarnation: int
@@ -184,6 +187,7 @@
     pressure_reports: tuple[PressureReport, ...] = ()
     rollout_stages: tuple[StageRecord, ...] = ()
     rollout_counts: tuple[CountRow, ...] = ()
+    rate_report: RateReport = RateReport()
 
 
 def aged(message, seconds):
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -96,4 +96,11 @@
   43: list<binary> pressure_waits
   26: list<RolloutStageStruct> rollout_stages
   27: list<RolloutCountStruct> rollout_counts
+  60: list<list<i32>> admitted_in_window
+  61: bool wants_all_counts
+  62: bool has_all_counts
+  63: bool hears_receiver
+  64: list<string> missing_hosts
+  65: list<string> serving_hosts
+  66: list<string> serving_zones
 }
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -747,11 +747,18 @@
      - pressure_waits
      - rollout_stages
      - rollout_counts
+     - admitted_in_window
+     - wants_all_counts
+     - has_all_counts
+     - hears_receiver
+     - missing_hosts
+     - serving_hosts
+     - serving_zones
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, admitted_in_window=None, wants_all_counts=None, has_all_counts=None, hears_receiver=None, missing_hosts=None, serving_hosts=None, serving_zones=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -791,6 +798,13 @@
         self.pressure_waits = pressure_waits
         self.rollout_stages = rollout_stages
         self.rollout_counts = rollout_counts
+        self.admitted_in_window = admitted_in_window
+        self.wants_all_counts = wants_all_counts
+        self.has_all_counts = has_all_counts
+        self.hears_receiver = hears_receiver
+        self.missing_hosts = missing_hosts
+        self.serving_hosts = serving_hosts
+        self.serving_zones = serving_zones
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1146,6 +1160,66 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.LIST:
+                    self.admitted_in_window = []
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = []
+                        (_etype190, _size187) = iprot.readListBegin()
+                        for _i191 in range(_size187):
+                            _elem192 = iprot.readI32()
+                            _elem186.append(_elem192)
+                        iprot.readListEnd()
+                        self.admitted_in_window.append(_elem186)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.BOOL:
+                    self.wants_all_counts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 62:
+                if ftype == TType.BOOL:
+                    self.has_all_counts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 63:
+                if ftype == TType.BOOL:
+                    self.hears_receiver = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 64:
+                if ftype == TType.LIST:
+                    self.missing_hosts = []
+                    (_etype196, _size193) = iprot.readListBegin()
+                    for _i197 in range(_size193):
+                        _elem198 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.missing_hosts.append(_elem198)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 65:
+                if ftype == TType.LIST:
+                    self.serving_hosts = []
+                    (_etype202, _size199) = iprot.readListBegin()
+                    for _i203 in range(_size199):
+                        _elem204 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.serving_hosts.append(_elem204)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 66:
+                if ftype == TType.LIST:
+                    self.serving_zones = []
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.serving_zones.append(_elem210)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1195,8 +1269,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter181 in self.stamps:
-                iter181.write(oprot)
+            for iter211 in self.stamps:
+                iter211.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -1206,64 +1280,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter182 in self.outcome_upstreams:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter212 in self.outcome_upstreams:
+                oprot.writeString(iter212.encode('utf-8') if sys.version_info[0] == 2 else iter212)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter183 in self.outcome_kinds:
-                oprot.writeByte(iter183)
+            for iter213 in self.outcome_kinds:
+                oprot.writeByte(iter213)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter184 in self.outcome_numbers:
-                oprot.writeI64(iter184)
+            for iter214 in self.outcome_numbers:
+                oprot.writeI64(iter214)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter185 in self.flight_upstreams:
-                oprot.writeString(iter185.encode('utf-8') if sys.version_info[0] == 2 else iter185)
+            for iter215 in self.flight_upstreams:
+                oprot.writeString(iter215.encode('utf-8') if sys.version_info[0] == 2 else iter215)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter186 in self.flight_counts:
-                oprot.writeI32(iter186)
+            for iter216 in self.flight_counts:
+                oprot.writeI32(iter216)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter187 in self.admitted_accounts:
-                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            for iter217 in self.admitted_accounts:
+                oprot.writeString(iter217.encode('utf-8') if sys.version_info[0] == 2 else iter217)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter188 in self.admitted_counts:
-                oprot.writeI64(iter188)
+            for iter218 in self.admitted_counts:
+                oprot.writeI64(iter218)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter189 in self.broken_fingerprints:
-                oprot.writeI64(iter189)
+            for iter219 in self.broken_fingerprints:
+                oprot.writeI64(iter219)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter190 in self.broken_upstreams:
-                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
+            for iter220 in self.broken_upstreams:
+                oprot.writeString(iter220.encode('utf-8') if sys.version_info[0] == 2 else iter220)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -1273,8 +1347,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter191 in self.documents:
-                iter191.write(oprot)
+            for iter221 in self.documents:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -1284,121 +1358,164 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter192 in self.zone_views:
-                iter192.write(oprot)
+            for iter222 in self.zone_views:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter193 in self.answered_fingerprints:
-                oprot.writeI64(iter193)
+            for iter223 in self.answered_fingerprints:
+                oprot.writeI64(iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter194 in self.rollout_stages:
-                iter194.write(oprot)
+            for iter224 in self.rollout_stages:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter195 in self.rollout_counts:
-                iter195.write(oprot)
+            for iter225 in self.rollout_counts:
+                iter225.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter196 in self.departed_upstreams:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter226 in self.departed_upstreams:
+                oprot.writeString(iter226.encode('utf-8') if sys.version_info[0] == 2 else iter226)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter197 in self.departed_born:
-                oprot.writeI64(iter197)
+            for iter227 in self.departed_born:
+                oprot.writeI64(iter227)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter198 in self.pressed_pools:
-                oprot.writeString(iter198.encode('utf-8') if sys.version_info[0] == 2 else iter198)
+            for iter228 in self.pressed_pools:
+                oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter199 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter199))
-                for iter200 in iter199:
-                    oprot.writeDouble(iter200)
+            for iter229 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter229))
+                for iter230 in iter229:
+                    oprot.writeDouble(iter230)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter201 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter201))
-                for iter202 in iter201:
-                    oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
+            for iter231 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter231))
+                for iter232 in iter231:
+                    oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter203 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter203))
-                for iter204 in iter203:
-                    oprot.writeDouble(iter204)
+            for iter233 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter233))
+                for iter234 in iter233:
+                    oprot.writeDouble(iter234)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter205 in self.pressure_pools:
-                oprot.writeString(iter205.encode('utf-8') if sys.version_info[0] == 2 else iter205)
+            for iter235 in self.pressure_pools:
+                oprot.writeString(iter235.encode('utf-8') if sys.version_info[0] == 2 else iter235)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter206 in self.pressure_rooms:
-                oprot.writeBool(iter206)
+            for iter236 in self.pressure_rooms:
+                oprot.writeBool(iter236)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter207 in self.pressure_drain_rates:
-                oprot.writeDouble(iter207)
+            for iter237 in self.pressure_drain_rates:
+                oprot.writeDouble(iter237)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter208 in self.pressure_shed_shares:
-                oprot.writeDouble(iter208)
+            for iter238 in self.pressure_shed_shares:
+                oprot.writeDouble(iter238)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter209 in self.pressure_waits:
-                oprot.writeBinary(iter209)
+            for iter239 in self.pressure_waits:
+                oprot.writeBinary(iter239)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
             oprot.writeFieldBegin('reads_compressed', TType.BOOL, 44)
             oprot.writeBool(self.reads_compressed)
             oprot.writeFieldEnd()
+        if self.admitted_in_window is not None:
+            oprot.writeFieldBegin('admitted_in_window', TType.LIST, 60)
+            oprot.writeListBegin(TType.LIST, len(self.admitted_in_window))
+            for iter240 in self.admitted_in_window:
+                oprot.writeListBegin(TType.I32, len(iter240))
+                for iter241 in iter240:
+                    oprot.writeI32(iter241)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wants_all_counts is not None:
+            oprot.writeFieldBegin('wants_all_counts', TType.BOOL, 61)
+            oprot.writeBool(self.wants_all_counts)
+            oprot.writeFieldEnd()
+        if self.has_all_counts is not None:
+            oprot.writeFieldBegin('has_all_counts', TType.BOOL, 62)
+            oprot.writeBool(self.has_all_counts)
+            oprot.writeFieldEnd()
+        if self.hears_receiver is not None:
+            oprot.writeFieldBegin('hears_receiver', TType.BOOL, 63)
+            oprot.writeBool(self.hears_receiver)
+            oprot.writeFieldEnd()
+        if self.missing_hosts is not None:
+            oprot.writeFieldBegin('missing_hosts', TType.LIST, 64)
+            oprot.writeListBegin(TType.STRING, len(self.missing_hosts))
+            for iter242 in self.missing_hosts:
+                oprot.writeString(iter242.encode('utf-8') if sys.version_info[0] == 2 else iter242)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.serving_hosts is not None:
+            oprot.writeFieldBegin('serving_hosts', TType.LIST, 65)
+            oprot.writeListBegin(TType.STRING, len(self.serving_hosts))
+            for iter243 in self.serving_hosts:
+                oprot.writeString(iter243.encode('utf-8') if sys.version_info[0] == 2 else iter243)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.serving_zones is not None:
+            oprot.writeFieldBegin('serving_zones', TType.LIST, 66)
+            oprot.writeListBegin(TType.STRING, len(self.serving_zones))
+            for iter244 in self.serving_zones:
+                oprot.writeString(iter244.encode('utf-8') if sys.version_info[0] == 2 else iter244)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1523,6 +1640,28 @@
     (42, TType.LIST, 'pressure_shed_shares', (TType.DOUBLE, None, False), None, ),  # 42
     (43, TType.LIST, 'pressure_waits', (TType.STRING, 'BINARY', False), None, ),  # 43
     (44, TType.BOOL, 'reads_compressed', None, None, ),  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.LIST, 'admitted_in_window', (TType.LIST, (TType.I32, None, False), False), None, ),  # 60
+    (61, TType.BOOL, 'wants_all_counts', None, None, ),  # 61
+    (62, TType.BOOL, 'has_all_counts', None, None, ),  # 62
+    (63, TType.BOOL, 'hears_receiver', None, None, ),  # 63
+    (64, TType.LIST, 'missing_hosts', (TType.STRING, 'UTF8', False), None, ),  # 64
+    (65, TType.LIST, 'serving_hosts', (TType.STRING, 'UTF8', False), None, ),  # 65
+    (66, TType.LIST, 'serving_zones', (TType.STRING, 'UTF8', False), None, ),  # 66
 )
 fix_spec(all_structs)
 del all_structs
