Compare unreported requests with what was left before all of them

Cause: the part that a host may admit before its counts are known was taken of what is left after the recent requests of the others, though these have parts of their own.

Change: recent requests of all hosts are left out of what is divided.

--- a/trefoilpin/gateway/admission/account_windows.py
+++ b/trefoilpin/gateway/admission/account_windows.py
@@ -89,14 +89,15 @@
             slots[slot] += counts.get(OWN, 0.0)
         return tuple(max(math.ceil(count), 0) for count in slots)
 
-    def own_since(self, at):
-        """Return this host's requests since a time, or a little more."""
-        count = 0.0
+    def counts_since(self, at):
+        """Return the requests since a time, or a little more, by host."""
+        counts_by_host: dict[str, float] = {}
         for started_at, counts in reversed(self.subwindows):
             if started_at + SUBWINDOW_SECONDS < at:
                 break
-            count += counts.get(OWN, 0.0)
-        return count
+            for host, count in counts.items():
+                counts_by_host[host] = counts_by_host.get(host, 0.0) + count
+        return counts_by_host
 
     def expire(self, before):
         """Drop subwindows that began before a time."""
--- a/trefoilpin/gateway/admission/rate_limits.py
+++ b/trefoilpin/gateway/admission/rate_limits.py
@@ -18,7 +18,7 @@
 
 from trefoilpin import events
 from trefoilpin.gateway.admission import rate_shares
-from trefoilpin.gateway.admission.account_windows import AccountUsage
+from trefoilpin.gateway.admission.account_windows import OWN, AccountUsage
 from trefoilpin.gateway.admission.rate_reports import RateReport
 from trefoilpin.gateway.admission.return_times import (
     round_up,
@@ -188,8 +188,12 @@
         if share.part >= share.value:
             return True
         allowed, counted = shared_limit(limit, usage, share)
-        unreported = usage.own_since(now() - REPORTED_SECONDS - share.silence)
+        recent = usage.counts_since(now() - REPORTED_SECONDS - share.silence)
+        unreported = recent.get(OWN, 0.0)
         reported = counted - unreported
+        for host, count in recent.items():
+            if host != OWN and (share.group is None or host in share.group):
+                reported -= count
         spare = (limit * settings.overshoot + settings.slack) * share.value
         used = (usage.own_total - unreported) / max(reported, allowed / 4, 1.0)
         part = (share.part / share.value + used) / 2
