--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -150,7 +150,7 @@
                 health = upstream_health.UpstreamHealth(upstream, now(), rng.random())
                 health.is_newcomer = bool(state.health.by_id)
             elif upstream_health.tells_cold_time(upstream, health.upstream):
-                health.cold_until = now() + upstream.cold_remaining
+                upstream_health.hold_cold(health, now() + upstream.cold_remaining)
             if upstream.draining and not health.upstream.draining:
                 emit(
                     events.UPSTREAM_DRAINING,
