--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -958,14 +958,6 @@
     " return after retry_after seconds, and this many callers have a place to return.",
     sampled=True,
 )
-RATE_SHARE_CHANGED = Event(
-    819,
-    "rate_share_changed",
-    logging.INFO,
-    ("share", "before", "hosts", "group", "silent"),
-    "This host may use another share of every rate: of the serving hosts, it shares it"
-    " with group others and does not know what the silent ones admit.",
-)
 POOL_REJECTING = Event(
     811,
     "pool_rejecting",
--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -60,7 +60,6 @@
 MAX_WAKE_UP_SECONDS = 0.03
 # Fractional, like capacities derived from link rates and processor shares.
 CAPACITY = 104.17
-RATE_OVERSHOOT, RATE_SLACK = 0.1, 20.0
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
 
@@ -114,12 +113,6 @@
     counts_senders : bool
         Whether the hosts that send requests are those that ``gossip`` counts; otherwise
         each host takes itself for the only one.
-    starts_full : bool
-        As in ``RateLimitSettings``.
-    planned_hosts : int
-        As in ``RateLimitSettings``.
-    zones : tuple of str
-        As in ``RateLimitSettings``.
     """
 
     link: Link = UNCONGESTED_LINK
@@ -129,9 +122,6 @@
     decode_by_kind: Any = decode_by_kind
     rollout_bounds: Any = None
     counts_senders: bool = False
-    starts_full: bool = True
-    planned_hosts: int = 1
-    zones: tuple[str, ...] = ()
 
 
 class Node:
@@ -165,8 +155,7 @@
     """Hosts, the store and the network between them.
 
     While ``cut`` is not empty, the network is partitioned between the addresses in it
-    and all others, and between hosts with different values in ``side_by_address``.
-    ``on_datagram(source, target, size)`` is called for each datagram.
+    and all others. ``on_datagram(source, target, size)`` is called for each datagram.
     """
 
     def __init__(self, settings=FleetSettings(), content=None):
@@ -178,7 +167,6 @@
         self.object_rng = random.Random(settings.seed)
         self.tasks = create_tasks(self.loop)
         self.cut: frozenset[str] = frozenset()
-        self.side_by_address: dict[str, int] = {}
         self.fetch_count = 0
         self.on_datagram = lambda source, target, size: None
         self.nodes: dict[str, Node] = {}
@@ -223,9 +211,6 @@
         self.loop.dead.add(self.nodes.pop(address).owner)
 
     def is_connected(self, source, target):
-        side_by_address = self.side_by_address
-        if side_by_address.get(source) != side_by_address.get(target):
-            return False
         return (source in self.cut) == (target in self.cut)
 
     def send(self, node, target, message):
@@ -317,18 +302,9 @@
     )
     own = members.OwnHost(node.address, node.zone, "r", node.owner[1], CAPACITY)
     node.members = members.create(kernel, own, lambda: cache.age(CONFIGURATION))
-    rate_limit_settings = rate_limits.RateLimitSettings(
-        settings.starts_full,
-        settings.planned_hosts,
-        5.0,
-        node.address,
-        node.zone,
-        settings.zones,
-        RATE_OVERSHOOT,
-        RATE_SLACK,
-    )
+    rate_limit_settings = rate_limits.RateLimitSettings(True, 1, 5.0, own.incarnation)
     node.rate_limits = rate_limits.create(
-        kernel, rate_limit_settings, node.members.sender_view
+        kernel, rate_limit_settings, node.members.mesh_coverage
     )
     poison_requests.create(kernel)
     account_usage.create(kernel)
--- a/trefoilpin/gateway/admission/rate_limits.py
+++ b/trefoilpin/gateway/admission/rate_limits.py
@@ -4,23 +4,25 @@
 seconds, and ``burst`` at once. Every host counts the requests that it admitted itself
 and those that the others report as admitted, so each can use the whole rate without
 coordination. Requests that several hosts admit before their counts arrive are charged
-afterwards. A host that does not know what all others admit uses a share of the rate,
-see ``rate_shares``, so that all sides of a partition together stay within it.
+afterwards. A host that receives reports from only some of the serving hosts uses just
+their share of the rate. In a network partition, the hosts of each side leave the share
+of the missing ones unused for a while, so that both sides together stay within the
+rate.
 
 A rejection names the time at which there is room for the request, behind the callers
 that were asked to return before. Their places are kept, so that a caller that returns
 to this host when it was told is served although others ask for more than the rate.
 """
 
+from collections import deque
 from typing import Callable, NamedTuple
 
 from returns.result import Failure, Success
 
 from trefoilpin import events
-from trefoilpin.gateway.admission import rate_shares
-from trefoilpin.gateway.admission.account_windows import OWN, AccountUsage
-from trefoilpin.gateway.admission.rate_reports import RateReport
 from trefoilpin.gateway.admission.return_times import (
+    Places,
+    Room,
     round_up,
     seconds_until_room,
     will_return,
@@ -29,14 +31,25 @@
 
 __all__ = ["RateLimitSettings", "RateLimits", "create"]
 
+# Granularity of the sliding window in which admitted requests are counted.
+SUBWINDOW_SECONDS = 0.1
 # A restarted daemon does not know what the fleet admitted before. It fills the token
 # bucket of an account with this many seconds of the rate.
 INITIAL_FILL_SECONDS = 0.1
-# What this host admitted longer ago than its reports take is known to the others. The
-# age of their last reports is added, as theirs and this host's may be lost alike.
-REPORTED_SECONDS = 0.2
-# Longest time for which the bucket of an account makes up for late counts.
-MAX_DEBT_SECONDS = 0.5
+# Counts of the requests that a host admitted before this host discovered it arrive
+# within this time after the discovery.
+BASELINE_TIMEOUT_SECONDS = 3.0
+# After a start, the serving hosts discover each other and exchange counts. Until no
+# further host has been discovered for DISCOVERY_QUIET_SECONDS, each host uses an equal
+# part of every rate. As callers may have been sent to further hosts, the rate is
+# divided among at least SETTLING_HOSTS_FACTOR times the planned hosts.
+MIN_SETTLING_SECONDS = 0.5
+DISCOVERY_QUIET_SECONDS = 0.4
+MAX_SETTLING_SECONDS = 1.5
+SETTLING_HOSTS_FACTOR = 2
+MILLISECONDS_PER_SECOND = 1000
+# Hosts whose last report is older are not assumed to admit requests.
+MAX_REPORT_AGE_SECONDS = 1.0
 # A refusal is logged with the places of its account once in this time.
 LOG_INTERVAL_SECONDS = 1.0
 
@@ -52,23 +65,14 @@
         Hosts among which a rate is divided until the fleet is known.
     window_seconds : float
         Window over which an account's requests are counted against its rate.
-    address, zone : str
-        Of this host.
-    zones : tuple of str
-        All zones that may have hosts.
-    overshoot, slack : float
-        Tolerance for requests that are not reported yet, as a share of what an account
-        may have in a window, and in requests.
+    incarnation : int
+        Start of this daemon, Unix milliseconds.
     """
 
     starts_full: bool
     planned_hosts: int
     window_seconds: float
-    address: str
-    zone: str
-    zones: tuple[str, ...] = ()
-    overshoot: float = 0.0
-    slack: float = 0.0
+    incarnation: int
 
 
 class RateLimits(NamedTuple):
@@ -77,28 +81,96 @@
     ``admit(account, key, seconds_left)`` returns ``Success`` or the ``Refusal``, where
     ``key`` is the same when the request comes again, and the caller gives up after
     ``seconds_left``. ``refund(account)`` returns the token of a request that was not
-    sent. ``merge_counts(host, incarnation, count_by_account, report, age)`` takes what
-    another host had admitted since its start ``age`` seconds ago, with its
-    ``RateReport``, and returns True when that host should be answered at once.
-    ``admitted_counts()`` returns the counts of this host, ``counts_in_window()`` those
-    of accounts with requests in the last window, and ``report_for(host, counts,
-    has_all)`` the ``RateReport`` that goes with them.
+    sent. ``merge_counts(host, incarnation,
+    count_by_account)`` takes what another host admitted since its start, and
+    ``admitted_counts()`` returns the counts of this host.
     """
 
     admit: Callable
     refund: Callable
-    merge_counts: Callable[..., bool]
+    merge_counts: Callable[[str, int, dict], None]
     admitted_counts: Callable[[], dict]
-    counts_in_window: Callable[[], dict]
-    report_for: Callable[[str, dict, bool], RateReport]
+
+
+class AccountUsage:
+    """Token bucket and sliding-window count of one account over the whole fleet.
+
+    Attributes
+    ----------
+    tokens : float or None
+        Requests that are allowed at once; None before the account's first request at
+        this host.
+    filled_at : float
+        Clock time in seconds of the last refill of the bucket.
+    limit : float or None
+        Requests allowed in a window when the counts were last scaled.
+    subwindows : deque of [float, float, float]
+        Start of a subwindow, requests counted in it, and those of this host.
+    total, own_total : float
+        Requests counted in all subwindows, and those of this host.
+    places : Places
+        Of the callers that were asked to return.
+    """
+
+    def __init__(self, now):
+        self.tokens: float | None = None
+        self.filled_at = now
+        self.limit: float | None = None
+        self.subwindows: deque[list[float]] = deque()
+        self.total = 0.0
+        self.own_total = 0.0
+        self.places = Places()
+        self.logged_at = float("-inf")
+
+    def add(self, count, now, uses_tokens=True, own_count=0):
+        """Count admitted requests; a negative count takes some back."""
+        if uses_tokens and self.tokens is not None:
+            self.tokens -= count
+        self.total += count
+        self.own_total += own_count
+        if not self.subwindows or now - self.subwindows[-1][0] >= SUBWINDOW_SECONDS:
+            self.subwindows.append([now, 0.0, 0.0])
+        self.subwindows[-1][1] += count
+        self.subwindows[-1][2] += own_count
+
+    def expire(self, before):
+        """Drop subwindows that began before a time."""
+        while self.subwindows and self.subwindows[0][0] < before:
+            _, count, own_count = self.subwindows.popleft()
+            self.total -= count
+            self.own_total -= own_count
+
+    def scale(self, limit):
+        """Scale the counts of a previous limit in proportion to a new one."""
+        factor = limit / (self.limit or limit)
+        self.limit = limit
+        self.total *= factor
+        self.own_total *= factor
+        for subwindow in self.subwindows:
+            subwindow[1] *= factor
+            subwindow[2] *= factor
+
+    def room(self, allowed, fill_rate, window, now):
+        """Return the ``Room`` for further requests."""
+        expiries = []
+        for started_at, count, _ in self.subwindows:
+            expiries.append((max(started_at + window - now, 0.0), count))
+        window_room = allowed - self.total
+        return Room(self.tokens, fill_rate, window_room, tuple(expiries))
 
 
 class HostCounts:
-    """Requests that one incarnation of another host admitted, by account."""
+    """Requests that one incarnation of another host admitted, by account.
+
+    Until ``baseline_until`` the first count of an account is a baseline: it covers
+    requests from before this host discovered the other one.
+    """
 
-    def __init__(self, incarnation):
+    def __init__(self, incarnation, baseline_until):
         self.incarnation = incarnation
+        self.baseline_until = baseline_until
         self.count_by_account: dict[str, int] = {}
+        self.merged_at = float("-inf")
 
 
 class RateLimitState:
@@ -106,20 +178,23 @@
 
     def __init__(self, now):
         self.started_at = now
+        self.serving_hosts = 0
+        self.serving_hosts_changed_at = now
         self.usage_by_account: dict[str, AccountUsage] = {}
         self.admitted_by_account: dict[str, int] = {}
         self.counts_by_host: dict[str, HostCounts] = {}
 
 
-def create(kernel, settings, sender_view):
+def create(kernel, settings, mesh_coverage):
     """Create the service ``rate_limits``.
 
     Parameters
     ----------
     kernel : Kernel
     settings : RateLimitSettings
-    sender_view : callable
-        Returns the current ``SenderView``.
+    mesh_coverage : callable
+        Returns the number of serving hosts that reported recently, and of all serving
+        hosts.
 
     Returns
     -------
@@ -130,7 +205,30 @@
     metrics = kernel.find("metrics")
     state = RateLimitState(now())
     window = settings.window_seconds
-    shares = rate_shares.create(kernel, settings, sender_view)
+
+    def usable_share():
+        """Return the share of every rate that this host may use."""
+        reporting, serving = mesh_coverage()
+        if serving != state.serving_hosts:
+            state.serving_hosts, state.serving_hosts_changed_at = serving, now()
+        if is_settling():
+            return 1.0 / max(serving, settings.planned_hosts * SETTLING_HOSTS_FACTOR)
+        if serving <= 1:
+            return 1.0 / settings.planned_hosts if not settings.starts_full else 1.0
+        if reporting * 2 <= serving:
+            return 1.0 / max(serving, settings.planned_hosts)
+        return reporting / serving
+
+    def is_settling():
+        uptime = now() - state.started_at
+        if settings.starts_full or uptime >= MAX_SETTLING_SECONDS:
+            return False
+        is_quiet = now() - state.serving_hosts_changed_at >= DISCOVERY_QUIET_SECONDS
+        return uptime < MIN_SETTLING_SECONDS or not is_quiet
+
+    def started_within_window(incarnation):
+        """Tell whether a host started later than a window before this one."""
+        return settings.incarnation - incarnation < window * MILLISECONDS_PER_SECOND
 
     def has_full_history():
         """Tell whether all requests admitted in the last window were counted here."""
@@ -157,67 +255,29 @@
         elapsed = max(now() - usage.filled_at, 0.0)
         usage.filled_at = now()
         capacity = max(account.burst * share, 1.0)
-        # With a small share, a host is charged more than it refills.
-        tokens = max(usage.tokens, -account.rate * MAX_DEBT_SECONDS)
-        usage.tokens = min(tokens + elapsed * fill_rate * share, capacity)
+        usage.tokens = min(usage.tokens + elapsed * fill_rate * share, capacity)
         usage.expire(now() - window)
         return fill_rate * share
 
-    def find_room(account, usage, share):
-        """Return the ``Room`` of an account with the share that this host may use."""
-        limit = account.rate * window + account.burst
-        fill_rate = refill(account, usage, share.value)
-        room = usage.room(limit, fill_rate, window, now())
-        allowed, counted = shared_limit(limit, usage, share)
-        window_room = min(room.window_room, allowed - counted)
-        return room._replace(window_room=window_room)
-
-    def shared_limit(limit, usage, share):
-        """Return what the hosts that share may have, and what they had."""
-        if share.group is None:
-            return limit, usage.total
-        return max(limit * share.value, 1.0), usage.group_total(share.group)
-
-    def may_go_unreported(limit, usage, share):
-        """Tell whether one more request fits before the others have the counts.
-
-        Until then each host may admit its part of what is left of the limit and of the
-        tolerance, so that together they stay within both. Half of it is divided
-        evenly, and half as it was used before.
-        """
-        if share.part >= share.value:
-            return True
-        allowed, counted = shared_limit(limit, usage, share)
-        recent = usage.counts_since(now() - REPORTED_SECONDS - share.silence)
-        unreported = recent.get(OWN, 0.0)
-        reported = counted - unreported
-        for host, count in recent.items():
-            if host != OWN and (share.group is None or host in share.group):
-                reported -= count
-        spare = (limit * settings.overshoot + settings.slack) * share.value
-        used = (usage.own_total - unreported) / max(reported, allowed / 4, 1.0)
-        part = (share.part / share.value + used) / 2
-        return unreported + 1.0 <= (allowed + spare - reported) * part
-
     def admit(account, key=None, seconds_left=float("inf")):
         if account.rate <= 0:
             return Success(account)
-        share = shares.share()
+        share = usable_share()
         limit = account.rate * window + account.burst
-        usage = find_usage(account, limit, share.value)
-        room = find_room(account, usage, share)
+        usage = find_usage(account, limit, share)
+        fill_rate = refill(account, usage, share)
+        room = usage.room(max(limit * share, 1.0), fill_rate, window, now())
         places = usage.places
         places.expire(now())
         kept = 0.0
         if places.due_by_key and not places.is_due(key, now()):
             kept = places.count_before(key) + unreported(usage)
         # A full bucket gains no more tokens, so its last one is not kept.
-        kept_tokens = min(kept, max(account.burst * share.value, 1.0) - 1.0)
-        has_room = room.tokens >= 1.0 + kept_tokens and room.window_room >= 1.0 + kept
-        if not has_room or not may_go_unreported(limit, usage, share):
+        kept_tokens = min(kept, max(account.burst * share, 1.0) - 1.0)
+        if room.tokens < 1.0 + kept_tokens or room.window_room < 1.0 + kept:
             return Failure(refuse(account, usage, room, key, seconds_left))
         places.remove(key)
-        usage.add(1, now())
+        usage.add(1, now(), own_count=1)
         count = state.admitted_by_account.get(account.id, 0)
         state.admitted_by_account[account.id] = count + 1
         return Success(account)
@@ -248,7 +308,11 @@
 
     def unreported(usage):
         """Return the expected requests that others admitted since their reports."""
-        ages = shares.ages()
+        ages = []
+        for host_counts in state.counts_by_host.values():
+            age = now() - host_counts.merged_at
+            if age <= MAX_REPORT_AGE_SECONDS:
+                ages.append(age)
         if not ages:
             return 0.0
         per_second = max(usage.total - usage.own_total, 0.0) / window
@@ -257,74 +321,46 @@
     def own_share(usage):
         """Return the share of the account's recent requests that this host admitted."""
         share = (usage.own_total + 1.0) / (usage.total + 1.0)
-        return min(max(share, 1.0 / shares.host_count()), 1.0)
+        return min(max(share, 1.0 / max(state.serving_hosts, 1)), 1.0)
 
     def refund(account):
         usage = state.usage_by_account.get(account.id)
         if usage is None or account.rate <= 0:
             return
-        usage.add(-1, now())
+        usage.add(-1, now(), own_count=-1)
         state.admitted_by_account[account.id] -= 1
 
-    def merge_counts(host, incarnation, count_by_account, report, age):
-        was_complete = shares.is_complete(host, incarnation)
-        if not shares.receive(host, incarnation, report, age):
-            return False
+    def merge_counts(host, incarnation, count_by_account):
         host_counts = state.counts_by_host.get(host)
+        if host_counts is not None and incarnation < host_counts.incarnation:
+            return
         if host_counts is None or incarnation > host_counts.incarnation:
-            host_counts = state.counts_by_host[host] = HostCounts(incarnation)
-        # While settling, the others admit requests from their own parts of the rate,
-        # and what a host admitted while it was not heard came from its own part.
-        uses_tokens = was_complete and not shares.is_settling()
-        in_window = report.in_window or {}
+            # The first counts of an unknown host may be older than the window and are
+            # not charged. Those of a new incarnation of a known host, or of a host that
+            # started within the window, are charged in full.
+            needs_baseline = host_counts is None and not started_within_window(
+                incarnation
+            )
+            baseline_end = now() + BASELINE_TIMEOUT_SECONDS if needs_baseline else 0.0
+            host_counts = state.counts_by_host[host] = HostCounts(
+                incarnation, baseline_end
+            )
+        host_counts.merged_at = now()
         for account, count in count_by_account.items():
             previous = host_counts.count_by_account.get(account)
-            host_counts.count_by_account[account] = max(count, previous or 0)
-            slots = in_window.get(account, ())
-            if was_complete and previous is not None:
-                slots = (max(count - previous, 0),)
-            charge(host, account, slots, count - (previous or 0), uses_tokens)
-        became_complete = shares.is_complete(host, incarnation) and not was_complete
-        return report.wants_all or became_complete
-
-    def charge(host, account, slots, most, uses_tokens):
-        """Count requests of another host by their age, ``most`` of them together."""
-        usage = state.usage_by_account.setdefault(account, AccountUsage(now()))
-        for seconds, count in enumerate(slots):
-            charged = min(count, most)
-            if charged > 0:
-                usage.add(charged, now() - seconds, uses_tokens, host)
-                most -= charged
-        usage.expire(now() - window)
+            if previous is None:
+                previous = count if now() < host_counts.baseline_until else 0
+            host_counts.count_by_account[account] = max(count, previous)
+            if count > previous:
+                usage = state.usage_by_account.setdefault(account, AccountUsage(now()))
+                # While settling, the others admit requests from their own parts of the
+                # rate and use no tokens of this host.
+                usage.add(count - previous, now(), not is_settling())
+                usage.expire(now() - window)
 
     def admitted_counts():
         return state.admitted_by_account
 
-    def counts_in_window():
-        counts = {}
-        for account, usage in state.usage_by_account.items():
-            usage.expire(now() - window)
-            if usage.own_total > 0:
-                counts[account] = state.admitted_by_account[account]
-        return counts
-
-    def report_for(host, counts, has_all):
-        in_window = {}
-        for account in counts:
-            usage = state.usage_by_account[account]
-            usage.expire(now() - window)
-            in_window[account] = (usage.own_count(),)
-            if has_all:
-                in_window[account] = usage.own_slots(now())
-        return shares.report_for(host, has_all)._replace(in_window=in_window)
-
-    service = RateLimits(
-        admit,
-        refund,
-        merge_counts,
-        admitted_counts,
-        counts_in_window,
-        report_for,
-    )
+    service = RateLimits(admit, refund, merge_counts, admitted_counts)
     kernel.register("rate_limits", service)
     return service
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -96,9 +96,6 @@
         Retries allowed per request, and further ones allowed in a window in seconds.
     rate_window : float
         Seconds over which an account's requests are counted against its rate.
-    rate_overshoot, rate_slack : float
-        Tolerance of the rates for requests whose counts come late, as a share of what
-        an account may have in the window, and in requests.
     link_rate : float
         Bandwidth of the host's link in bytes per second.
     body_bytes : int
@@ -130,8 +127,6 @@
     retry_slack: float
     retry_window: float
     rate_window: float
-    rate_overshoot: float
-    rate_slack: float
     link_rate: float
     body_bytes: int
     descriptors: int
@@ -220,13 +215,9 @@
         settings.is_first_start,
         planned_senders,
         settings.rate_window,
-        settings.own.address,
-        settings.own.zone,
-        settings.zones,
-        settings.rate_overshoot,
-        settings.rate_slack,
+        settings.own.incarnation,
     )
-    rate_limits.create(kernel, rate_settings, membership.sender_view)
+    rate_limits.create(kernel, rate_settings, membership.mesh_coverage)
     poison_requests.create(kernel)
     account_usage.create(kernel)
     pool_pressure.create(kernel)
--- a/trefoilpin/gateway/fleet/gossip.py
+++ b/trefoilpin/gateway/fleet/gossip.py
@@ -104,8 +104,6 @@
         Counts of admitted requests at the last message but one, and at the last one.
     all_counts_sent_at : float
         When it was last sent the counts of all accounts.
-    wants_all_counts : bool
-        True when it lacks some of them.
     reports_sent_at : float
         When it was last sent reports of pools under pressure.
     """
@@ -125,7 +123,6 @@
         self.sent_digest_by_kind: dict[str, int] = {}
         self.sent_counts: tuple[dict[str, int], dict[str, int]] = ({}, {})
         self.all_counts_sent_at = float("-inf")
-        self.wants_all_counts = True
         self.reports_sent_at = float("-inf")
 
 
@@ -205,9 +202,9 @@
         host = (address, message.incarnation)
         is_sender = message.is_serving or bool(message.in_flight_by_upstream)
         upstreams.merge_outcomes(*host, message.outcomes, is_sender)
-        receive_counts(address, message, age)
         if is_sender:
             upstreams.merge_in_flight(address, message.in_flight_by_upstream)
+            rate_limits.merge_counts(*host, message.admitted_by_account)
             pool_pressure.merge_reports(address, message.pressure_reports)
             queues.wake()
         if rollouts is not None:
@@ -225,20 +222,6 @@
                 address, REPLY, lambda: build(records=gossip_builders.member_records())
             )
 
-    def receive_counts(address, message, age):
-        """Merge counts of admitted requests; not every message has them."""
-        counts, report = message.admitted_by_account, message.rate_report
-        peer = state.peer_by_address.get(address)
-        if peer is not None and report.wants_all:
-            peer.wants_all_counts = True
-        if not counts and report.in_window is None:
-            return
-        is_due = rate_limits.merge_counts(
-            address, message.incarnation, counts, report, age
-        )
-        if is_due and peer is not None and not peer.wake_event.ready():
-            peer.wake_event.send()
-
     def receive_departures(address, message):
         """Merge departures; those of hosts outside the mesh are passed on."""
         is_outside_mesh = address not in state.roles.mesh_hosts
--- a/trefoilpin/gateway/fleet/gossip_builders.py
+++ b/trefoilpin/gateway/fleet/gossip_builders.py
@@ -149,9 +149,6 @@
     def member_records():
         return cached(ALL_RECORDS, lambda: list_records(members.records))
 
-    def serving_records():
-        return tuple(record for record in member_records() if record.is_serving)
-
     def records_of_zones(zones):
         """Return member records, cached by zone and not by set of zones."""
         records = []
@@ -229,9 +226,6 @@
             records, views = records_for(peer), views_for(peer)
         else:
             records, views = (), reported_views() if peer.is_relay else ()
-        if peer.in_mesh and peer.wants_all_counts:
-            # After a cut, the relays may send these only seconds later.
-            records = (*records, *serving_records())
         message = build(peer.receives_documents, records)._replace(
             sends_regularly=True,
             zone_views=views,
--- a/trefoilpin/gateway/fleet/gossip_codecs.py
+++ b/trefoilpin/gateway/fleet/gossip_codecs.py
@@ -32,7 +32,6 @@
     to_pool_reports,
 )
 from trefoilpin.gateway.fleet.pressure_codecs import add_pressure, read_pressure
-from trefoilpin.gateway.fleet.rate_codecs import read_rates, write_rates
 from trefoilpin.gateway.store.document_cache import DocumentVersion
 from trefoilpin.thrift_gen.bulletins.ttypes import (
     BulletinStruct,
@@ -96,6 +95,8 @@
         outcome_numbers=[item.number for item in outcomes],
         flight_upstreams=list(gossip_message.in_flight_by_upstream),
         flight_counts=list(gossip_message.in_flight_by_upstream.values()),
+        admitted_accounts=list(gossip_message.admitted_by_account),
+        admitted_counts=list(gossip_message.admitted_by_account.values()),
         documents=[
             to_document_struct(document) for document in gossip_message.documents
         ],
@@ -118,7 +119,6 @@
         cold_ask=cold_grant_codecs.write_ask(gossip_message.cold_ask),
         cold_grant=cold_grant_codecs.write_grant(gossip_message.cold_grant),
     )
-    write_rates(message, gossip_message.admitted_by_account, gossip_message.rate_report)
     set_pool_reports(message, gossip_message.pool_reports)
     add_pressure(message, gossip_message.pressure_reports)
     return serialize(message)
@@ -280,7 +280,6 @@
                 version.overlay or 0,
             )
         )
-    admitted_by_account, rate_report = read_rates(message)
     # Missing in messages of hosts that run an earlier version.
     zone_views = []
     for view in message.zone_views or ():
@@ -301,7 +300,7 @@
         unpack_members(message.members),
         tuple(outcomes),
         dict(zip(message.flight_upstreams, message.flight_counts)),
-        admitted_by_account,
+        dict(zip(message.admitted_accounts, message.admitted_counts)),
         tuple(to_document(found) for found in message.documents),
         tuple(zip(message.broken_fingerprints, message.broken_upstreams)),
         tuple(zone_views),
@@ -315,5 +314,4 @@
         read_cold_reports(message.cold_reports),
         cold_grant_codecs.read_ask(message.cold_ask),
         cold_grant_codecs.read_grant(message.cold_grant),
-        rate_report,
     )
--- a/trefoilpin/gateway/fleet/members.py
+++ b/trefoilpin/gateway/fleet/members.py
@@ -10,9 +10,11 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
-from trefoilpin.gateway.admission.rate_reports import SenderView, ServingHost
 from trefoilpin.gateway.fleet import failure_detection, zone_views
-from trefoilpin.gateway.fleet.failure_detection import MAX_CONFIGURATION_AGE_SECONDS
+from trefoilpin.gateway.fleet.failure_detection import (
+    MAX_CONFIGURATION_AGE_SECONDS,
+    SUSPICION_TIMEOUT_SECONDS,
+)
 from trefoilpin.gateway.fleet.membership_views import MembershipView
 from trefoilpin.gateway.fleet.messages import MemberRecord
 
@@ -32,6 +34,9 @@
 # Share of a host's capacity that is planned for; a zone gets as many caller hosts as
 # this share of their capacity needs to cover the zone's load.
 PLANNED_UTILISATION = 0.4
+# A serving host last known to be alive longer ago than this no longer counts in the
+# split of the rates.
+SERVING_TIMEOUT_SECONDS = 12.0
 # Requests per second; hosts that receive no callers stay below this.
 MIN_SERVING_LOAD = 3.0
 # Time constant of the moving average of the load.
@@ -67,8 +72,8 @@
     merges what another host reported of it. ``live()`` returns the live hosts, this one
     included. ``caller_hosts(zone)`` are those that callers of a zone should use,
     ``relays(zone)`` the relays of a zone, and ``mesh_hosts()`` all that send requests
-    to upstreams. ``sender_view()`` returns a ``SenderView`` of the other hosts, those
-    that are silent included.
+    to upstreams. ``mesh_coverage()`` returns how many of the serving hosts sent this
+    one a message recently, and how many there are, this one included in both.
     ``expect_heartbeats(addresses)`` sets the hosts that send to this one regularly, as
     it does to them. ``records(zones)`` returns the records of all hosts, or of those
     of some zones, and ``changed_records(zone)`` those to be passed on at once: what
@@ -92,7 +97,7 @@
     caller_hosts: Callable
     relays: Callable
     mesh_hosts: Callable
-    sender_view: Callable
+    mesh_coverage: Callable
     expect_heartbeats: Callable
     records: Callable
     changed_records: Callable
@@ -307,18 +312,21 @@
                 by_address[member.address] = member
         return list(by_address.values())
 
-    def sender_view():
-        serving, idle_at_by_address = {}, {}
-        for address, member in state.member_by_address.items():
+    def mesh_coverage():
+        """Return how many serving hosts sent messages recently, and how many exist."""
+        heard, total = 1, 1
+        for member in state.member_by_address.values():
             record = member.record
-            if record.is_serving and not record.is_stopping:
-                serving[address] = ServingHost(
-                    record.zone, record.incarnation, member.last_alive_at
-                )
-            else:
-                idle_at_by_address[address] = member.last_alive_at
-        zones = frozenset(view().live_by_zone)
-        return SenderView(serving, idle_at_by_address, zones)
+            silence = now() - member.last_message_at
+            if (
+                not record.is_serving
+                or record.is_stopping
+                or age(member) > SERVING_TIMEOUT_SECONDS
+            ):
+                continue
+            total += 1
+            heard += silence < SUSPICION_TIMEOUT_SECONDS
+        return heard, total
 
     def expect_heartbeats(addresses):
         for address, member in state.member_by_address.items():
@@ -373,7 +381,7 @@
         caller_hosts,
         relays,
         mesh_hosts,
-        sender_view,
+        mesh_coverage,
         expect_heartbeats,
         records,
         changed_records,
--- a/trefoilpin/gateway/fleet/messages.py
+++ b/trefoilpin/gateway/fleet/messages.py
@@ -4,7 +4,6 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
-from trefoilpin.gateway.admission.rate_reports import RateReport
 from trefoilpin.gateway.balancing.cold_checks import ColdReport
 from trefoilpin.gateway.balancing.cold_grants import ColdAsk, ColdGrant
 from trefoilpin.gateway.balancing.departures import Departure
@@ -165,8 +164,6 @@
         Tokens for cold upstreams that the sender wants.
     cold_grant : ColdGrant or None
         Response to an ask of the receiver.
-    rate_report : RateReport
-        What is said beside ``admitted_by_account``.
     """
 
     incarnation: int
@@ -198,7 +195,6 @@
     cold_reports: tuple[ColdReport, ...] = ()
     cold_ask: ColdAsk | None = None
     cold_grant: ColdGrant | None = None
-    rate_report: RateReport = RateReport()
 
 
 def aged(message, seconds):
--- a/trefoilpin/gateway/fleet/sender_reports.py
+++ b/trefoilpin/gateway/fleet/sender_reports.py
@@ -70,39 +70,36 @@
 
     def add_to(message, peer):
         is_same_zone = peer.zone == own.zone
-        counts, has_all = admitted_counts_for(peer)
         return message._replace(
             outcomes=upstreams.recent_outcomes(is_same_zone),
             in_flight_by_upstream=upstreams.in_flight_counts(
                 None if is_same_zone else peer.zone
             ),
-            admitted_by_account=counts,
-            rate_report=rate_limits.report_for(peer.address, counts, has_all),
+            admitted_by_account=admitted_counts_for(peer),
             **reports_for(peer),
         )
 
     def admitted_counts_for(peer):
-        """Return the counts for a host that sends requests, and whether all are there.
+        """Return the counts of admitted requests for a host that sends requests.
 
         A host of another zone gets the counts that changed since the last message but
-        one, so that one lost message loses no count, and now and then all of them. A
-        host that lacks some gets those of all accounts with recent requests.
+        one, so that one lost message loses no count, and now and then all of them.
         """
-        counts = rate_limits.admitted_counts()
-        has_all = peer.wants_all_counts
-        peer.wants_all_counts = False
-        if len(counts) > MAX_ACCOUNTS:
-            counts = changed_counts(counts, state.admitted_at_period_start)
-            if has_all:
-                counts = counts | rate_limits.counts_in_window()
+        counts = recent_admitted_counts()
         if peer.zone == own.zone:
-            return counts, has_all
+            return counts
         before_last = peer.sent_counts[0]
         peer.sent_counts = (peer.sent_counts[1], dict(counts))
-        if has_all or now() - peer.all_counts_sent_at > ALL_ACCOUNTS_PERIOD_SECONDS:
+        if now() - peer.all_counts_sent_at > ALL_ACCOUNTS_PERIOD_SECONDS:
             peer.all_counts_sent_at = now()
-            return counts, has_all
-        return changed_counts(counts, before_last), has_all
+            return counts
+        return changed_counts(counts, before_last)
+
+    def recent_admitted_counts():
+        counts = rate_limits.admitted_counts()
+        if len(counts) <= MAX_ACCOUNTS:
+            return counts
+        return changed_counts(counts, state.admitted_at_period_start)
 
     def start_admission_period():
         if len(rate_limits.admitted_counts()) > MAX_ACCOUNTS:
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -132,11 +132,4 @@
   80: list<ColdReportStruct> cold_reports
   50: ColdAskStruct cold_ask
   51: ColdGrantStruct cold_grant
-  60: list<list<i32>> admitted_in_window
-  61: bool wants_all_counts
-  62: bool has_all_counts
-  63: bool hears_receiver
-  64: list<string> missing_hosts
-  65: list<string> serving_hosts
-  66: list<string> serving_zones
 }
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -24,7 +24,6 @@
     send_pacing,
 )
 from trefoilpin.gateway.admission.queues import Queues, Release
-from trefoilpin.gateway.admission.rate_reports import SenderView
 from trefoilpin.gateway.balancing import upstreams
 from trefoilpin.gateway.fleet import members
 from trefoilpin.gateway.requests import dispatchers, first_documents, proxies, routing
@@ -78,9 +77,7 @@
         self.members = members.create(kernel, own, lambda: 0.0)
         routing.create(kernel)
         self.rate_limits = rate_limits.create(
-            kernel,
-            rate_limits.RateLimitSettings(True, 1, 5.0, "h", "a"),
-            lambda: SenderView({}, {}, frozenset("a")),
+            kernel, rate_limits.RateLimitSettings(True, 1, 5.0, 1), lambda: (1, 1)
         )
         poison_requests.create(kernel)
         pool_pressure.create(kernel)
--- a/trefoilpin/tests/gateway/test_rate_limits.py
+++ b/trefoilpin/tests/gateway/test_rate_limits.py
@@ -1,14 +1,12 @@
 """Rate limits over hosts that exchange counts late, in part or not at all."""
 
 import random
-from functools import partial
 
 import pytest
 from returns.result import Success
 
 from trefoilpin.fakes.gateways import create_host
 from trefoilpin.gateway.admission import rate_limits
-from trefoilpin.gateway.admission.rate_reports import SenderView, ServingHost
 from trefoilpin.gateway.store.records import Account
 
 ACCOUNT = Account("acme", 50.0, 25.0, None)
@@ -19,17 +17,13 @@
 
 
 class Fleet:
-    """Hosts with one clock that exchange counts when ``exchange_counts`` is called.
-
-    ``known[number]`` are the numbers of the serving hosts that a host knows of.
-    """
+    """Hosts with one clock that exchange counts when ``exchange_counts`` is called."""
 
     def __init__(self, count, starts_full=True, planned=None, incarnation=1, at=100.0):
         self.incarnation = incarnation
-        self.known = [range(count) for _ in range(count)]
+        self.coverage = [(count, count) for _ in range(count)]
         self.hosts = []
         self.clock = None
-        self.wants_all = {}
         for number in range(count):
             kernel, clock, _ = create_host(number)
             self.clock = self.clock or clock
@@ -37,48 +31,23 @@
             shared = kernel.clock._replace(now=self.clock.now)
             kernel = kernel._replace(clock=shared)
             settings = rate_limits.RateLimitSettings(
-                starts_full,
-                planned or count,
-                WINDOW_SECONDS,
-                f"h{number}",
-                "a",
-                (),
-                MAX_OVERSHOOT - 1.0,
-                SLACK_REQUESTS,
+                starts_full, planned or count, WINDOW_SECONDS, incarnation
             )
-            view = partial(self.view, number)
-            self.hosts.append(rate_limits.create(kernel, settings, view))
-        if starts_full:
-            # Hosts exchange messages before callers are sent to them.
-            for _ in range(2):
-                self.exchange_counts([range(count)])
-
-    def view(self, number):
-        serving = {}
-        for other in self.known[number]:
-            if other != number:
-                serving[f"h{other}"] = ServingHost(
-                    "a", self.incarnation, self.clock.time
+            self.hosts.append(
+                rate_limits.create(
+                    kernel, settings, lambda number=number: self.coverage[number]
                 )
-        return SenderView(serving, {}, frozenset("a"))
+            )
 
     def exchange_counts(self, groups):
         for group in groups:
             for one in group:
                 for other in group:
                     if one != other:
-                        self.report(other, one)
-
-    def report(self, sender, receiver):
-        counts = dict(self.hosts[sender].admitted_counts())
-        has_all = self.wants_all.get((sender, receiver), True)
-        report = self.hosts[sender].report_for(f"h{receiver}", counts, has_all)
-        self.wants_all[sender, receiver] = False
-        if report.wants_all:
-            self.wants_all[receiver, sender] = True
-        self.hosts[receiver].merge_counts(
-            f"h{sender}", self.incarnation, counts, report, 0.0
-        )
+                        counts = dict(self.hosts[other].admitted_counts())
+                        self.hosts[one].merge_counts(
+                            f"h{other}", self.incarnation, counts
+                        )
 
 
 def send_requests(
@@ -165,6 +134,7 @@
 def test_both_sides_of_a_partition_stay_within_the_rate_together():
     fleet = Fleet(6)
     send_requests(fleet, 3, 100, [range(6)])
+    fleet.coverage = [(4, 6)] * 4 + [(2, 6)] * 2
     times = send_requests(fleet, 12, 350, [range(4), range(4, 6)])
     assert max_requests_in_window(times) <= allowed_requests()
 
@@ -182,9 +152,9 @@
         times += send_requests(fleet, 0.5 + rng.random(), 350, [range(6)], rng=rng)
         stopped_at = fleet.clock.time + RESTART_SECONDS
         fleet = Fleet(6, starts_full=False, at=stopped_at)
-        fleet.known = [()] * 6
+        fleet.coverage = [(1, 1)] * 6
         times += send_requests(fleet, 0.5, 350, [()], rng=rng)
-        fleet.known = [range(6)] * 6
+        fleet.coverage = [(6, 6)] * 6
     assert max_requests_in_window(times) <= allowed_requests()
 
 
@@ -201,10 +171,10 @@
     milliseconds = int(restarted_at * 1000)
     fleet = Fleet(16, False, 6, milliseconds, restarted_at)
     for discovered in range(1, 11):
-        fleet.known = [range(discovered)] * 16
+        fleet.coverage = [(discovered, discovered)] * 16
         groups = [range(discovered)] if discovered > 4 else [()]
         times += send_requests(fleet, 0.1, 220, groups, rng=rng)
-    fleet.known = [range(16)] * 16
+    fleet.coverage = [(16, 16)] * 16
     times += send_requests(fleet, 4.0, 220, [range(16)], rng=rng)
     assert max_requests_in_window(times) <= allowed_requests()
     after = [at for at in times if at > restarted_at + 1.5]
--- a/trefoilpin/tests/gateway/test_send_pacing.py
+++ b/trefoilpin/tests/gateway/test_send_pacing.py
@@ -24,7 +24,6 @@
     send_pacing,
 )
 from trefoilpin.gateway.admission.pool_pressure import SendCounts
-from trefoilpin.gateway.admission.rate_reports import SenderView
 from trefoilpin.gateway.admission.send_pacing import (
     Pace,
     is_pool_shedding,
@@ -87,9 +86,8 @@
         _, put = create_document_cache(kernel)
         members.create(kernel, members.OwnHost("10.1.0.1", "a", "r", 1, 9.0), now)
         routing.create(kernel)
-        settings = rate_limits.RateLimitSettings(True, 1, 5.0, "h", "a")
-        view = SenderView({}, {}, frozenset("a"))
-        rate_limits.create(kernel, settings, lambda: view)
+        settings = rate_limits.RateLimitSettings(True, 1, 5.0, 1)
+        rate_limits.create(kernel, settings, lambda: (1, 1))
         poison_requests.create(kernel)
         retries.create(kernel, 0.15, 0.25, 3.0)
         pool_pressure.create(kernel)
--- a/trefoilpin/tests/test_retries.py
+++ b/trefoilpin/tests/test_retries.py
@@ -52,43 +52,6 @@
     assert granted <= 40.0 + MIN_PER_SECOND * 10.0
 
 
-def spend_saved_retries(count):
-    """Return the retries of a window after a quiet time, and those allowed."""
-    state = LoopState(1)
-    ratio, slack, window, used_share = 0.2, 60.0, 10.0, 0.75
-    hosts = []
-    for _ in range(count):
-        kernel = create_host_kernel(state)
-        per_second = slack * used_share / window
-        hosts.append(
-            retries.create(
-                kernel,
-                ratio * used_share,
-                per_second,
-                slack * used_share,
-                lambda: count,
-            )
-        )
-        hosts[-1].balance("pool")
-    state.now += 300.0
-    granted = requests = 0
-    for step in range(100):
-        state.now += window / 100
-        for host in hosts:
-            while host.withdraw("pool"):
-                granted += 1
-        hosts[step % count].deposit("pool")
-        requests += 1
-    return granted, ratio * requests + slack
-
-
-def test_saved_retries_stay_within_the_budget():
-    """Guards against a saved balance that is spent beside the refill of a window."""
-    for count in (1, 6, 154):
-        granted, allowed = spend_saved_retries(count)
-        assert granted <= allowed
-
-
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(st.lists(st.tuples(st.floats(0, 2), st.integers(0, 20), st.integers(0, 20))))
 def test_retries_stay_within_the_share_and_the_minimum_rate(steps):
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -1196,18 +1196,11 @@
      - cold_reports
      - cold_ask
      - cold_grant
-     - admitted_in_window
-     - wants_all_counts
-     - has_all_counts
-     - hears_receiver
-     - missing_hosts
-     - serving_hosts
-     - serving_zones
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None, admitted_in_window=None, wants_all_counts=None, has_all_counts=None, hears_receiver=None, missing_hosts=None, serving_hosts=None, serving_zones=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -1250,13 +1243,6 @@
         self.cold_reports = cold_reports
         self.cold_ask = cold_ask
         self.cold_grant = cold_grant
-        self.admitted_in_window = admitted_in_window
-        self.wants_all_counts = wants_all_counts
-        self.has_all_counts = has_all_counts
-        self.hears_receiver = hears_receiver
-        self.missing_hosts = missing_hosts
-        self.serving_hosts = serving_hosts
-        self.serving_zones = serving_zones
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1635,66 +1621,6 @@
                     self.cold_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 60:
-                if ftype == TType.LIST:
-                    self.admitted_in_window = []
-                    (_etype204, _size201) = iprot.readListBegin()
-                    for _i205 in range(_size201):
-                        _elem206 = []
-                        (_etype210, _size207) = iprot.readListBegin()
-                        for _i211 in range(_size207):
-                            _elem212 = iprot.readI32()
-                            _elem206.append(_elem212)
-                        iprot.readListEnd()
-                        self.admitted_in_window.append(_elem206)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 61:
-                if ftype == TType.BOOL:
-                    self.wants_all_counts = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 62:
-                if ftype == TType.BOOL:
-                    self.has_all_counts = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 63:
-                if ftype == TType.BOOL:
-                    self.hears_receiver = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 64:
-                if ftype == TType.LIST:
-                    self.missing_hosts = []
-                    (_etype216, _size213) = iprot.readListBegin()
-                    for _i217 in range(_size213):
-                        _elem218 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.missing_hosts.append(_elem218)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 65:
-                if ftype == TType.LIST:
-                    self.serving_hosts = []
-                    (_etype222, _size219) = iprot.readListBegin()
-                    for _i223 in range(_size219):
-                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.serving_hosts.append(_elem224)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 66:
-                if ftype == TType.LIST:
-                    self.serving_zones = []
-                    (_etype228, _size225) = iprot.readListBegin()
-                    for _i229 in range(_size225):
-                        _elem230 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.serving_zones.append(_elem230)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1744,8 +1670,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter231 in self.stamps:
-                iter231.write(oprot)
+            for iter201 in self.stamps:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -1755,64 +1681,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter232 in self.outcome_upstreams:
-                oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
+            for iter202 in self.outcome_upstreams:
+                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter233 in self.outcome_kinds:
-                oprot.writeByte(iter233)
+            for iter203 in self.outcome_kinds:
+                oprot.writeByte(iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter234 in self.outcome_numbers:
-                oprot.writeI64(iter234)
+            for iter204 in self.outcome_numbers:
+                oprot.writeI64(iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter235 in self.flight_upstreams:
-                oprot.writeString(iter235.encode('utf-8') if sys.version_info[0] == 2 else iter235)
+            for iter205 in self.flight_upstreams:
+                oprot.writeString(iter205.encode('utf-8') if sys.version_info[0] == 2 else iter205)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter236 in self.flight_counts:
-                oprot.writeI32(iter236)
+            for iter206 in self.flight_counts:
+                oprot.writeI32(iter206)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter237 in self.admitted_accounts:
-                oprot.writeString(iter237.encode('utf-8') if sys.version_info[0] == 2 else iter237)
+            for iter207 in self.admitted_accounts:
+                oprot.writeString(iter207.encode('utf-8') if sys.version_info[0] == 2 else iter207)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter238 in self.admitted_counts:
-                oprot.writeI64(iter238)
+            for iter208 in self.admitted_counts:
+                oprot.writeI64(iter208)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter239 in self.broken_fingerprints:
-                oprot.writeI64(iter239)
+            for iter209 in self.broken_fingerprints:
+                oprot.writeI64(iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter240 in self.broken_upstreams:
-                oprot.writeString(iter240.encode('utf-8') if sys.version_info[0] == 2 else iter240)
+            for iter210 in self.broken_upstreams:
+                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -1822,8 +1748,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter241 in self.documents:
-                iter241.write(oprot)
+            for iter211 in self.documents:
+                iter211.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -1833,115 +1759,115 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter242 in self.zone_views:
-                iter242.write(oprot)
+            for iter212 in self.zone_views:
+                iter212.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter243 in self.answered_fingerprints:
-                oprot.writeI64(iter243)
+            for iter213 in self.answered_fingerprints:
+                oprot.writeI64(iter213)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter244 in self.rollout_stages:
-                iter244.write(oprot)
+            for iter214 in self.rollout_stages:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter245 in self.rollout_counts:
-                iter245.write(oprot)
+            for iter215 in self.rollout_counts:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter246 in self.departed_upstreams:
-                oprot.writeString(iter246.encode('utf-8') if sys.version_info[0] == 2 else iter246)
+            for iter216 in self.departed_upstreams:
+                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter247 in self.departed_born:
-                oprot.writeI64(iter247)
+            for iter217 in self.departed_born:
+                oprot.writeI64(iter217)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter248 in self.pressed_pools:
-                oprot.writeString(iter248.encode('utf-8') if sys.version_info[0] == 2 else iter248)
+            for iter218 in self.pressed_pools:
+                oprot.writeString(iter218.encode('utf-8') if sys.version_info[0] == 2 else iter218)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter249 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter249))
-                for iter250 in iter249:
-                    oprot.writeDouble(iter250)
+            for iter219 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter219))
+                for iter220 in iter219:
+                    oprot.writeDouble(iter220)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter251 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter251))
-                for iter252 in iter251:
-                    oprot.writeString(iter252.encode('utf-8') if sys.version_info[0] == 2 else iter252)
+            for iter221 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter221))
+                for iter222 in iter221:
+                    oprot.writeString(iter222.encode('utf-8') if sys.version_info[0] == 2 else iter222)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter253 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter253))
-                for iter254 in iter253:
-                    oprot.writeDouble(iter254)
+            for iter223 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter223))
+                for iter224 in iter223:
+                    oprot.writeDouble(iter224)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter255 in self.pressure_pools:
-                oprot.writeString(iter255.encode('utf-8') if sys.version_info[0] == 2 else iter255)
+            for iter225 in self.pressure_pools:
+                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter256 in self.pressure_rooms:
-                oprot.writeBool(iter256)
+            for iter226 in self.pressure_rooms:
+                oprot.writeBool(iter226)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter257 in self.pressure_drain_rates:
-                oprot.writeDouble(iter257)
+            for iter227 in self.pressure_drain_rates:
+                oprot.writeDouble(iter227)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter258 in self.pressure_shed_shares:
-                oprot.writeDouble(iter258)
+            for iter228 in self.pressure_shed_shares:
+                oprot.writeDouble(iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter259 in self.pressure_waits:
-                oprot.writeBinary(iter259)
+            for iter229 in self.pressure_waits:
+                oprot.writeBinary(iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
@@ -1956,54 +1882,11 @@
             oprot.writeFieldBegin('cold_grant', TType.STRUCT, 51)
             self.cold_grant.write(oprot)
             oprot.writeFieldEnd()
-        if self.admitted_in_window is not None:
-            oprot.writeFieldBegin('admitted_in_window', TType.LIST, 60)
-            oprot.writeListBegin(TType.LIST, len(self.admitted_in_window))
-            for iter260 in self.admitted_in_window:
-                oprot.writeListBegin(TType.I32, len(iter260))
-                for iter261 in iter260:
-                    oprot.writeI32(iter261)
-                oprot.writeListEnd()
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.wants_all_counts is not None:
-            oprot.writeFieldBegin('wants_all_counts', TType.BOOL, 61)
-            oprot.writeBool(self.wants_all_counts)
-            oprot.writeFieldEnd()
-        if self.has_all_counts is not None:
-            oprot.writeFieldBegin('has_all_counts', TType.BOOL, 62)
-            oprot.writeBool(self.has_all_counts)
-            oprot.writeFieldEnd()
-        if self.hears_receiver is not None:
-            oprot.writeFieldBegin('hears_receiver', TType.BOOL, 63)
-            oprot.writeBool(self.hears_receiver)
-            oprot.writeFieldEnd()
-        if self.missing_hosts is not None:
-            oprot.writeFieldBegin('missing_hosts', TType.LIST, 64)
-            oprot.writeListBegin(TType.STRING, len(self.missing_hosts))
-            for iter262 in self.missing_hosts:
-                oprot.writeString(iter262.encode('utf-8') if sys.version_info[0] == 2 else iter262)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.serving_hosts is not None:
-            oprot.writeFieldBegin('serving_hosts', TType.LIST, 65)
-            oprot.writeListBegin(TType.STRING, len(self.serving_hosts))
-            for iter263 in self.serving_hosts:
-                oprot.writeString(iter263.encode('utf-8') if sys.version_info[0] == 2 else iter263)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.serving_zones is not None:
-            oprot.writeFieldBegin('serving_zones', TType.LIST, 66)
-            oprot.writeListBegin(TType.STRING, len(self.serving_zones))
-            for iter264 in self.serving_zones:
-                oprot.writeString(iter264.encode('utf-8') if sys.version_info[0] == 2 else iter264)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.cold_reports is not None:
             oprot.writeFieldBegin('cold_reports', TType.LIST, 80)
             oprot.writeListBegin(TType.STRUCT, len(self.cold_reports))
-            for iter265 in self.cold_reports:
-                iter265.write(oprot)
+            for iter230 in self.cold_reports:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2183,13 +2066,13 @@
     None,  # 57
     None,  # 58
     None,  # 59
-    (60, TType.LIST, 'admitted_in_window', (TType.LIST, (TType.I32, None, False), False), None, ),  # 60
-    (61, TType.BOOL, 'wants_all_counts', None, None, ),  # 61
-    (62, TType.BOOL, 'has_all_counts', None, None, ),  # 62
-    (63, TType.BOOL, 'hears_receiver', None, None, ),  # 63
-    (64, TType.LIST, 'missing_hosts', (TType.STRING, 'UTF8', False), None, ),  # 64
-    (65, TType.LIST, 'serving_hosts', (TType.STRING, 'UTF8', False), None, ),  # 65
-    (66, TType.LIST, 'serving_zones', (TType.STRING, 'UTF8', False), None, ),  # 66
+    None,  # 60
+    None,  # 61
+    None,  # 62
+    None,  # 63
+    None,  # 64
+    None,  # 65
+    None,  # 66
     None,  # 67
     None,  # 68
     None,  # 69
