--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -34,7 +34,6 @@
     refuse_paused,
 )
 from trefoilpin.gateway.balancing.pool_surveys import MAX_ACCEPTED_PROBABILITY
-from trefoilpin.gateway.balancing.upstream_health import is_unreached
 from trefoilpin.gateway.store.document_cache import UPSTREAMS, ZONES_OUT
 from trefoilpin.messages import Choice
 
@@ -269,7 +268,7 @@
         upstream_health.end_request(in_flight)
         if attempt is None or attempt.is_too_late:
             return
-        if is_unreached(attempt):
+        if upstream_health.is_unreached(attempt):
             back_off(health)
             return
         health.failed_connects = 0
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -50,12 +50,7 @@
 )
 from trefoilpin.gateway.rollouts import coordinators, rollouts
 from trefoilpin.gateway.rollouts.decisions import RolloutBounds
-from trefoilpin.gateway.store import (
-    document_cache,
-    documents,
-    leases,
-    store_readers,
-)
+from trefoilpin.gateway.store import document_cache, documents, leases, store_readers
 from trefoilpin.kernel import create_kernel
 
 __all__ = ["Adapter", "GatewaySettings", "assemble", "run"]
