--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,8 +2,6 @@
 
 import json
 import os
-import random
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,6 +11,7 @@
 import urllib3
 
 from trefoilpin import codecs, keys
+from trefoilpin.fakes.free_ports import find_free_ports
 from trefoilpin.records import (
     AvailabilityZone,
     ClientAccount,
@@ -42,15 +41,11 @@
 READY_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 60.0
 POLL_INTERVAL_SECONDS = 0.02
-PORT_RANGE = (10_000, 32_000)
 KEY_SALT = "00ff"
 SHUTDOWN_SETTINGS = {"address_lifetime_seconds": 1.0, "drain_seconds": 2.0}
 PEER_SECRET = "a secret of the fleet's own"
 
 
-allocated_ports: set[int] = set()
-
-
 class HostProcess(NamedTuple):
     """A running daemon and its addresses."""
 
@@ -85,22 +80,9 @@
 
 
 def free_address():
-    """Return an unused loopback address; no address is returned twice.
-
-    Ports are chosen below the kernel's ephemeral range, so that no outgoing connection
-    can take them.
-    """
-    while True:
-        port = random.SystemRandom().randrange(*PORT_RANGE)
-        if port in allocated_ports:
-            continue
-        with socket.socket() as test_socket:
-            try:
-                test_socket.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        allocated_ports.add(port)
-        return f"127.0.0.1:{port}"
+    """Return an unused loopback address; no address is returned twice."""
+    (port,) = find_free_ports(("127.0.0.1",), 1)
+    return f"127.0.0.1:{port}"
 
 
 def call(method, address, path, value=None, timeout=10.0):
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -17,7 +17,6 @@
     "ProcessRun",
     "Ports",
     "create",
-    "find_free_ports",
     "start",
     "stop_all",
 ]
@@ -112,25 +111,6 @@
         return True
 
 
-def find_free_ports(ips, count):
-    """Return distinct ports that are free on all of the addresses."""
-    ports, sockets = [], []
-    while len(ports) < count:
-        listener = eventlet.listen((ips[0], 0))
-        sockets.append(listener)
-        port = listener.getsockname()[1]
-        try:
-            sockets.extend(eventlet.listen((ip, port)) for ip in ips[1:])
-        except OSError:
-            # In use on another address. The listeners stay open until the end, so the
-            # next attempt gets another port.
-            continue
-        ports.append(port)
-    for sock in sockets:
-        sock.close()
-    return Ports(*ports)
-
-
 def create(number, zone, zones, ports, ips, store_address, folder):
     """Return a host that has not been started."""
     name, ip = f"edge-{zone}-{number}", ips[number]
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,6 +10,7 @@
 
 from soak import callers, checks, environments, fault_series, faults, hosts
 from soak.fault_proxies import start_proxy
+from trefoilpin.fakes.free_ports import find_free_ports
 
 __all__ = ["SoakResult", "run_seed"]
 
@@ -67,7 +68,7 @@
     """Start hosts, and callers unless told otherwise; return their run."""
     environment = environments.create_environment(seed)
     ips = [f"127.0.{1 + seed % 200}.{2 + number}" for number in range(host_count)]
-    ports = hosts.find_free_ports(ips, len(hosts.Ports._fields))
+    ports = hosts.Ports(*find_free_ports(ips, len(hosts.Ports._fields)))
     all_hosts, store_proxy_by_ip = [], {}
     for number, ip in enumerate(ips):
         zone = environments.ZONES[number % len(environments.ZONES)]
--- a/trefoilpin/tests/gateway/test_transports.py
+++ b/trefoilpin/tests/gateway/test_transports.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from trefoilpin import events
+from trefoilpin.fakes.free_ports import find_free_ports
 from trefoilpin.fakes.gateways import create_document_cache, create_host
 from trefoilpin.gateway.fleet import compression, gossip_codecs, transports
 from trefoilpin.gateway.fleet.messages import GossipMessage, MemberRecord, aged
@@ -36,9 +37,8 @@
 
 
 def find_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    (port,) = find_free_ports((HOST,), 1)
+    return port
 
 
 @pytest.fixture
--- a/trefoilpin/tests/sessions.py
+++ b/trefoilpin/tests/sessions.py
@@ -17,6 +17,7 @@
 from trefoilpin import clocks, codecs, daemons, settings
 from trefoilpin.fakes import stores as fake_stores
 from trefoilpin.fakes import upstreams as fake_upstreams
+from trefoilpin.fakes.free_ports import find_free_ports
 from trefoilpin.kernel import create_kernel
 
 logging.getLogger("trefoilpin").setLevel(logging.INFO)
@@ -58,10 +59,8 @@
 
 def free_address():
     """Return an address with a free port."""
-    listener = eventlet.listen(("127.0.0.1", 0))
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    listener.close()
-    return address
+    (port,) = find_free_ports(("127.0.0.1",), 1)
+    return f"127.0.0.1:{port}"
 
 
 def start_store(session):
