Keep who is asked apart for each kind of grants

Cause: the exchange of asks and grants knew one kind, the tokens for cold upstreams. Other bounds of the fleet are to be granted by the same holder, and a silent or refusing host of one kind must not count for another. Change: a GrantKind names the fields and the functions of a kind, and each has its own state. The line of unanswered asks names the kind. Result: the behaviour of the tokens is unchanged.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -1054,13 +1054,13 @@
     ("lease", "detail"),
     "A call to the store for a lease failed; further failures in a row aren't logged.",
 )
-COLD_ASKS_UNANSWERED = Event(
+ASKS_UNANSWERED = Event(
     836,
     "cold_asks_unanswered",
     logging.WARNING,
-    ("host", "seconds"),
-    "A host that was asked for tokens for cold upstreams did not respond for this time;"
-    " another one is asked.",
+    ("kind", "host", "seconds"),
+    "A host that was asked for grants of a kind, as of tokens for cold upstreams, did"
+    " not respond for this time; another one is asked.",
     sampled=True,
 )
 
--- a/trefoilpin/gateway/fleet/gossip.py
+++ b/trefoilpin/gateway/fleet/gossip.py
@@ -387,7 +387,10 @@
         is_first_reader,
     )
     exchanges = grant_exchanges.create(
-        kernel, service, lambda address: address in state.peer_by_address
+        kernel,
+        service,
+        lambda address: address in state.peer_by_address,
+        (grant_exchanges.cold_kind(cold_grants),),
     )
     cold_grants.on_granted(queues.wake)
     kernel.register("gossip", service, start)
--- a/trefoilpin/gateway/fleet/grant_exchanges.py
+++ b/trefoilpin/gateway/fleet/grant_exchanges.py
@@ -1,36 +1,66 @@
-"""Asks for tokens for cold upstreams, and the responses, between hosts.
+"""Asks for what one host grants to the whole fleet, and the responses, between hosts.
 
-A host asks the one that last granted tokens, or the one that another host named as the
-holder of the lease, or the first hosts in the order of store readers in turn. Each host
-that is asked and doesn't hold the lease tries to take it, which the lease makes safe.
-Nothing is sent while no request lacks a token.
+There are several kinds of grants, and one lease stands for the right to give them. For
+each kind a host asks the one that last granted, or the one that another host named as
+the holder of the lease, or the first hosts in the order of store readers in turn. Each
+host that is asked and doesn't hold the lease tries to take it, which the lease makes
+safe. Nothing is sent while no request lacks a grant.
 """
 
-from typing import Callable, NamedTuple
+from typing import Any, Callable, NamedTuple
 
 from trefoilpin import events
 from trefoilpin.gateway.balancing.cold_grants import ColdGrant
 
-__all__ = ["GrantExchanges", "create"]
+__all__ = ["GrantExchanges", "GrantKind", "cold_kind", "create"]
 
 # A response takes milliseconds; without one the next host is asked.
 RESPONSE_SECONDS = 0.3
-# Purposes of messages; at most one message per purpose and host is queued.
-ASK, GRANT = "ask", "grant"
+
+
+class GrantKind(NamedTuple):
+    """What hosts ask for, and the service that grants it.
+
+    Attributes
+    ----------
+    name : str
+        Prefix of the metrics.
+    ask_field, grant_field : str
+        Fields of ``GossipMessage`` with the ask and the response; at most one message
+        per field and host is queued.
+    on_ask : callable
+        ``on_ask(function)`` has ``function(ask)`` called with each ask of this host.
+    grant : callable
+        ``grant(ask, time, held_since, own_address)`` returns the response of the holder
+        of the lease.
+    refuse : callable
+        ``refuse(ask, holder)`` returns the response of another host, which names the
+        holder, or the empty text.
+    receive : callable
+        ``receive(response)`` takes the response to an ask of this host.
+    """
+
+    name: str
+    ask_field: str
+    grant_field: str
+    on_ask: Callable
+    grant: Callable
+    refuse: Callable
+    receive: Callable
 
 
 class GrantExchanges(NamedTuple):
     """``grant_exchanges``: ``receive(address, message)`` takes a host's message.
 
-    ``target()`` is the address of the host that is asked next.
+    ``target(name)`` is the address of the host that is asked next for a kind.
     """
 
     receive: Callable
-    target: Callable[[], str]
+    target: Callable[[str], str]
 
 
 class ExchangeState:
-    """Who is asked, and since when there is no response.
+    """Who is asked for a kind of grants, and since when there is no response.
 
     Attributes
     ----------
@@ -48,7 +78,37 @@
         self.waiting_since: float | None = None
 
 
-def create(kernel, gossip, is_peer):
+def cold_kind(cold_grants):
+    """Return the kind of the tokens for cold upstreams.
+
+    Parameters
+    ----------
+    cold_grants : ColdGrants
+
+    Returns
+    -------
+    GrantKind
+    """
+
+    def grant(ask, time, held_since, own_address):
+        granted = cold_grants.answer(ask, time, held_since)
+        return ColdGrant(ask.number, True, own_address, granted)
+
+    def refuse(ask, holder):
+        return ColdGrant(ask.number, False, holder, ())
+
+    return GrantKind(
+        "cold",
+        "cold_ask",
+        "cold_grant",
+        cold_grants.on_ask,
+        grant,
+        refuse,
+        cold_grants.receive,
+    )
+
+
+def create(kernel, gossip, is_peer, kinds):
     """Create the service ``grant_exchanges``.
 
     Parameters
@@ -57,16 +117,16 @@
     gossip : Gossip
     is_peer : callable
         Tells whether this host sends to an address regularly.
+    kinds : sequence of GrantKind
 
     Returns
     -------
     GrantExchanges
     """
-    state = ExchangeState()
+    state_by_name = {kind.name: ExchangeState() for kind in kinds}
     now = kernel.clock.now
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
-    cold_grants = kernel.find("cold_grants")
     gossip_builders = kernel.find("gossip_builders")
     send_queues = kernel.find("send_queues")
     own_address = kernel.find("members").own.address
@@ -78,75 +138,88 @@
             addresses.insert(gossip.reader_rank(), own_address)
         return addresses
 
-    def target():
+    def target(name):
+        state = state_by_name[name]
         if state.holder:
             return state.holder
         addresses = order()
         return addresses[state.position % len(addresses)] if addresses else own_address
 
-    def pass_over_silent_host():
+    def pass_over_silent_host(kind):
         """Ask another host when there is no response for too long."""
+        state = state_by_name[kind.name]
         if state.waiting_since is None:
             return
         seconds = now() - state.waiting_since
         if seconds < RESPONSE_SECONDS:
             return
-        metrics.count("cold_asks_unanswered")
-        emit(events.COLD_ASKS_UNANSWERED, host=target(), seconds=round(seconds, 3))
+        metrics.count(f"{kind.name}_asks_unanswered")
+        emit(
+            events.ASKS_UNANSWERED,
+            kind=kind.name,
+            host=target(kind.name),
+            seconds=round(seconds, 3),
+        )
         state.waiting_since = None
         if state.holder:
             state.holder = ""
         else:
             state.position += 1
 
-    def send_ask(ask):
-        pass_over_silent_host()
-        address = target()
+    def send_ask(kind, ask):
+        pass_over_silent_host(kind)
+        address = target(kind.name)
         if address == own_address:
-            take_grant(own_address, answer(ask))
+            take_response(kind, own_address, respond(kind, ask))
             return
+        state = state_by_name[kind.name]
         if state.waiting_since is None:
             state.waiting_since = now()
-        send(address, ASK, cold_ask=ask)
+        send(address, kind.ask_field, ask)
 
-    def send(address, purpose, **fields):
+    def send(address, field, value):
         def build():
             message = gossip_builders.build(with_versions=False)
+            fields: dict[str, Any] = {field: value}
             return message._replace(sends_regularly=is_peer(address), **fields)
 
-        send_queues.enqueue(address, purpose, build)
+        send_queues.enqueue(address, field, build)
 
-    def answer(ask):
+    def respond(kind, ask):
         """Return the response to an ask; have this host hold the lease from now on."""
         time = now()
         leases = kernel.find("leases")
         held_since = leases.held_since(time)
         leases.want()
         if held_since is None:
-            return ColdGrant(ask.number, False, leases.holder(), ())
-        granted = cold_grants.answer(ask, time, held_since)
-        return ColdGrant(ask.number, True, own_address, granted)
+            return kind.refuse(ask, leases.holder())
+        return kind.grant(ask, time, held_since, own_address)
 
-    def take_grant(address, grant):
+    def take_response(kind, address, response):
+        state = state_by_name[kind.name]
         state.waiting_since = None
-        if grant.is_holder:
+        if response.is_holder:
             state.holder, state.position = address, 0
-        elif grant.holder and grant.holder != address:
-            state.holder = grant.holder
+        elif response.holder and response.holder != address:
+            state.holder = response.holder
         else:
             # One that can't take the lease answers all the same.
             state.holder = ""
-            if address == target():
+            if address == target(kind.name):
                 state.position += 1
-        cold_grants.receive(grant)
+        kind.receive(response)
 
     def receive(address, message):
-        if message.cold_ask is not None:
-            send(address, GRANT, cold_grant=answer(message.cold_ask))
-        if message.cold_grant is not None:
-            take_grant(address, message.cold_grant)
-
-    cold_grants.on_ask(send_ask)
+        for kind in kinds:
+            ask = getattr(message, kind.ask_field)
+            if ask is not None:
+                send(address, kind.grant_field, respond(kind, ask))
+            response = getattr(message, kind.grant_field)
+            if response is not None:
+                take_response(kind, address, response)
+
+    for kind in kinds:
+        kind.on_ask(lambda ask, kind=kind: send_ask(kind, ask))
     service = GrantExchanges(receive, target)
     kernel.register("grant_exchanges", service)
     return service
