Release the lease on a stop, and refuse callers of pools that nobody grants

Cause: a host that stopped kept the lease until its right had run out, so cold upstreams got nothing for 3 s after each stop; a host that waited for that time slept through it. A new system had no holder in its first 3 s. Callers of a pool that is cold as a whole waited for a token until their deadline passed. Change: a holder that stops ends its right and writes that it released the lease, in the era in which it meant to; who waits reads again each 0.3 s while a grant is wanted; on the first start of a system nobody waits where there is no object. When asks find no holder for 0.7 s, requests to such pools are refused at once. Ask numbers begin at a drawn number. Requests to cold upstreams get no decoys, and use a new connection where a refusal would need them.

--- a/trefoilpin/events.py
+++ b/trefoilpin/events.py
@@ -1063,5 +1063,12 @@
     " not respond for this time; another one is asked.",
     sampled=True,
 )
+LEASE_RELEASED = Event(
+    837,
+    "lease_released",
+    logging.INFO,
+    ("lease", "revision"),
+    "This host is stopping and released a lease, so that another one need not wait.",
+)
 
 CATALOGUE = tuple(value for value in globals().values() if isinstance(value, Event))
--- a/trefoilpin/fakes/cold_fleets.py
+++ b/trefoilpin/fakes/cold_fleets.py
@@ -18,7 +18,15 @@
 from trefoilpin.messages import Answer, Attempt
 from trefoilpin.verdicts import Verdict
 
-__all__ = ["ColdFleet", "ColdFleetSettings", "bound", "worst_second"]
+__all__ = [
+    "POOL",
+    "SINGLE_ATTEMPT",
+    "TYPICAL_SECONDS",
+    "ColdFleet",
+    "ColdFleetSettings",
+    "bound",
+    "worst_second",
+]
 
 POOL = "p"
 SINGLE_ATTEMPT = RetryPolicy(False, False)
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -113,6 +113,8 @@
             extra_headers=extra_headers,
             uses_new_connection=uses_new_connection,
             send_by=send_by,
+            # Only requests to cold upstreams have such a time.
+            allows_decoys=send_by == float("inf"),
         )
         if not is_counted(request):
             return connect_and_send(outgoing)
--- a/trefoilpin/gateway/balancing/cold_grants.py
+++ b/trefoilpin/gateway/balancing/cold_grants.py
@@ -40,6 +40,11 @@
 MAX_WANTS = 64
 # Buckets beyond this number of upstreams are dropped when they are full again.
 MAX_BUCKETS = 256
+# The first ask of a start has a number below this one.
+MAX_FIRST_NUMBER = 1 << 52
+# Without a response of the holder for this time after an ask, two hosts that were asked
+# have been passed over, and no token may come for seconds.
+UNANSWERED_SECONDS = 0.7
 
 
 class ColdBounds(NamedTuple):
@@ -70,7 +75,10 @@
 
 
 class ColdAsk(NamedTuple):
-    """A host's ask for tokens, numbered since its start."""
+    """A host's ask for tokens, numbered from a number drawn at its start.
+
+    So the response to an ask of an earlier start meets none of this one.
+    """
 
     number: int
     wants: tuple[Want, ...]
@@ -115,6 +123,8 @@
     called when it brought tokens. ``answer(ask, time, held_since)`` returns the granted
     tokens of a host's ask that had arrived by that time of the clock, at which this
     host held the lease, without another holder since ``held_since``.
+    ``is_holder_away()`` tells whether the asks of some time found no host that may
+    grant.
     """
 
     has_token: Callable
@@ -124,6 +134,7 @@
     receive: Callable
     on_granted: Callable
     answer: Callable
+    is_holder_away: Callable[[], bool]
 
 
 class Bucket:
@@ -144,15 +155,18 @@
         By id and birth: when each token of an upstream expires, in order.
     ask_by_number : dict
         When each ask was sent, and the tokens asked for by id and birth.
+    unanswered_since : float or None
+        Clock time of the first ask since which no holder of the lease responded.
     """
 
-    def __init__(self):
+    def __init__(self, first_number):
         self.expiries_by_key: dict[tuple[str, int], deque[float]] = {}
         self.want_by_key: dict[tuple[str, int], Want] = {}
         self.ask_by_number: dict[int, tuple[float, dict]] = {}
-        self.number = 0
+        self.number = first_number
         self.asked_at = float("-inf")
         self.is_asking = False
+        self.unanswered_since: float | None = None
         self.bucket_by_id: dict[str, Bucket] = {}
         self.ask_listeners = []
         self.grant_listeners = []
@@ -178,7 +192,7 @@
     -------
     ColdGrants
     """
-    state = GrantState()
+    state = GrantState(kernel.rng.randrange(MAX_FIRST_NUMBER))
     now, sleep = kernel.clock.now, kernel.clock.sleep
     metrics = kernel.find("metrics")
     document_cache = kernel.find("document_cache")
@@ -227,6 +241,8 @@
         wants = tuple(state.want_by_key.values())[:MAX_WANTS]
         state.want_by_key.clear()
         state.number += 1
+        if state.unanswered_since is None or not is_asking_often():
+            state.unanswered_since = now()
         state.asked_at = now()
         for number, (sent_at, _) in list(state.ask_by_number.items()):
             if now() - sent_at >= TOKEN_SECONDS:
@@ -237,7 +253,18 @@
         for function in state.ask_listeners:
             function(ColdAsk(state.number, wants))
 
+    def is_asking_often():
+        return now() - state.asked_at < UNANSWERED_SECONDS
+
+    def is_holder_away():
+        since = state.unanswered_since
+        if since is None or not is_asking_often():
+            return False
+        return now() - since >= UNANSWERED_SECONDS
+
     def receive(grant):
+        if grant.is_holder:
+            state.unanswered_since = None
         # A repeated response finds no ask any more.
         sent_at, tokens_by_key = state.ask_by_number.pop(grant.number, (0.0, {}))
         has_tokens = False
@@ -291,6 +318,7 @@
         receive,
         state.grant_listeners.append,
         answer,
+        is_holder_away,
     )
     kernel.register("cold_grants", service)
     return service
--- a/trefoilpin/gateway/balancing/pool_refusals.py
+++ b/trefoilpin/gateway/balancing/pool_refusals.py
@@ -4,11 +4,13 @@
 
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
-__all__ = ["NO_UPSTREAM", "SATURATED", "refuse_paused"]
+__all__ = ["HELD_BACK", "NO_UPSTREAM", "SATURATED", "refuse_paused"]
 
 RETRY_AFTER_SECONDS = 0.2
 # Callers of a pool that pauses return over this multiple of its pause.
 PAUSE_SPREAD = 0.5
+# A lease that its holder did not release is taken over after about this time.
+HELD_BACK_SECONDS = 2.0
 
 SATURATED = Failure(
     Refusal(
@@ -26,6 +28,14 @@
         RETRY_AFTER_SECONDS,
     )
 )
+HELD_BACK = Failure(
+    Refusal(
+        Reason.NO_UPSTREAM,
+        Verdict.NOT_RUN,
+        "every upstream of the pool may be cold, and no host grants requests to it",
+        HELD_BACK_SECONDS,
+    )
+)
 
 
 def refuse_paused(seconds, rng):
--- a/trefoilpin/gateway/balancing/pool_surveys.py
+++ b/trefoilpin/gateway/balancing/pool_surveys.py
@@ -74,6 +74,8 @@
         Clock time at which the first upstream's pause ends, infinite without upstreams.
     lacking_tokens : tuple of Upstream
         Cold upstreams with room for which this host has no token.
+    is_held_back : bool
+        True when it has no token for any usable upstream.
     """
 
     accepted: tuple
@@ -83,6 +85,7 @@
     has_usable: bool
     paused_until: float
     lacking_tokens: tuple = ()
+    is_held_back: bool = True
 
 
 def is_usable(health, zones_out):
@@ -123,6 +126,7 @@
     preference_range = stale_loads.preference_range(request.zone_sender_count)
     accepted, others, accepted_health, lacking_tokens = [], [], [], []
     has_accepted, has_usable = False, False
+    is_held_back = True
     paused_until = float("inf")
     for health in healths:
         if request.accepts is not None and not request.accepts(health.upstream):
@@ -132,6 +136,9 @@
             continue
         has_usable = True
         paused_until = min(paused_until, health.paused_until)
+        is_cold = upstream_health.is_cold(health, request.now)
+        lacks_token = is_cold and not request.has_cold_token(health.upstream)
+        is_held_back = is_held_back and (lacks_token or health.is_unsure)
         candidate = create_candidate(health, request, preference_range)
         is_accepted = candidate.failure_probability <= MAX_ACCEPTED_PROBABILITY
         is_reachable = request.now >= health.avoided_until
@@ -142,8 +149,7 @@
             continue
         if not upstream_health.has_room(health, request.now):
             continue
-        is_cold = upstream_health.is_cold(health, request.now)
-        if is_cold and not request.has_cold_token(health.upstream):
+        if lacks_token:
             lacking_tokens.append(health.upstream)
             continue
         if is_accepted:
@@ -159,6 +165,7 @@
         has_usable,
         paused_until,
         tuple(lacking_tokens),
+        is_held_back,
     )
 
 
@@ -172,6 +179,7 @@
         first.has_usable or second.has_usable,
         min(first.paused_until, second.paused_until),
         first.lacking_tokens + second.lacking_tokens,
+        first.is_held_back and second.is_held_back,
     )
 
 
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -29,6 +29,7 @@
 )
 from trefoilpin.gateway.balancing.failure_models import Outcome
 from trefoilpin.gateway.balancing.pool_refusals import (
+    HELD_BACK,
     NO_UPSTREAM,
     SATURATED,
     refuse_paused,
@@ -238,6 +239,9 @@
             return NO_UPSTREAM
         if pool.paused_until - now() > MAX_PAUSE_WAIT_SECONDS:
             return refuse_paused(pool.paused_until - now(), rng)
+        if pool.is_held_back and grants.is_holder_away():
+            metrics.count("cold_pools_refused")
+            return HELD_BACK
         if not pool.accepted and (pool.has_accepted or not pool.others):
             return SATURATED
         # Those of the own zone were looked through for one to probe.
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -274,6 +274,7 @@
         kernel,
         leases.LeaseHolder(settings.own.address, settings.own.incarnation),
         gossip_service.is_first_reader,
+        settings.is_first_start,
     )
     if settings.rollout_bounds is not None:
         coordinators.create(
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -235,7 +235,9 @@
                 context.deadline,
                 context.route.idempotent,
                 upstream_headers(context, upstream),
-                is_return or poison_requests.is_suspect(context.fingerprint),
+                is_return
+                or is_sent_without_decoys(context, choice)
+                or poison_requests.is_suspect(context.fingerprint),
                 choice.send_by,
             )
             return attempt
@@ -250,6 +252,10 @@
                 Release(account_id(context), now() - started_at, charged_seconds),
             )
 
+    def is_sent_without_decoys(context, choice):
+        """Tell whether a refusal could not be told from a copy on a kept connection."""
+        return choice.send_by < float("inf") and not context.route.idempotent
+
     def may_hedge(context):
         """Tell whether the route and the retry budget allow a concurrent attempt."""
         if (
--- a/trefoilpin/gateway/shutdowns.py
+++ b/trefoilpin/gateway/shutdowns.py
@@ -57,10 +57,12 @@
     proxies = kernel.find("proxies")
     dispatchers = kernel.find("dispatchers")
     frontends = kernel.find("frontends")
+    leases = kernel.find("leases")
 
     def stop(signal_name, signalled_at):
         ends_at = signalled_at + grace * GRACE_SHARE
         members.stop()
+        leases.end()
         dispatchers.end_by(ends_at)
         gossip.notify_all()
         emit(
--- a/trefoilpin/gateway/store/leases.py
+++ b/trefoilpin/gateway/store/leases.py
@@ -12,6 +12,10 @@
 restore of the store the same revision may stand for another write, so what was read in
 another era counts for nothing.
 
+A holder that stops ends its right, and then writes that it has released the lease;
+nobody waits after that write, as it replaced the last one of a right. Nor does a host
+that finds no object while the system starts for the first time: nobody had a right.
+
 Source: Gray and Cheriton, "Leases: an efficient fault-tolerant mechanism for
 distributed file cache consistency", SOSP 1989.
 """
@@ -43,6 +47,9 @@
 # A right that nobody has asked for in this time is not renewed.
 WANTED_SECONDS = 2.0
 MIN_RETRY_SECONDS, MAX_RETRY_SECONDS = 0.2, 1.0
+# Period in which a host that waits for the right of another one reads whether that one
+# has released it.
+REREAD_SECONDS = 0.3
 # Period in which a host looks whether it is the one that should hold the lease.
 CHECK_SECONDS = 1.0
 
@@ -61,11 +68,13 @@
     ``held_since(time)`` returns since when this host has held it, without another
     holder in between, if it holds it at that time of the clock, else None.
     ``holder()`` is the address of the host that was last seen to hold it, or empty.
+    ``end()`` has this host release the lease and never take it again.
     """
 
     want: Callable[[], None]
     held_since: Callable[[float], float | None]
     holder: Callable[[], str]
+    end: Callable[[], None]
 
 
 class LeaseState:
@@ -75,6 +84,8 @@
     ----------
     seen_at : float
         Clock time by which the object had this era and revision.
+    read_at : float
+        Clock time before the last read.
     is_in_doubt : bool
         True when the object may have changed since, after a failed write.
     sequence : int
@@ -83,11 +94,16 @@
         Clock time before the last write was sent.
     era, first_sequence : int
         Era in which the last write was meant, and the number of the first such write.
+    is_calling : bool
+        True while a call to the store is under way.
+    is_ended : bool
+        True when this host has released the lease, or is about to.
     """
 
     def __init__(self):
         self.seen: StoredObject | None = None
         self.seen_at = float("-inf")
+        self.read_at = float("-inf")
         self.is_in_doubt = True
         self.sequence = 0
         self.sent_at = float("-inf")
@@ -98,6 +114,8 @@
         self.wanted_at = float("-inf")
         self.failures = 0
         self.is_kept = False
+        self.is_calling = False
+        self.is_ended = False
 
 
 def read_holder(stored):
@@ -119,7 +137,17 @@
     return LeaseHolder(address, incarnation), sequence
 
 
-def create(kernel, own, is_first, name=COLD_UPSTREAMS):
+def is_released(stored):
+    """Tell whether the holder released the lease by this object, in the same era.
+
+    Parameters
+    ----------
+    stored : StoredObject
+    """
+    return isinstance(stored.spec, dict) and stored.spec.get("released") == stored.era
+
+
+def create(kernel, own, is_first, is_first_start=False, name=COLD_UPSTREAMS):
     """Create the service ``leases``.
 
     Parameters
@@ -129,6 +157,8 @@
     is_first : callable
         Tells whether this host is the one that others ask first. It takes the lease
         before it is wanted, so that it need not wait then.
+    is_first_start : bool, optional
+        True only when the whole system starts for the first time.
     name : str, optional
         Name of the object in the store, one for each right.
 
@@ -141,6 +171,7 @@
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
     store = kernel.find("store")
+    started_at = now()
 
     def is_own(stored):
         """Tell whether this host wrote an object, in the era in which it meant to."""
@@ -153,13 +184,23 @@
         return now() - state.wanted_at < WANTED_SECONDS
 
     def is_needed():
+        if state.is_ended:
+            return False
         return is_wanted() or (is_first() and not is_own(state.seen))
 
     def keep():
         """Hold the lease, or try to take it, while that is needed."""
         try:
             while is_needed():
-                sleep(max(advance(), 0.0))
+                state.is_calling = True
+                try:
+                    seconds = advance()
+                finally:
+                    state.is_calling = False
+                if state.is_ended:
+                    release()
+                else:
+                    sleep(max(seconds, 0.0))
         finally:
             state.is_kept = False
 
@@ -169,12 +210,22 @@
             return observe()
         if is_own(state.seen):
             due_at = state.sent_at + RENEW_SECONDS
-        else:
-            due_at = state.seen_at + LEASE_SECONDS
-        return due_at - now() if now() < due_at else write()
+            return due_at - now() if now() < due_at else write()
+        if is_free(state.seen) or now() >= state.seen_at + LEASE_SECONDS:
+            return write()
+        if is_wanted() and now() >= state.read_at + REREAD_SECONDS:
+            return observe()
+        return min(state.seen_at + LEASE_SECONDS - now(), REREAD_SECONDS)
+
+    def is_free(stored):
+        """Tell whether no host can have a right, however recently it was read."""
+        if stored.revision:
+            return is_released(stored)
+        return is_first_start and now() < started_at + LEASE_SECONDS
 
     def observe():
         metrics.count("lease_reads")
+        state.read_at = now()
         outcome = store.read_object(LEASES, name)
         if isinstance(outcome, Failure):
             return record_failure(outcome.failure())
@@ -204,6 +255,8 @@
             extend_right()
 
     def extend_right():
+        if state.is_ended:
+            return
         state.right_until = max(state.right_until, state.sent_at + RIGHT_SECONDS)
 
     def write():
@@ -215,13 +268,8 @@
         state.sent_at = now()
         if not was_own:
             state.began_at = state.sent_at
-        spec = {
-            "holder": own.address,
-            "incarnation": own.incarnation,
-            "sequence": state.sequence,
-        }
         metrics.count("lease_writes")
-        outcome = store.write_object(LEASES, name, spec, seen.revision)
+        outcome = store.write_object(LEASES, name, own_spec(), seen.revision)
         if isinstance(outcome, Failure):
             state.is_in_doubt = True
             return record_failure(outcome.failure())
@@ -241,6 +289,36 @@
             )
         return RENEW_SECONDS
 
+    def own_spec():
+        """Return the object that names this host, with the number of the write."""
+        return {
+            "holder": own.address,
+            "incarnation": own.incarnation,
+            "sequence": state.sequence,
+        }
+
+    def release():
+        """Write that this host has no right any more, if nobody else has one."""
+        seen = state.seen
+        if seen is None or state.is_in_doubt or not is_own(seen):
+            return
+        state.sequence += 1
+        state.is_in_doubt = True
+        metrics.count("lease_writes")
+        spec = {**own_spec(), "released": seen.era}
+        outcome = store.write_object(LEASES, name, spec, seen.revision)
+        if isinstance(outcome, Failure):
+            record_failure(outcome.failure())
+            return
+        emit(events.LEASE_RELEASED, lease=name, revision=outcome.unwrap().revision)
+
+    def end():
+        """Release the lease, after the call that is under way, if there is one."""
+        state.is_ended = True
+        state.right_until = float("-inf")
+        if not state.is_calling:
+            kernel.spawn(release)
+
     def record_failure(failure):
         """Log a failed call; return the seconds until the next one."""
         if failure.is_conflict:
@@ -266,10 +344,12 @@
 
     def holder():
         found = read_holder(state.seen)
-        return "" if found is None else found[0].address
+        if found is None or state.is_ended or is_released(state.seen):
+            return ""
+        return found[0].address
 
     metrics.gauge("lease_held", lambda: int(now() < state.right_until))
-    service = Leases(want, held_since, holder)
+    service = Leases(want, held_since, holder, end)
     kernel.register(
         "leases",
         service,
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -84,6 +84,8 @@
         True when no idle connection may be used.
     send_by : float
         Seconds of the clock from which on nothing may be written.
+    allows_decoys : bool
+        False for an upstream that bears few requests.
     """
 
     upstream: str
@@ -96,6 +98,7 @@
     extra_headers: tuple[tuple[str, str], ...] = ()
     uses_new_connection: bool = False
     send_by: float = float("inf")
+    allows_decoys: bool = True
 
 
 class Answer(NamedTuple):
--- a/trefoilpin/refusal_checks.py
+++ b/trefoilpin/refusal_checks.py
@@ -69,7 +69,7 @@
         Exception
             One of the errors of an exchange when the next answers can't tell.
         """
-        if not dialect.decoy_headers:
+        if not (dialect.decoy_headers and outgoing.allows_decoys):
             raise ValueError("the refusal names no request")
         own_id = outgoing.request.request_id
         decoy_ids = []
--- a/trefoilpin/tests/gateway/test_cold_starts.py
+++ b/trefoilpin/tests/gateway/test_cold_starts.py
@@ -2,18 +2,25 @@
 
 import math
 import random
+from itertools import pairwise
 
 import pytest
 
 from trefoilpin.fakes.cold_fleets import (
+    POOL,
+    SINGLE_ATTEMPT,
+    TYPICAL_SECONDS,
     ColdFleet,
     ColdFleetSettings,
     bound,
     worst_second,
 )
+from trefoilpin.gateway.balancing.pool_refusals import HELD_BACK
 from trefoilpin.gateway.store.leases import LEASE_SECONDS
 
 COLD_SECONDS = 4.0
+# Some asks, each to another host, and the calls to the store.
+MAX_GAP_SECONDS = 1.5
 # Hosts, warm upstreams, mean seconds between two requests of a host, and zones.
 FLEETS = {
     "zone-of-16": (16, 3, 0.05, "a"),
@@ -155,6 +162,43 @@
     assert min(times) - killed_at < LEASE_SECONDS + 2.0
 
 
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_upstream_is_used_while_holders_stop_one_after_the_other(seed):
+    """Guards against a wait for the right of each host that stops (issue 47)."""
+    settings = ColdFleetSettings(12, 2, request_seconds=0.05, seed=seed)
+    cold_fleet = ColdFleet(settings)
+    cold_fleet.put_upstream("u", 100, 40.0)
+    cold_fleet.run(LEASE_SECONDS + 2.0)
+    fleet = cold_fleet.fleet
+    since, stopped = fleet.now(), 0
+    for _ in range(5):
+        for node in list(fleet.nodes.values()):
+            leases = node.kernel.find("leases")
+            if leases.held_since(fleet.now()) is not None:
+                node.members.stop()
+                leases.end()
+                stopped += 1
+        cold_fleet.run(2.0)
+    sends = cold_fleet.sends("u", since, fleet.now())
+    gaps = [after - before for before, after in pairwise([since, *sorted(sends)])]
+    assert stopped == 5 and max(gaps) < MAX_GAP_SECONDS
+    assert worst_second(sends) <= bound(settings)
+
+
+def test_requests_to_a_pool_that_nobody_grants_are_refused_at_once():
+    """Guards against callers that wait for a token until their deadline passes."""
+    cold_fleet = ColdFleet(ColdFleetSettings(12, 0, request_seconds=0.05))
+    cold_fleet.put_upstream("u", 100, 40.0)
+    cold_fleet.run(LEASE_SECONDS + 2.0)
+    cold_fleet.content.is_down = True
+    cold_fleet.run(LEASE_SECONDS + 1.5)
+    node = cold_fleet.fleet.nodes["10.0.0.1"]
+    outcome = node.kernel.find("upstreams").choose(
+        POOL, frozenset(), SINGLE_ATTEMPT, TYPICAL_SECONDS
+    )
+    assert outcome is HELD_BACK
+
+
 def test_restore_of_the_store_ends_no_cold_start():
     """Guards against an entry from before the cold start (issue 47)."""
     settings = ColdFleetSettings(16, 3, request_seconds=0.05)
--- a/trefoilpin/tests/gateway/test_leases.py
+++ b/trefoilpin/tests/gateway/test_leases.py
@@ -35,6 +35,7 @@
         self.first = ""
         self.lines = []
         self.changes = 0
+        self.is_first_start = False
 
     def start(self, address):
         """Start or restart a host."""
@@ -56,7 +57,7 @@
         kernel.register("store", Store(lambda kind: None, None, *calls))
         holder = leases.LeaseHolder(*owner)
         self.services[owner] = leases.create(
-            kernel, holder, lambda: self.first == address
+            kernel, holder, lambda: self.first == address, self.is_first_start
         )
         self.live[address] = owner
         kernel.start()
@@ -64,6 +65,13 @@
     def kill(self, address):
         self.loop.dead.add(self.live.pop(address))
 
+    def stop(self, owner):
+        """Stop a host, and start it again at once or after some time."""
+        self.services[owner].end()
+        if self.rng.random() < 0.5:
+            self.run(self.rng.choice((0.02, 0.1, 0.5)))
+        self.start(owner[0])
+
     def holders(self):
         now = self.loop.now
         return [
@@ -87,7 +95,9 @@
         """Have something happen that changes who can hold the lease."""
         self.changes += 1
         address = self.rng.choice("abcde")
-        fault = self.rng.randrange(9)
+        # Hosts seldom hold anything in a history without a store.
+        self.content.is_down &= self.rng.random() < 0.5
+        fault = self.rng.randrange(11)
         if fault == 0:
             self.start(address)
         elif fault == 1 and address in self.live:
@@ -108,6 +118,10 @@
             holders = [owner for owner in self.holders() if owner in self.live.values()]
             for owner in holders:
                 self.kill(owner[0])
+        elif fault in (9, 10):
+            for owner in self.holders():
+                if owner not in self.loop.frozen:
+                    self.stop(owner)
 
 
 @pytest.fixture
@@ -203,3 +217,51 @@
     fleet.content.restore(snapshot)
     fleet.run(TAKING_SECONDS, "bc")
     assert fleet.holders()
+
+
+def test_holder_that_stops_is_followed_at_once(fleet):
+    """Guards against a wait for the right of a host that is known to have stopped."""
+    fleet.run(LEASE_SECONDS + 1.0, "a")
+    fleet.run(0.5, "ab")
+    assert fleet.holders() == [("a", 1)]
+    fleet.services["a", 1].end()
+    fleet.run(0.5, "ab")
+    assert fleet.holders() == [("b", 1)]
+    fleet.services["b", 1].end()
+    fleet.run(0.5, "abc")
+    assert fleet.holders() == [("c", 1)]
+
+
+def test_release_from_before_a_restore_counts_for_nothing(fleet):
+    """Guards against the right of a host that took the lease after the copy."""
+    fleet.run(LEASE_SECONDS + 1.0, "a")
+    fleet.services["a", 1].end()
+    fleet.run(0.3)
+    snapshot = fleet.content.take_snapshot()
+    fleet.run(1.0, "b")
+    assert fleet.holders() == [("b", 1)]
+    fleet.content.restore(snapshot)
+    fleet.content.refused = frozenset("b")
+    fleet.run(2 * LEASE_SECONDS, "bc")
+    assert fleet.holders() == [("c", 1)]
+
+
+def test_first_host_of_a_new_system_holds_the_lease_at_once():
+    """Guards against seconds in which a new system grants nothing."""
+    fleet = LeaseFleet(1)
+    fleet.is_first_start = True
+    for address in "abc":
+        fleet.start(address)
+    fleet.run(0.5, "abc")
+    assert fleet.holders()
+
+
+def test_host_that_starts_later_waits_where_there_is_no_lease():
+    """Guards against a right from before a restore to a copy without the lease."""
+    fleet = LeaseFleet(1)
+    fleet.is_first_start = True
+    for address in "abc":
+        fleet.start(address)
+    fleet.run(LEASE_SECONDS + 1.0)
+    fleet.run(LEASE_SECONDS - 0.5, "abc")
+    assert not fleet.holders()
