Give asks for grants a module of their own

Cause: other kinds of grants need the same asks: numbered from a drawn number, a period apart, and none while nothing is wanted. Change: lease_asks has them; cold_grants keeps what is wanted and granted.

--- a/trefoilpin/gateway/balancing/cold_grants.py
+++ b/trefoilpin/gateway/balancing/cold_grants.py
@@ -13,6 +13,7 @@
 from collections import deque
 from typing import Callable, NamedTuple
 
+from trefoilpin.gateway.store import lease_asks
 from trefoilpin.gateway.store.document_cache import CONFIGURATION
 
 __all__ = [
@@ -40,11 +41,6 @@
 MAX_WANTS = 64
 # Buckets beyond this number of upstreams are dropped when they are full again.
 MAX_BUCKETS = 256
-# The first ask of a start has a number below this one.
-MAX_FIRST_NUMBER = 1 << 52
-# Without a response of the holder for this time after an ask, two hosts that were asked
-# have been passed over, and no token may come for seconds.
-UNANSWERED_SECONDS = 0.7
 
 
 class ColdBounds(NamedTuple):
@@ -75,10 +71,7 @@
 
 
 class ColdAsk(NamedTuple):
-    """A host's ask for tokens, numbered from a number drawn at its start.
-
-    So the response to an ask of an earlier start meets none of this one.
-    """
+    """A host's ask for tokens."""
 
     number: int
     wants: tuple[Want, ...]
@@ -153,22 +146,12 @@
     ----------
     expiries_by_key : dict
         By id and birth: when each token of an upstream expires, in order.
-    ask_by_number : dict
-        When each ask was sent, and the tokens asked for by id and birth.
-    unanswered_since : float or None
-        Clock time of the first ask since which no holder of the lease responded.
     """
 
-    def __init__(self, first_number):
+    def __init__(self):
         self.expiries_by_key: dict[tuple[str, int], deque[float]] = {}
         self.want_by_key: dict[tuple[str, int], Want] = {}
-        self.ask_by_number: dict[int, tuple[float, dict]] = {}
-        self.number = first_number
-        self.asked_at = float("-inf")
-        self.is_asking = False
-        self.unanswered_since: float | None = None
         self.bucket_by_id: dict[str, Bucket] = {}
-        self.ask_listeners = []
         self.grant_listeners = []
 
 
@@ -192,8 +175,8 @@
     -------
     ColdGrants
     """
-    state = GrantState(kernel.rng.randrange(MAX_FIRST_NUMBER))
-    now, sleep = kernel.clock.now, kernel.clock.sleep
+    state = GrantState()
+    now = kernel.clock.now
     metrics = kernel.find("metrics")
     document_cache = kernel.find("document_cache")
     capacity = min(MAX_CAPACITY, bounds.slack)
@@ -230,49 +213,28 @@
             state.want_by_key[key] = Want(
                 *key, upstream.pool, min(tokens, MAX_TOKENS_ASKED)
             )
-        if state.want_by_key and state.ask_listeners and not state.is_asking:
-            state.is_asking = True
-            kernel.spawn(ask)
-
-    def ask():
-        """Ask for what is wanted, once the last ask is long enough ago."""
-        sleep(max(state.asked_at + ASK_PERIOD_SECONDS - now(), 0.0))
-        state.is_asking = False
+        if state.want_by_key:
+            asks.schedule()
+
+    def take_wants():
         wants = tuple(state.want_by_key.values())[:MAX_WANTS]
         state.want_by_key.clear()
-        state.number += 1
-        if state.unanswered_since is None or not is_asking_often():
-            state.unanswered_since = now()
-        state.asked_at = now()
-        for number, (sent_at, _) in list(state.ask_by_number.items()):
-            if now() - sent_at >= TOKEN_SECONDS:
-                del state.ask_by_number[number]
-        tokens_by_key = {(item.upstream, item.born): item.tokens for item in wants}
-        state.ask_by_number[state.number] = (now(), tokens_by_key)
-        metrics.count("cold_asks")
-        for function in state.ask_listeners:
-            function(ColdAsk(state.number, wants))
-
-    def is_asking_often():
-        return now() - state.asked_at < UNANSWERED_SECONDS
-
-    def is_holder_away():
-        since = state.unanswered_since
-        if since is None or not is_asking_often():
-            return False
-        return now() - since >= UNANSWERED_SECONDS
+        return wants
+
+    def on_ask(function):
+        asks.on_ask(lambda number, wants: function(ColdAsk(number, wants)))
 
     def receive(grant):
-        if grant.is_holder:
-            state.unanswered_since = None
-        # A repeated response finds no ask any more.
-        sent_at, tokens_by_key = state.ask_by_number.pop(grant.number, (0.0, {}))
+        sent = asks.receive(grant.number, grant.is_holder)
+        if sent is None:
+            return
+        tokens_by_key = {(item.upstream, item.born): item.tokens for item in sent.wants}
         has_tokens = False
         for item in grant.granted:
             key = (item.upstream, item.born)
             tokens = min(item.tokens, tokens_by_key.pop(key, 0))
             expiries = state.expiries_by_key.setdefault(key, deque())
-            expiries.extend([sent_at + TOKEN_SECONDS] * tokens)
+            expiries.extend([sent.sent_at + TOKEN_SECONDS] * tokens)
             metrics.count("cold_tokens_received", tokens)
             has_tokens = has_tokens or tokens > 0
         if has_tokens:
@@ -310,15 +272,18 @@
             if bucket.tokens >= capacity:
                 del state.bucket_by_id[upstream_id]
 
+    asks = lease_asks.create(
+        kernel, "cold", ASK_PERIOD_SECONDS, TOKEN_SECONDS, take_wants
+    )
     service = ColdGrants(
         has_token,
         take,
         want,
-        state.ask_listeners.append,
+        on_ask,
         receive,
         state.grant_listeners.append,
         answer,
-        is_holder_away,
+        asks.is_holder_away,
     )
     kernel.register("cold_grants", service)
     return service
