--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -25,6 +25,7 @@
     pool_pressure,
     queues,
     rate_limits,
+    retry_budgets,
 )
 from trefoilpin.gateway.balancing import cold_checks, upstreams
 from trefoilpin.gateway.fleet import (
@@ -49,7 +50,7 @@
 from trefoilpin.kernel import Clock, create_kernel
 from trefoilpin.services import Events
 
-__all__ = ["SEEDS", "Fleet", "FleetSettings", "Link", "StoreContent"]
+__all__ = ["RETRY_BOUNDS", "SEEDS", "Fleet", "FleetSettings", "Link", "StoreContent"]
 
 NETWORK_LATENCY_SECONDS = 0.001
 # Bytes that a fetch on its own connection needs beside the document, and processor
@@ -60,6 +61,7 @@
 MAX_WAKE_UP_SECONDS = 0.03
 # Fractional, like capacities derived from link rates and processor shares.
 CAPACITY = 104.17
+RETRY_BOUNDS = retry_budgets.RetryBounds(0.2, 60.0, 10.0)
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
 
@@ -110,6 +112,8 @@
         As in ``daemons.Adapter``.
     rollout_bounds : RolloutBounds or None
         As in ``daemons.GatewaySettings``.
+    is_first_start : bool
+        Whether the system of these hosts starts for the first time.
     counts_senders : bool
         Whether the hosts that send requests are those that ``gossip`` counts; otherwise
         each host takes itself for the only one.
@@ -122,6 +126,7 @@
     decode_by_kind: Any = decode_by_kind
     rollout_bounds: Any = None
     counts_senders: bool = False
+    is_first_start: bool = False
 
 
 class Node:
@@ -310,6 +315,7 @@
     account_usage.create(kernel)
     node.pool_pressure = pool_pressure.create(kernel)
     queues.create(kernel, create_event)
+    retry_budgets.create(kernel, RETRY_BOUNDS, create_event)
     checks = cold_checks.create(kernel, node.zone, node.members.is_store_away)
     if settings.counts_senders:
         upstreams.create(
@@ -352,7 +358,9 @@
             node.gossip.share_read,
         )
         holder = leases.LeaseHolder(node.address, own.incarnation)
-        leases.create(kernel, holder, node.gossip.is_first_reader)
+        leases.create(
+            kernel, holder, node.gossip.is_first_reader, settings.is_first_start
+        )
         if bounds is not None:
             rank, delay = node.gossip.reader_rank, node.gossip.startup_delay
             coordinators.create(kernel, bounds, rank, delay)
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -15,7 +15,6 @@
     health_probes,
     logs,
     metrics,
-    retries,
 )
 from trefoilpin.dialects import Dialect
 from trefoilpin.gateway import loops, monitors, shutdowns
@@ -27,6 +26,7 @@
     queues,
     rate_limits,
     response_memory,
+    retry_budgets,
     send_pacing,
 )
 from trefoilpin.gateway.balancing import cold_checks, cold_grants, upstreams
@@ -62,8 +62,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 MAX_IDLE_SECONDS = 9.0
 MAX_IDLE_NON_IDEMPOTENT_SECONDS = 4.0
-# Share of the fleet's retry budget that is used; the rest covers late counts.
-RETRY_BUDGET_SHARE = 0.75
+# Share of the retries that no request pays for; the rest covers hosts that are
+# suspended between the withdrawal and the sending of one.
+RETRY_SLACK_SHARE = 0.9
 GC_THRESHOLDS = (5_000, 20, 100)
 MAX_ROUTINE_LINES_PER_SECOND = 200
 
@@ -218,13 +219,12 @@
     pool_pressure.create(kernel)
     send_pacing.create(kernel, settings.paces_sends)
     queues.create(kernel, eventlet.event.Event)
-    retries.create(
-        kernel,
-        settings.retry_share * RETRY_BUDGET_SHARE,
-        settings.retry_slack * RETRY_BUDGET_SHARE / settings.retry_window,
-        settings.retry_slack * RETRY_BUDGET_SHARE,
-        lambda: max(kernel.find("gossip").sender_count(), planned_senders),
+    retry_bounds = retry_budgets.RetryBounds(
+        settings.retry_share,
+        settings.retry_slack * RETRY_SLACK_SHARE,
+        settings.retry_window,
     )
+    retry_budgets.create(kernel, retry_bounds, eventlet.event.Event)
     upstreams.create(
         kernel,
         settings.own.zone,
--- a/trefoilpin/gateway/fleet/cold_grant_codecs.py
+++ b/trefoilpin/gateway/fleet/cold_grant_codecs.py
@@ -10,6 +10,12 @@
     GrantedTokens,
     Want,
 )
+from trefoilpin.gateway.fleet.grant_checks import (
+    check_length,
+    check_number,
+    check_request_number,
+    check_text,
+)
 from trefoilpin.thrift_gen.bulletins.ttypes import (
     ColdAskStruct,
     ColdGrantStruct,
@@ -19,8 +25,7 @@
 
 __all__ = ["read_ask", "read_grant", "write_ask", "write_grant"]
 
-MAX_TEXT = 300
-MAX_NUMBER = 1 << 53
+MAX_BORN = 1 << 53
 MAX_TOKENS = 1000
 
 
@@ -49,13 +54,13 @@
     """
     if struct is None:
         return None
-    check_number(struct.number, MAX_NUMBER)
-    check_length(struct.wants)
+    check_request_number(struct.number)
+    check_length(struct.wants, MAX_WANTS)
     wants = []
     for item in struct.wants:
         check_text(item.upstream)
         check_text(item.pool)
-        check_number(item.born, MAX_NUMBER)
+        check_number(item.born, MAX_BORN)
         check_number(item.tokens, MAX_TOKENS)
         wants.append(Want(item.upstream, item.born, item.pool, item.tokens))
     return ColdAsk(struct.number, tuple(wants))
@@ -71,33 +76,15 @@
     """
     if struct is None:
         return None
-    check_number(struct.number, MAX_NUMBER)
+    check_request_number(struct.number)
     check_text(struct.holder)
-    check_length(struct.granted)
+    check_length(struct.granted, MAX_WANTS)
     granted = []
     for item in struct.granted:
         check_text(item.upstream)
-        check_number(item.born, MAX_NUMBER)
+        check_number(item.born, MAX_BORN)
         check_number(item.tokens, MAX_TOKENS)
         granted.append(GrantedTokens(item.upstream, item.born, item.tokens))
     return ColdGrant(
         struct.number, bool(struct.is_holder), struct.holder, tuple(granted)
     )
-
-
-def check_text(text):
-    """Raise ``ValueError`` for a text that is missing or too long."""
-    if text is None or len(text) > MAX_TEXT:
-        raise ValueError("a name in an ask for tokens is missing or too long")
-
-
-def check_number(number, most):
-    """Raise ``ValueError`` for a number that is missing or out of range."""
-    if number is None or not 0 <= number <= most:
-        raise ValueError("a number in an ask for tokens is missing or out of range")
-
-
-def check_length(items):
-    """Raise ``ValueError`` for a list that is missing or too long."""
-    if items is None or len(items) > MAX_WANTS:
-        raise ValueError("an ask for tokens or its response is too long")
--- a/trefoilpin/gateway/fleet/gossip.py
+++ b/trefoilpin/gateway/fleet/gossip.py
@@ -390,7 +390,7 @@
         kernel,
         service,
         lambda address: address in state.peer_by_address,
-        (grant_exchanges.cold_kind(cold_grants),),
+        grant_exchanges.list_kinds(kernel),
     )
     cold_grants.on_granted(queues.wake)
     kernel.register("gossip", service, start)
--- a/trefoilpin/gateway/fleet/gossip_codecs.py
+++ b/trefoilpin/gateway/fleet/gossip_codecs.py
@@ -11,7 +11,11 @@
 from trefoilpin.gateway.balancing import departures
 from trefoilpin.gateway.balancing.departures import Departure
 from trefoilpin.gateway.balancing.failure_models import Outcome, UpstreamOutcome
-from trefoilpin.gateway.fleet import cold_grant_codecs, rollout_codecs
+from trefoilpin.gateway.fleet import (
+    cold_grant_codecs,
+    retry_grant_codecs,
+    rollout_codecs,
+)
 from trefoilpin.gateway.fleet.cold_report_codecs import (
     read_cold_reports,
     write_cold_reports,
@@ -118,6 +122,8 @@
         cold_reports=write_cold_reports(gossip_message.cold_reports),
         cold_ask=cold_grant_codecs.write_ask(gossip_message.cold_ask),
         cold_grant=cold_grant_codecs.write_grant(gossip_message.cold_grant),
+        retry_ask=retry_grant_codecs.write_ask(gossip_message.retry_ask),
+        retry_grant=retry_grant_codecs.write_grant(gossip_message.retry_grant),
     )
     set_pool_reports(message, gossip_message.pool_reports)
     add_pressure(message, gossip_message.pressure_reports)
@@ -314,4 +320,6 @@
         read_cold_reports(message.cold_reports),
         cold_grant_codecs.read_ask(message.cold_ask),
         cold_grant_codecs.read_grant(message.cold_grant),
+        retry_grant_codecs.read_ask(message.retry_ask),
+        retry_grant_codecs.read_grant(message.retry_grant),
     )
--- a/trefoilpin/gateway/fleet/grant_exchanges.py
+++ b/trefoilpin/gateway/fleet/grant_exchanges.py
@@ -10,12 +10,16 @@
 from typing import Any, Callable, NamedTuple
 
 from trefoilpin import events
+from trefoilpin.gateway.admission.retry_pools import RetryGrant
 from trefoilpin.gateway.balancing.cold_grants import ColdGrant
 
-__all__ = ["GrantExchanges", "GrantKind", "cold_kind", "create"]
+__all__ = ["GrantExchanges", "GrantKind", "create", "list_kinds"]
 
 # A response takes milliseconds; without one the next host is asked.
 RESPONSE_SECONDS = 0.3
+# A holder whose right has run out, as nobody asked for some time, names itself and
+# renews it within milliseconds; it is asked again so often.
+MAX_RENEWALS = 3
 
 
 class GrantKind(NamedTuple):
@@ -68,6 +72,8 @@
         Host that is said to hold the lease, or empty.
     position : int
         Position in the order of readers of the host that is asked otherwise.
+    renewals : int
+        Responses in a row of a holder that has to renew its right.
     waiting_since : float or None
         Clock time of the first ask without a response.
     """
@@ -75,15 +81,20 @@
     def __init__(self):
         self.holder = ""
         self.position = 0
+        self.renewals = 0
         self.waiting_since: float | None = None
 
 
-def cold_kind(cold_grants):
-    """Return the kind of the tokens for cold upstreams.
+def create_kind(name, service, create_response):
+    """Return the kind of the grants of a service.
 
     Parameters
     ----------
-    cold_grants : ColdGrants
+    name : str
+    service : ColdGrants or RetryBudgets
+    create_response : callable
+        Creates the response from the number of the ask, whether this host grants, the
+        address of the holder, and what is granted.
 
     Returns
     -------
@@ -91,20 +102,37 @@
     """
 
     def grant(ask, time, held_since, own_address):
-        granted = cold_grants.answer(ask, time, held_since)
-        return ColdGrant(ask.number, True, own_address, granted)
+        granted = service.answer(ask, time, held_since)
+        return create_response(ask.number, True, own_address, granted)
 
     def refuse(ask, holder):
-        return ColdGrant(ask.number, False, holder, ())
+        return create_response(ask.number, False, holder, ())
 
     return GrantKind(
-        "cold",
-        "cold_ask",
-        "cold_grant",
-        cold_grants.on_ask,
+        name,
+        f"{name}_ask",
+        f"{name}_grant",
+        service.on_ask,
         grant,
         refuse,
-        cold_grants.receive,
+        service.receive,
+    )
+
+
+def list_kinds(kernel):
+    """Return the kinds of grants of a host.
+
+    Parameters
+    ----------
+    kernel : Kernel
+
+    Returns
+    -------
+    tuple of GrantKind
+    """
+    return (
+        create_kind("cold", kernel.find("cold_grants"), ColdGrant),
+        create_kind("retry", kernel.find("retry_budgets"), RetryGrant),
     )
 
 
@@ -198,8 +226,12 @@
     def take_response(kind, address, response):
         state = state_by_name[kind.name]
         state.waiting_since = None
+        is_renewing = response.holder == address and not response.is_holder
+        state.renewals = state.renewals + 1 if is_renewing else 0
         if response.is_holder:
             state.holder, state.position = address, 0
+        elif is_renewing and state.renewals <= MAX_RENEWALS:
+            state.holder = address
         elif response.holder and response.holder != address:
             state.holder = response.holder
         else:
--- a/trefoilpin/gateway/fleet/messages.py
+++ b/trefoilpin/gateway/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
+from trefoilpin.gateway.admission.retry_pools import RetryAsk, RetryGrant
 from trefoilpin.gateway.balancing.cold_checks import ColdReport
 from trefoilpin.gateway.balancing.cold_grants import ColdAsk, ColdGrant
 from trefoilpin.gateway.balancing.departures import Departure
@@ -164,6 +165,10 @@
         Tokens for cold upstreams that the sender wants.
     cold_grant : ColdGrant or None
         Response to an ask of the receiver.
+    retry_ask : RetryAsk or None
+        Retries that the sender wants.
+    retry_grant : RetryGrant or None
+        Response to an ask of the receiver.
     """
 
     incarnation: int
@@ -195,6 +200,8 @@
     cold_reports: tuple[ColdReport, ...] = ()
     cold_ask: ColdAsk | None = None
     cold_grant: ColdGrant | None = None
+    retry_ask: RetryAsk | None = None
+    retry_grant: RetryGrant | None = None
 
 
 def aged(message, seconds):
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -12,13 +12,11 @@
 from trefoilpin.gateway.admission.body_memory import SMALL_BODY_BYTES
 from trefoilpin.gateway.admission.poison_requests import name_incarnation
 from trefoilpin.gateway.admission.queues import QueueRequest, Release
-from trefoilpin.gateway.admission.send_pacing import (
-    RESERVED_RETRIES_BY_PRIORITY,
-    reserved_retries,
-)
+from trefoilpin.gateway.admission.send_pacing import RESERVED_RETRIES_BY_PRIORITY
 from trefoilpin.gateway.balancing.pool_refusals import SATURATED
 from trefoilpin.gateway.balancing.upstream_health import is_unreached
 from trefoilpin.gateway.balancing.upstream_selection import RetryPolicy
+from trefoilpin.gateway.requests import retry_decisions, typical_durations
 from trefoilpin.gateway.requests.concurrent_attempts import ConcurrentAttempts
 from trefoilpin.gateway.requests.request_contexts import (
     CALLER_LEFT,
@@ -26,31 +24,25 @@
     NOT_CURRENT,
     SERVER_ERRORS,
     STOPPING,
-    is_failed,
     is_served,
 )
 from trefoilpin.gateway.store.document_cache import CONFIGURATION
-from trefoilpin.verdicts import Reason, Verdict
+from trefoilpin.verdicts import Verdict
 
 __all__ = ["DispatchSettings", "Dispatchers", "create"]
 
-# Limit on attempts of one request that reached no upstream or a different one than
-# intended. The request did not run in such an attempt.
-MAX_UNREACHED_ATTEMPTS = 4
 # An idempotent request is hedged once its first attempt has taken this multiple of the
 # typical duration. Source: Dean and Barroso, "The tail at scale", Communications of the
 # ACM 56(2), 2013. For durations with a spread of 0.8 this hedges one request in
 # fifteen, which uses a third of the retry budget.
 HEDGE_FACTOR = 2.5
 MIN_HEDGE_SECONDS = 0.25
+# Retries that hedges leave for others.
+HEDGE_RESERVE = RESERVED_RETRIES_BY_PRIORITY[-1]
 # The task of an attempt may end this much later than the deadline of the attempt.
 ATTEMPT_GRACE_SECONDS = 0.5
-# The typical duration of a route is a moving average over its answers. A duration
-# counts as at most this multiple of the average.
-MAX_SAMPLE_FACTOR = 5.0
-TYPICAL_SECONDS_WEIGHT = 0.05
-# Share of a route's target time taken as its typical duration before the first answer.
-INITIAL_TYPICAL_SHARE = 0.3
+# Time in which the fleet may grant a retry to a request that is due to be hedged.
+HEDGE_GRANT_SECONDS = 0.15
 
 
 class DispatchSettings(NamedTuple):
@@ -88,10 +80,9 @@
 
 
 class DispatchState:
-    """Typical durations by route, and the time at which this host ends."""
+    """The time at which this host ends."""
 
     def __init__(self):
-        self.typical_seconds_by_route: dict[str, float] = {}
         self.ends_at = float("inf")
 
 
@@ -117,7 +108,9 @@
     metrics = kernel.find("metrics")
     document_cache = kernel.find("document_cache")
     poison_requests = kernel.find("poison_requests")
-    retries = kernel.find("retries")
+    retry_budgets = kernel.find("retry_budgets")
+    decisions = retry_decisions.create(kernel)
+    durations = typical_durations.create()
     queues = kernel.find("queues")
     pool_pressure = kernel.find("pool_pressure")
     send_pacing = kernel.find("send_pacing")
@@ -141,9 +134,11 @@
                 context.request.caller_gone,
             )
             if isinstance(outcome, Failure):
+                decisions.give_back(context)
                 context.refusal = outcome.failure()
                 return
-            if not may_send(context):
+            if not (may_send(context) and decisions.may_send(context)):
+                decisions.give_back(context)
                 release(outcome.unwrap(), None, context.typical_seconds)
                 queues.notify_release(
                     context.pool,
@@ -154,7 +149,7 @@
                 send_with_hedge(context, outcome.unwrap())
             else:
                 send(context, outcome.unwrap())
-            if not should_retry(context):
+            if not decisions.should_retry(context):
                 return
 
     def account_id(context):
@@ -169,12 +164,9 @@
             context.pool, seconds_left, context.typical_seconds
         ):
             return SATURATED
-        has_attempt_left = context.attempt_count + 1 < context.route.max_attempts
-        can_retry = (
-            has_attempt_left
-            and retries.balance(context.pool, reserved_for_others(context)) >= 1
+        retry_policy = RetryPolicy(
+            context.route.idempotent, decisions.can_retry(context)
         )
-        retry_policy = RetryPolicy(context.route.idempotent, can_retry)
         return choose_upstream(context, retry_policy)
 
     def choose_upstream(context, retry_policy):
@@ -264,7 +256,7 @@
             or send_pacing.is_paced(context.pool)
         ):
             return False
-        return retries.balance(context.pool, RESERVED_RETRIES_BY_PRIORITY[-1]) >= 1
+        return retry_budgets.balance(context.pool, HEDGE_RESERVE) >= 1
 
     def send_with_hedge(context, choice):
         """Send a request, and send it to a second upstream if the answer takes long.
@@ -279,8 +271,12 @@
         )
         try:
             finished = attempts.next_finished(hedge_delay(context))
+            if finished is None and not start_hedge(context, attempts):
+                # The fleet was asked for a retry.
+                finished = attempts.next_finished(HEDGE_GRANT_SECONDS)
+                if finished is None:
+                    start_hedge(context, attempts)
             if finished is None:
-                start_hedge(context, attempts)
                 finished = attempts.next_finished(
                     context.deadline + ATTEMPT_GRACE_SECONDS - now()
                 )
@@ -300,20 +296,27 @@
         return max(context.typical_seconds * HEDGE_FACTOR, MIN_HEDGE_SECONDS)
 
     def start_hedge(context, attempts):
-        """Start a second attempt if an upstream has room and the deadline allows it."""
+        """Start a second attempt if an upstream has room and the deadline allows it.
+
+        Return False when the host lacked a retry for it.
+        """
         if now() + context.typical_seconds >= context.deadline or not may_hedge(
             context
         ):
-            return
+            return True
         if not may_send(context):
-            return
+            return True
+        send_by = retry_budgets.withdraw(context.pool, HEDGE_RESERVE)
+        if send_by is None:
+            return False
         retry_policy = RetryPolicy(is_idempotent=True, can_retry=False)
         second = choose_upstream(context, retry_policy)
         if isinstance(second, Failure):
-            return
-        retries.withdraw(context.pool)
+            retry_budgets.give_back(context.pool, send_by)
+            return True
         metrics.count("hedges")
         attempts.start(second.unwrap(), lambda choice: exchange(context, choice, 0.0))
+        return True
 
     def upstream_headers(context, upstream):
         headers = [(settings.expected_header, upstream.id)]
@@ -339,7 +342,7 @@
             if last.answer.status not in SERVER_ERRORS:
                 # An upstream that fails may answer before it runs what crashes others.
                 poison_requests.record_answer(context.fingerprint)
-                update_typical_seconds(context, last.seconds)
+                durations.update(context.route, last.seconds)
         emit(
             events.ATTEMPT_ENDED,
             request_id=context.request.request_id,
@@ -352,46 +355,6 @@
             number=context.attempt_count,
         )
 
-    def typical_seconds(route):
-        average = state.typical_seconds_by_route.get(route.id)
-        return route.target * INITIAL_TYPICAL_SHARE if average is None else average
-
-    def update_typical_seconds(context, seconds):
-        average = typical_seconds(context.route)
-        bounded = min(seconds, average * MAX_SAMPLE_FACTOR)
-        state.typical_seconds_by_route[context.route.id] = (
-            average + (bounded - average) * TYPICAL_SECONDS_WEIGHT
-        )
-
-    def should_retry(context):
-        last = context.last_attempt
-        if now() >= context.deadline or last.reason is Reason.CALLER_GONE:
-            return False
-        if is_unreached(last):
-            if context.unreached_count >= MAX_UNREACHED_ATTEMPTS:
-                return False
-            # A misdirected request did arrive at an upstream, so its retry is charged
-            # to the budget.
-            return not last.shed or withdraw_retry(context)
-        if context.attempt_count >= context.route.max_attempts:
-            return False
-        if last.verdict is not Verdict.NOT_RUN:
-            if not (context.route.idempotent and is_failed(last)):
-                return False
-        return withdraw_retry(context)
-
-    def reserved_for_others(context):
-        return reserved_retries(
-            context.priority, context.deadline - now(), context.typical_seconds
-        )
-
-    def withdraw_retry(context):
-        """Withdraw a retry from the budget; return False if none is left."""
-        if retries.withdraw(context.pool, reserved_for_others(context)):
-            return True
-        metrics.count("retries_over_budget")
-        return False
-
     def are_keys_stale():
         is_old = document_cache.age(CONFIGURATION) > settings.key_seconds
         return is_old or document_cache.is_unproven(CONFIGURATION)
@@ -399,6 +362,6 @@
     def end_by(time):
         state.ends_at = time
 
-    service = Dispatchers(dispatch, typical_seconds, are_keys_stale, end_by)
+    service = Dispatchers(dispatch, durations.seconds, are_keys_stale, end_by)
     kernel.register("dispatchers", service)
     return service
--- a/trefoilpin/gateway/requests/proxies.py
+++ b/trefoilpin/gateway/requests/proxies.py
@@ -73,7 +73,7 @@
     rate_limits = kernel.find("rate_limits")
     poison_requests = kernel.find("poison_requests")
     pool_pressure = kernel.find("pool_pressure")
-    retries = kernel.find("retries")
+    retry_budgets = kernel.find("retry_budgets")
     dispatchers = kernel.find("dispatchers")
 
     def handle(incoming):
@@ -154,7 +154,7 @@
             admitted = rate_limits.admit(account, key, seconds_left)
             if isinstance(admitted, Failure):
                 return admitted
-        retries.deposit(context.pool)
+        retry_budgets.deposit(context.pool)
         try:
             outcome = dispatch(context)
         except BaseException:
--- a/trefoilpin/gateway/requests/request_contexts.py
+++ b/trefoilpin/gateway/requests/request_contexts.py
@@ -91,6 +91,8 @@
         self.last_attempt: Attempt | None = None
         self.refusal: Refusal | None = None
         self.may_have_run = False
+        # Clock time by which a retry has to be sent, once one was withdrawn.
+        self.retry_by: float | None = None
         self.is_held_back = False
         self.upstream: Any = None
 
--- a/trefoilpin/gateway/store/leases.py
+++ b/trefoilpin/gateway/store/leases.py
@@ -50,6 +50,8 @@
 # Period in which a host that waits for the right of another one reads whether that one
 # has released it.
 REREAD_SECONDS = 0.3
+# A right before which there was none counts as held for this time before it began.
+NO_EARLIER_SECONDS = 3600.0
 # Period in which a host looks whether it is the one that should hold the lease.
 CHECK_SECONDS = 1.0
 
@@ -268,6 +270,8 @@
         state.sent_at = now()
         if not was_own:
             state.began_at = state.sent_at
+            if not seen.revision and is_free(seen):
+                state.began_at -= NO_EARLIER_SECONDS
         metrics.count("lease_writes")
         outcome = store.write_object(LEASES, name, own_spec(), seen.revision)
         if isinstance(outcome, Failure):
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -89,6 +89,30 @@
   4: list<ColdTokensStruct> granted
 }
 
+struct RetryWantStruct {
+  1: string pool
+  2: i32 tokens
+  3: double given
+}
+
+struct RetryAskStruct {
+  1: i64 number
+  2: list<RetryWantStruct> wants
+}
+
+struct GrantedRetriesStruct {
+  1: string pool
+  2: i32 tokens
+  3: double left
+}
+
+struct RetryGrantStruct {
+  1: i64 number
+  2: bool is_holder
+  3: string holder
+  4: list<GrantedRetriesStruct> granted
+}
+
 struct BulletinStruct {
   1: i64 incarnation
   2: i64 sequence
@@ -132,4 +156,6 @@
   80: list<ColdReportStruct> cold_reports
   50: ColdAskStruct cold_ask
   51: ColdGrantStruct cold_grant
+  52: RetryAskStruct retry_ask
+  53: RetryGrantStruct retry_grant
 }
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -7,7 +7,8 @@
 import pytest
 from returns.result import Failure, Success
 
-from trefoilpin import clocks, retries
+from trefoilpin import clocks
+from trefoilpin.fakes import local_retries
 from trefoilpin.fakes.gateways import (
     ACCOUNT,
     ROUTE,
@@ -82,7 +83,7 @@
         poison_requests.create(kernel)
         pool_pressure.create(kernel)
         send_pacing.create(kernel, False)
-        retries.create(kernel, 0.2, 6.0, 6.0)
+        local_retries.create(kernel, 0.2, 6.0, 6.0)
         self.queue_requests, self.releases = [], []
         queues = Queues(
             self.enter_queue,
--- /dev/null
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -0,0 +1,212 @@
+"""Retries of a whole fleet stay within its budget."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpin.fakes.gateway_fleets import (
+    RETRY_BOUNDS,
+    Fleet,
+    FleetSettings,
+    StoreContent,
+)
+from trefoilpin.fakes.gateways import create_host
+from trefoilpin.gateway.admission import retry_pools
+from trefoilpin.gateway.admission.retry_budgets import MAX_AGE_SECONDS, TOKEN_SECONDS
+from trefoilpin.gateway.admission.retry_pools import RetryAsk, RetryBounds, RetryWant
+from trefoilpin.gateway.store.leases import LEASE_SECONDS
+
+POOL = "p"
+WAIT_SECONDS = 0.4
+WINDOW = RETRY_BOUNDS.window
+SPAN = WINDOW + TOKEN_SECONDS
+SETTLE_SECONDS = 6.0
+
+
+class RetryFleet:
+    """A fleet whose hosts get requests, of which some need retries.
+
+    Attributes
+    ----------
+    requests, retries : list of float
+        Times of the requests for the pool, and at which retries were sent.
+    """
+
+    def __init__(self, hosts, request_seconds, seed=1, lost=0.0, is_first_start=False):
+        self.content = StoreContent()
+        fleet_settings = FleetSettings(
+            lost=lost, seed=seed, is_first_start=is_first_start
+        )
+        self.fleet = Fleet(fleet_settings, self.content)
+        self.rng = random.Random(seed)
+        self.request_seconds = request_seconds
+        self.failing = 0.0
+        self.requests, self.retries = [], []
+        self.lacking = 0
+        for number in range(1, hosts + 1):
+            self.start(number)
+
+    def start(self, number, incarnation=1):
+        node = self.fleet.start(number, "abc"[number % 3], incarnation)
+        self.fleet.tasks.spawn(node.owner, self.send_requests, node)
+
+    def restart(self, address):
+        node = self.fleet.nodes[address]
+        self.fleet.kill(address)
+        self.start(int(address.rpartition(".")[2]), node.owner[1] + 1)
+
+    def send_requests(self, node):
+        while True:
+            self.fleet.tasks.sleep(self.rng.expovariate(1.0 / self.request_seconds))
+            node.members.count_request()
+            self.fleet.tasks.spawn(node.owner, self.send_request, node)
+
+    def send_request(self, node):
+        """Send a request, which may fail and is then sent again, once."""
+        budgets = node.kernel.find("retry_budgets")
+        budgets.deposit(POOL)
+        self.requests.append(self.fleet.now())
+        if self.rng.random() >= self.failing:
+            return
+        send_by = budgets.withdraw(POOL, 0.0, WAIT_SECONDS)
+        if send_by is None:
+            self.lacking += 1
+            return
+        self.fleet.tasks.sleep(self.rng.choice((0.001, 0.3)))
+        if self.fleet.now() < send_by:
+            self.retries.append(self.fleet.now())
+
+    def holders(self):
+        found = []
+        for address, node in self.fleet.nodes.items():
+            leases = node.kernel.find("leases")
+            if leases.held_since(self.fleet.now()) is not None:
+                found.append(address)
+        return found
+
+    def excess(self):
+        """Return the most retries in a window beyond what is allowed in it."""
+        share = RETRY_BOUNDS.share * WINDOW / (WINDOW + MAX_AGE_SECONDS)
+        worst = float("-inf")
+        for since in self.retries:
+            retries = count(self.retries, since, since + WINDOW)
+            requests = count(self.requests, since - MAX_AGE_SECONDS, since + WINDOW)
+            worst = max(worst, retries - share * requests - RETRY_BOUNDS.slack)
+        return worst
+
+
+def count(times, since, until):
+    return sum(since <= time <= until for time in times)
+
+
+@pytest.mark.parametrize("hosts", [6, 44, 100])
+def test_retries_after_a_calm_time_stay_within_the_budget(hosts):
+    """Guards against a balance of each host beside the refill of a window."""
+    fleet = RetryFleet(hosts, hosts / 20.0)
+    fleet.fleet.run(SETTLE_SECONDS + SPAN)
+    fleet.failing = 1.0
+    fleet.fleet.run(WINDOW)
+    assert fleet.retries and fleet.excess() <= 0.0
+
+
+def draw_fault(fleet):
+    """Have something happen to the hosts, the network between them or the store."""
+    addresses = sorted(fleet.fleet.nodes)
+    fault = fleet.rng.randrange(7)
+    if fault == 0:
+        size = fleet.rng.randrange(len(addresses))
+        fleet.fleet.cut = frozenset(fleet.rng.sample(addresses, size))
+    elif fault == 1:
+        fleet.fleet.cut = frozenset()
+    elif fault == 2:
+        fleet.restart(fleet.rng.choice(addresses))
+    elif fault == 3:
+        owner = fleet.fleet.nodes[fleet.rng.choice(addresses)].owner
+        fleet.fleet.loop.frozen ^= {owner}
+    elif fault == 4:
+        fleet.content.is_down = fleet.rng.random() < 0.3
+    elif fault == 5:
+        for address in fleet.holders():
+            fleet.fleet.nodes[address].kernel.find("leases").end()
+    elif fault == 6:
+        for address in fleet.holders():
+            fleet.restart(address)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_retries_stay_within_the_budget_whatever_hosts_know_of_each_other(seed):
+    """Guards against a budget that each host keeps by its own view (issue 47)."""
+    rng = random.Random(seed)
+    fleet = RetryFleet(
+        rng.choice((6, 12)), rng.choice((0.1, 0.6)), seed, rng.choice((0.0, 0.1))
+    )
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS)
+    for _ in range(14):
+        fleet.failing = fleet.rng.choice((0.0, 0.3, 1.0))
+        fleet.fleet.run(fleet.rng.choice((0.5, 2.0, 5.0)))
+        draw_fault(fleet)
+    assert fleet.retries and fleet.excess() <= 0.0
+
+
+def test_single_request_that_fails_is_sent_again():
+    fleet = RetryFleet(12, 5.0)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    fleet.failing = 1.0
+    fleet.fleet.run(10.0)
+    assert len(fleet.retries) > 10 and not fleet.lacking
+
+
+def test_single_request_that_fails_in_a_new_system_is_sent_again():
+    """Guards against a system that has no retries in its first seconds."""
+    fleet = RetryFleet(3, 0.8, is_first_start=True)
+    fleet.failing = 1.0
+    fleet.fleet.run(4.0)
+    assert len(fleet.retries) > 5 and fleet.lacking <= 2
+
+
+def test_hosts_use_their_own_part_while_nobody_grants():
+    fleet = RetryFleet(6, 0.02)
+    fleet.fleet.run(SETTLE_SECONDS)
+    fleet.content.is_down = True
+    fleet.fleet.run(LEASE_SECONDS + 2.0)
+    fleet.failing = 1.0
+    since = fleet.fleet.now()
+    fleet.fleet.run(5.0)
+    requests = count(fleet.requests, since, since + 5.0)
+    share = len(fleet.retries) / requests
+    assert 0.75 * RETRY_BOUNDS.share < share <= RETRY_BOUNDS.share
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.0, 6.0),
+            st.integers(1, 8),
+            st.floats(0.0, 3.0),
+            st.integers(0, 20),
+        ),
+        max_size=60,
+    )
+)
+def test_grants_of_any_span_are_paid_by_what_was_given_and_the_slack(steps):
+    kernel, clock, _ = create_host()
+    bounds = RetryBounds(0.2, 9.0, 10.0)
+    pools = retry_pools.create(kernel, bounds, TOKEN_SECONDS)
+    held_since = clock.time
+    given, granted = [], []
+    for seconds, tokens, amount, lease in steps:
+        clock.time += seconds
+        if lease == 0:
+            held_since = clock.time
+        ask = RetryAsk(1, (RetryWant(POOL, tokens, amount),))
+        (answered,) = pools.answer(ask, clock.time, held_since)
+        given.append((clock.time, amount))
+        granted.append((clock.time, answered.tokens))
+    for since, _ in granted:
+        taken = sum(n for time, n in granted if since <= time <= since + SPAN)
+        earliest = since - retry_pools.POOL_SECONDS
+        paid = sum(n for time, n in given if earliest <= time <= since + SPAN)
+        assert taken <= paid + bounds.slack + 1e-6
--- a/trefoilpin/tests/gateway/test_send_pacing.py
+++ b/trefoilpin/tests/gateway/test_send_pacing.py
@@ -5,7 +5,8 @@
 import pytest
 from returns.result import Success
 
-from trefoilpin import metrics, retries
+from trefoilpin import metrics
+from trefoilpin.fakes import local_retries
 from trefoilpin.fakes.gateways import (
     ROUTE,
     configuration,
@@ -89,7 +90,7 @@
         settings = rate_limits.RateLimitSettings(True, 1, 5.0, 1)
         rate_limits.create(kernel, settings, lambda: (1, 1))
         poison_requests.create(kernel)
-        retries.create(kernel, 0.15, 0.25, 3.0)
+        local_retries.create(kernel, 0.15, 0.25, 3.0)
         pool_pressure.create(kernel)
         send_pacing.create(kernel, is_paced)
         account_usage.create(kernel)
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -1151,6 +1151,340 @@
         return not (self == other)
 
 
+class RetryWantStruct(object):
+    """
+    Attributes:
+     - pool
+     - tokens
+     - given
+
+    """
+
+
+    def __init__(self, pool=None, tokens=None, given=None,):
+        self.pool = pool
+        self.tokens = tokens
+        self.given = given
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.given = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RetryWantStruct')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.given is not None:
+            oprot.writeFieldBegin('given', TType.DOUBLE, 3)
+            oprot.writeDouble(self.given)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RetryAskStruct(object):
+    """
+    Attributes:
+     - number
+     - wants
+
+    """
+
+
+    def __init__(self, number=None, wants=None,):
+        self.number = number
+        self.wants = wants
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.wants = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = RetryWantStruct()
+                        _elem26.read(iprot)
+                        self.wants.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RetryAskStruct')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.wants is not None:
+            oprot.writeFieldBegin('wants', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.wants))
+            for iter27 in self.wants:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantedRetriesStruct(object):
+    """
+    Attributes:
+     - pool
+     - tokens
+     - left
+
+    """
+
+
+    def __init__(self, pool=None, tokens=None, left=None,):
+        self.pool = pool
+        self.tokens = tokens
+        self.left = left
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.left = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantedRetriesStruct')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.left is not None:
+            oprot.writeFieldBegin('left', TType.DOUBLE, 3)
+            oprot.writeDouble(self.left)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RetryGrantStruct(object):
+    """
+    Attributes:
+     - number
+     - is_holder
+     - holder
+     - granted
+
+    """
+
+
+    def __init__(self, number=None, is_holder=None, holder=None, granted=None,):
+        self.number = number
+        self.is_holder = is_holder
+        self.holder = holder
+        self.granted = granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_holder = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.granted = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = GrantedRetriesStruct()
+                        _elem33.read(iprot)
+                        self.granted.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RetryGrantStruct')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.is_holder is not None:
+            oprot.writeFieldBegin('is_holder', TType.BOOL, 2)
+            oprot.writeBool(self.is_holder)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 3)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.granted))
+            for iter34 in self.granted:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BulletinStruct(object):
     """
     Attributes:
@@ -1196,11 +1530,13 @@
      - cold_reports
      - cold_ask
      - cold_grant
+     - retry_ask
+     - retry_grant
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None, retry_ask=None, retry_grant=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -1243,6 +1579,8 @@
         self.cold_reports = cold_reports
         self.cold_ask = cold_ask
         self.cold_grant = cold_grant
+        self.retry_ask = retry_ask
+        self.retry_grant = retry_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1301,11 +1639,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.stamps = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = StampStruct()
-                        _elem26.read(iprot)
-                        self.stamps.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = StampStruct()
+                        _elem40.read(iprot)
+                        self.stamps.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1317,90 +1655,90 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.outcome_upstreams = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.outcome_upstreams.append(_elem32)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.outcome_upstreams.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.outcome_kinds = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = iprot.readByte()
-                        self.outcome_kinds.append(_elem38)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = iprot.readByte()
+                        self.outcome_kinds.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.outcome_numbers = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = iprot.readI64()
-                        self.outcome_numbers.append(_elem44)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readI64()
+                        self.outcome_numbers.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.flight_upstreams = []
-                    (_etype48, _size45) = iprot.readListBegin()
-                    for _i49 in range(_size45):
-                        _elem50 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.flight_upstreams.append(_elem50)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.flight_upstreams.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.flight_counts = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readI32()
-                        self.flight_counts.append(_elem56)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readI32()
+                        self.flight_counts.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.admitted_accounts = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_accounts.append(_elem62)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_accounts.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.admitted_counts = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI64()
-                        self.admitted_counts.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readI64()
+                        self.admitted_counts.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.broken_fingerprints = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = iprot.readI64()
-                        self.broken_fingerprints.append(_elem74)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = iprot.readI64()
+                        self.broken_fingerprints.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.broken_upstreams = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.broken_upstreams.append(_elem80)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.broken_upstreams.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1412,11 +1750,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = DocumentStruct()
-                        _elem86.read(iprot)
-                        self.documents.append(_elem86)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = DocumentStruct()
+                        _elem100.read(iprot)
+                        self.documents.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1428,76 +1766,76 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.zone_views = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = ZoneViewStruct()
-                        _elem92.read(iprot)
-                        self.zone_views.append(_elem92)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = ZoneViewStruct()
+                        _elem106.read(iprot)
+                        self.zone_views.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.answered_fingerprints = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = iprot.readI64()
-                        self.answered_fingerprints.append(_elem98)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = iprot.readI64()
+                        self.answered_fingerprints.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 35:
                 if ftype == TType.LIST:
                     self.pressed_pools = []
-                    (_etype102, _size99) = iprot.readListBegin()
-                    for _i103 in range(_size99):
-                        _elem104 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressed_pools.append(_elem104)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressed_pools.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 36:
                 if ftype == TType.LIST:
                     self.pressed_levels = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = []
-                        (_etype114, _size111) = iprot.readListBegin()
-                        for _i115 in range(_size111):
-                            _elem116 = iprot.readDouble()
-                            _elem110.append(_elem116)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = []
+                        (_etype128, _size125) = iprot.readListBegin()
+                        for _i129 in range(_size125):
+                            _elem130 = iprot.readDouble()
+                            _elem124.append(_elem130)
                         iprot.readListEnd()
-                        self.pressed_levels.append(_elem110)
+                        self.pressed_levels.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 37:
                 if ftype == TType.LIST:
                     self.usage_accounts = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = []
-                        (_etype126, _size123) = iprot.readListBegin()
-                        for _i127 in range(_size123):
-                            _elem128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem122.append(_elem128)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = []
+                        (_etype140, _size137) = iprot.readListBegin()
+                        for _i141 in range(_size137):
+                            _elem142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem136.append(_elem142)
                         iprot.readListEnd()
-                        self.usage_accounts.append(_elem122)
+                        self.usage_accounts.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 38:
                 if ftype == TType.LIST:
                     self.usage_seconds = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = []
-                        (_etype138, _size135) = iprot.readListBegin()
-                        for _i139 in range(_size135):
-                            _elem140 = iprot.readDouble()
-                            _elem134.append(_elem140)
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = []
+                        (_etype152, _size149) = iprot.readListBegin()
+                        for _i153 in range(_size149):
+                            _elem154 = iprot.readDouble()
+                            _elem148.append(_elem154)
                         iprot.readListEnd()
-                        self.usage_seconds.append(_elem134)
+                        self.usage_seconds.append(_elem148)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1509,103 +1847,103 @@
             elif fid == 33:
                 if ftype == TType.LIST:
                     self.departed_upstreams = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.departed_upstreams.append(_elem146)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.departed_upstreams.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 34:
                 if ftype == TType.LIST:
                     self.departed_born = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = iprot.readI64()
-                        self.departed_born.append(_elem152)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readI64()
+                        self.departed_born.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 39:
                 if ftype == TType.LIST:
                     self.pressure_pools = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressure_pools.append(_elem158)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressure_pools.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.pressure_rooms = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = iprot.readBool()
-                        self.pressure_rooms.append(_elem164)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = iprot.readBool()
+                        self.pressure_rooms.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 41:
                 if ftype == TType.LIST:
                     self.pressure_drain_rates = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = iprot.readDouble()
-                        self.pressure_drain_rates.append(_elem170)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = iprot.readDouble()
+                        self.pressure_drain_rates.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 42:
                 if ftype == TType.LIST:
                     self.pressure_shed_shares = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = iprot.readDouble()
-                        self.pressure_shed_shares.append(_elem176)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = iprot.readDouble()
+                        self.pressure_shed_shares.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 43:
                 if ftype == TType.LIST:
                     self.pressure_waits = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = iprot.readBinary()
-                        self.pressure_waits.append(_elem182)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = iprot.readBinary()
+                        self.pressure_waits.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.LIST:
                     self.rollout_stages = []
-                    (_etype186, _size183) = iprot.readListBegin()
-                    for _i187 in range(_size183):
-                        _elem188 = RolloutStageStruct()
-                        _elem188.read(iprot)
-                        self.rollout_stages.append(_elem188)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = RolloutStageStruct()
+                        _elem202.read(iprot)
+                        self.rollout_stages.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.rollout_counts = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = RolloutCountStruct()
-                        _elem194.read(iprot)
-                        self.rollout_counts.append(_elem194)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = RolloutCountStruct()
+                        _elem208.read(iprot)
+                        self.rollout_counts.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 80:
                 if ftype == TType.LIST:
                     self.cold_reports = []
-                    (_etype198, _size195) = iprot.readListBegin()
-                    for _i199 in range(_size195):
-                        _elem200 = ColdReportStruct()
-                        _elem200.read(iprot)
-                        self.cold_reports.append(_elem200)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = ColdReportStruct()
+                        _elem214.read(iprot)
+                        self.cold_reports.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1621,6 +1959,18 @@
                     self.cold_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 52:
+                if ftype == TType.STRUCT:
+                    self.retry_ask = RetryAskStruct()
+                    self.retry_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 53:
+                if ftype == TType.STRUCT:
+                    self.retry_grant = RetryGrantStruct()
+                    self.retry_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1670,8 +2020,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter201 in self.stamps:
-                iter201.write(oprot)
+            for iter215 in self.stamps:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -1681,64 +2031,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter202 in self.outcome_upstreams:
-                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
+            for iter216 in self.outcome_upstreams:
+                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter203 in self.outcome_kinds:
-                oprot.writeByte(iter203)
+            for iter217 in self.outcome_kinds:
+                oprot.writeByte(iter217)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter204 in self.outcome_numbers:
-                oprot.writeI64(iter204)
+            for iter218 in self.outcome_numbers:
+                oprot.writeI64(iter218)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter205 in self.flight_upstreams:
-                oprot.writeString(iter205.encode('utf-8') if sys.version_info[0] == 2 else iter205)
+            for iter219 in self.flight_upstreams:
+                oprot.writeString(iter219.encode('utf-8') if sys.version_info[0] == 2 else iter219)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter206 in self.flight_counts:
-                oprot.writeI32(iter206)
+            for iter220 in self.flight_counts:
+                oprot.writeI32(iter220)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter207 in self.admitted_accounts:
-                oprot.writeString(iter207.encode('utf-8') if sys.version_info[0] == 2 else iter207)
+            for iter221 in self.admitted_accounts:
+                oprot.writeString(iter221.encode('utf-8') if sys.version_info[0] == 2 else iter221)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter208 in self.admitted_counts:
-                oprot.writeI64(iter208)
+            for iter222 in self.admitted_counts:
+                oprot.writeI64(iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter209 in self.broken_fingerprints:
-                oprot.writeI64(iter209)
+            for iter223 in self.broken_fingerprints:
+                oprot.writeI64(iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter210 in self.broken_upstreams:
-                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
+            for iter224 in self.broken_upstreams:
+                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -1748,8 +2098,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter211 in self.documents:
-                iter211.write(oprot)
+            for iter225 in self.documents:
+                iter225.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -1759,115 +2109,115 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter212 in self.zone_views:
-                iter212.write(oprot)
+            for iter226 in self.zone_views:
+                iter226.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter213 in self.answered_fingerprints:
-                oprot.writeI64(iter213)
+            for iter227 in self.answered_fingerprints:
+                oprot.writeI64(iter227)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter214 in self.rollout_stages:
-                iter214.write(oprot)
+            for iter228 in self.rollout_stages:
+                iter228.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter215 in self.rollout_counts:
-                iter215.write(oprot)
+            for iter229 in self.rollout_counts:
+                iter229.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter216 in self.departed_upstreams:
-                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
+            for iter230 in self.departed_upstreams:
+                oprot.writeString(iter230.encode('utf-8') if sys.version_info[0] == 2 else iter230)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter217 in self.departed_born:
-                oprot.writeI64(iter217)
+            for iter231 in self.departed_born:
+                oprot.writeI64(iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter218 in self.pressed_pools:
-                oprot.writeString(iter218.encode('utf-8') if sys.version_info[0] == 2 else iter218)
+            for iter232 in self.pressed_pools:
+                oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter219 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter219))
-                for iter220 in iter219:
-                    oprot.writeDouble(iter220)
+            for iter233 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter233))
+                for iter234 in iter233:
+                    oprot.writeDouble(iter234)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter221 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter221))
-                for iter222 in iter221:
-                    oprot.writeString(iter222.encode('utf-8') if sys.version_info[0] == 2 else iter222)
+            for iter235 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter235))
+                for iter236 in iter235:
+                    oprot.writeString(iter236.encode('utf-8') if sys.version_info[0] == 2 else iter236)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter223 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter223))
-                for iter224 in iter223:
-                    oprot.writeDouble(iter224)
+            for iter237 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter237))
+                for iter238 in iter237:
+                    oprot.writeDouble(iter238)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter225 in self.pressure_pools:
-                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
+            for iter239 in self.pressure_pools:
+                oprot.writeString(iter239.encode('utf-8') if sys.version_info[0] == 2 else iter239)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter226 in self.pressure_rooms:
-                oprot.writeBool(iter226)
+            for iter240 in self.pressure_rooms:
+                oprot.writeBool(iter240)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter227 in self.pressure_drain_rates:
-                oprot.writeDouble(iter227)
+            for iter241 in self.pressure_drain_rates:
+                oprot.writeDouble(iter241)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter228 in self.pressure_shed_shares:
-                oprot.writeDouble(iter228)
+            for iter242 in self.pressure_shed_shares:
+                oprot.writeDouble(iter242)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter229 in self.pressure_waits:
-                oprot.writeBinary(iter229)
+            for iter243 in self.pressure_waits:
+                oprot.writeBinary(iter243)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
@@ -1882,11 +2232,19 @@
             oprot.writeFieldBegin('cold_grant', TType.STRUCT, 51)
             self.cold_grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.retry_ask is not None:
+            oprot.writeFieldBegin('retry_ask', TType.STRUCT, 52)
+            self.retry_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.retry_grant is not None:
+            oprot.writeFieldBegin('retry_grant', TType.STRUCT, 53)
+            self.retry_grant.write(oprot)
+            oprot.writeFieldEnd()
         if self.cold_reports is not None:
             oprot.writeFieldBegin('cold_reports', TType.LIST, 80)
             oprot.writeListBegin(TType.STRUCT, len(self.cold_reports))
-            for iter230 in self.cold_reports:
-                iter230.write(oprot)
+            for iter244 in self.cold_reports:
+                iter244.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2004,6 +2362,34 @@
     (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
     (4, TType.LIST, 'granted', (TType.STRUCT, [ColdTokensStruct, None], False), None, ),  # 4
 )
+all_structs.append(RetryWantStruct)
+RetryWantStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+    (3, TType.DOUBLE, 'given', None, None, ),  # 3
+)
+all_structs.append(RetryAskStruct)
+RetryAskStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'wants', (TType.STRUCT, [RetryWantStruct, None], False), None, ),  # 2
+)
+all_structs.append(GrantedRetriesStruct)
+GrantedRetriesStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+    (3, TType.DOUBLE, 'left', None, None, ),  # 3
+)
+all_structs.append(RetryGrantStruct)
+RetryGrantStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.BOOL, 'is_holder', None, None, ),  # 2
+    (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'granted', (TType.STRUCT, [GrantedRetriesStruct, None], False), None, ),  # 4
+)
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
     None,  # 0
@@ -2058,8 +2444,8 @@
     None,  # 49
     (50, TType.STRUCT, 'cold_ask', [ColdAskStruct, None], None, ),  # 50
     (51, TType.STRUCT, 'cold_grant', [ColdGrantStruct, None], None, ),  # 51
-    None,  # 52
-    None,  # 53
+    (52, TType.STRUCT, 'retry_ask', [RetryAskStruct, None], None, ),  # 52
+    (53, TType.STRUCT, 'retry_grant', [RetryGrantStruct, None], None, ),  # 53
     None,  # 54
     None,  # 55
     None,  # 56
