--- a/trefoilpin/fakes/local_retries.py
+++ b/trefoilpin/fakes/local_retries.py
@@ -32,6 +32,7 @@
         None,
         None,
         None,
+        None,
     )
     kernel.register("retry_budgets", service)
     return service
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -102,6 +102,7 @@
         extra_headers=(),
         uses_new_connection=False,
         send_by=float("inf"),
+        allows_decoys=True,
     ):
         outgoing = OutgoingRequest(
             upstream.id,
@@ -113,8 +114,7 @@
             extra_headers=extra_headers,
             uses_new_connection=uses_new_connection,
             send_by=send_by,
-            # Only requests to cold upstreams have such a time.
-            allows_decoys=send_by == float("inf"),
+            allows_decoys=allows_decoys,
         )
         if not is_counted(request):
             return connect_and_send(outgoing)
--- a/trefoilpin/gateway/admission/retry_budgets.py
+++ b/trefoilpin/gateway/admission/retry_budgets.py
@@ -3,23 +3,25 @@
 In any window of some seconds, a pool may get a share of a retry for each request for
 it, and a number of retries beyond that, from all hosts together.
 
-Each request adds its share of a retry at the host that it came to, which may be used
-there for ``DEPOSIT_SECONDS``. A host that lacks a whole retry gives its parts to the
-holder of the lease and asks for retries. The holder grants what it was given in the
-last moments, and the retries beyond, of which it keeps count for the whole fleet.
-
-So a retry is paid by a request at most ``MAX_AGE_SECONDS`` earlier, or by the count,
-for any number of hosts. While no host grants, a host uses its own parts only.
+Each request pays for retries at the host that it came to. A host whose requests don't
+pay for a whole one gives them to the holder of the lease and asks for retries. The
+holder grants those that the requests it was given pay for, and the ones beyond, of
+which it keeps count for the whole fleet. So no request pays twice, and the bound holds
+for any number of hosts. While no host grants, a host uses its own retries only.
+
+Requests of a lower priority leave a reserve to others. The holder heeds the reserve of
+an ask, and what it grants is left to requests with that reserve or a smaller one.
 """
 
-from collections import deque
 from typing import Callable, NamedTuple
 
-from trefoilpin.gateway.admission import retry_pools
+from trefoilpin.gateway.admission import retry_ledgers, retry_pools
+from trefoilpin.gateway.admission.retry_ledgers import Ledger
 from trefoilpin.gateway.admission.retry_pools import (
+    MAX_GIVEN_SECONDS,
+    MAX_POOLS,
     MAX_TOKENS,
     MAX_WANTS,
-    POOL_SECONDS,
     GrantedRetries,
     RetryAsk,
     RetryBounds,
@@ -30,8 +32,6 @@
 
 __all__ = [
     "ASK_PERIOD_SECONDS",
-    "DEPOSIT_SECONDS",
-    "MAX_AGE_SECONDS",
     "TOKEN_SECONDS",
     "GrantedRetries",
     "RetryAsk",
@@ -42,21 +42,14 @@
     "create",
 ]
 
-# A host with 6 requests a second for a pool has whole retries of its own by this time.
-DEPOSIT_SECONDS = 1.0
 # A granted retry has to be sent within this time after the ask, and one of the host's
 # own after it was withdrawn, so that it may wait in a queue for some time.
 TOKEN_SECONDS = 0.9
-# Time for which an ask may be under way; asks take milliseconds.
-TRANSIT_SECONDS = 0.1
-MAX_AGE_SECONDS = DEPOSIT_SECONDS + TRANSIT_SECONDS + POOL_SECONDS + TOKEN_SECONDS
-# Requests are counted in parts of a second.
-PART_SECONDS = 0.1
 # Period in which a host asks at most once.
 ASK_PERIOD_SECONDS = 0.2
 # What the holder has left is known for this time, and then taken for so many retries,
 # which any request may ask for.
-LEFT_SECONDS = 0.5
+LEFT_SECONDS = 1.0
 UNKNOWN_LEFT = 10.0
 
 
@@ -67,7 +60,8 @@
     retry if so many are left beside it, and waits up to ``seconds`` for one; it returns
     the clock time by which the retry has to be sent, or None. ``give_back(pool,
     send_by)`` returns one that was not sent. ``balance(pool, reserved)`` is about what
-    is left. ``on_ask``, ``receive`` and ``answer`` are as in ``ColdGrants``.
+    is left. ``on_ask``, ``receive`` and ``answer`` are as in ``ColdGrants``, and
+    ``handover()`` is what the next holder of the lease has to know.
     """
 
     deposit: Callable[[str], None]
@@ -77,6 +71,22 @@
     on_ask: Callable
     receive: Callable
     answer: Callable
+    handover: Callable
+
+
+class Token(NamedTuple):
+    """A retry that was granted to this host.
+
+    Attributes
+    ----------
+    send_by : float
+        Clock time by which it has to be sent.
+    reserved : float
+        Reserve that the holder heeded.
+    """
+
+    send_by: float
+    reserved: float
 
 
 class PoolBudget:
@@ -84,30 +94,32 @@
 
     Attributes
     ----------
-    parts : deque of [float, float]
-        Start of a part of a second, and the retries that its requests added.
-    granted : deque of float
-        Clock times by which granted retries have to be sent, in order.
-    wanted : int
+    ledger : Ledger
+        Requests that came to this host, and the retries for which they paid.
+    tokens : list of Token
+    wanted_by_reserve : dict
         Retries that requests lack.
     left, left_at : float
         What the holder had left, and when it said so.
+    news : event
+        Sent when a response has come.
     """
 
     def __init__(self, news):
-        self.parts: deque[list[float]] = deque()
-        self.granted: deque[float] = deque()
-        self.wanted = 0
+        self.ledger = Ledger()
+        self.tokens: list[Token] = []
+        self.wanted_by_reserve: dict[float, int] = {}
         self.left = 0.0
         self.left_at = float("-inf")
         self.news = news
 
 
 class BudgetState:
-    """Budget of each pool."""
+    """Budget of each pool, and the pools for which this host wants retries."""
 
     def __init__(self):
         self.budget_by_pool: dict[str, PoolBudget] = {}
+        self.wanting: dict[str, None] = {}
 
 
 def create(kernel, bounds, create_event):
@@ -127,36 +139,45 @@
     state = BudgetState()
     now = kernel.clock.now
     metrics = kernel.find("metrics")
-    pools = retry_pools.create(kernel, bounds, TOKEN_SECONDS)
-    # The requests that pay for a window's retries came in a longer span.
-    share = bounds.share * bounds.window / (bounds.window + MAX_AGE_SECONDS)
+    pools = retry_pools.create(
+        kernel, bounds, TOKEN_SECONDS, lambda: kernel.find("leases").handover()
+    )
+    own_bounds = retry_ledgers.create_bounds(bounds.share, bounds.window, TOKEN_SECONDS)
 
     def find_budget(pool):
-        if pool not in state.budget_by_pool:
-            state.budget_by_pool[pool] = PoolBudget(create_event())
-        return state.budget_by_pool[pool]
+        budget = state.budget_by_pool.get(pool)
+        if budget is None:
+            if len(state.budget_by_pool) >= MAX_POOLS:
+                drop_unused()
+            budget = state.budget_by_pool[pool] = PoolBudget(create_event())
+        return budget
+
+    def drop_unused():
+        """Drop the budgets of pools without requests or retries in the last windows."""
+        for pool, budget in list(state.budget_by_pool.items()):
+            is_used = retry_ledgers.is_used(budget.ledger, own_bounds, now())
+            if not (is_used or budget.tokens or budget.wanted_by_reserve):
+                del state.budget_by_pool[pool]
 
     def deposit(pool):
-        parts = find_budget(pool).parts
-        if not parts or now() - parts[-1][0] >= PART_SECONDS:
-            expire(parts)
-            parts.append([now(), 0.0])
-        parts[-1][1] += share
-
-    def expire(parts):
-        while parts and now() - parts[0][0] >= DEPOSIT_SECONDS:
-            parts.popleft()
+        ledger = find_budget(pool).ledger
+        retry_ledgers.record_requests(ledger, own_bounds, now())
 
     def own_balance(budget):
-        expire(budget.parts)
-        while budget.granted and budget.granted[0] <= now():
-            budget.granted.popleft()
-            metrics.count("retries_expired")
-        return sum(part[1] for part in budget.parts) + len(budget.granted)
+        return retry_ledgers.available(budget.ledger, own_bounds, now())
 
     def balance(pool, reserved=0.0):
         budget = find_budget(pool)
-        return own_balance(budget) + fleet_balance(budget) - reserved
+        expire_tokens(budget)
+        left = fleet_balance(budget)
+        return own_balance(budget) + len(budget.tokens) + left - reserved
+
+    def expire_tokens(budget):
+        kept = [token for token in budget.tokens if now() < token.send_by]
+        expired = len(budget.tokens) - len(kept)
+        if expired:
+            budget.tokens = kept
+            metrics.count("retries_expired", expired)
 
     def fleet_balance(budget):
         if now() - budget.left_at < LEFT_SECONDS:
@@ -166,46 +187,61 @@
     def withdraw(pool, reserved=0.0, seconds=0.0):
         budget = find_budget(pool)
         ends_at = now() + seconds
-        while balance(pool, reserved) >= 1.0:
-            if own_balance(budget) >= 1.0:
-                return take(budget)
-            budget.wanted = min(budget.wanted + 1, MAX_TOKENS)
-            asks.schedule()
+        while reserved < float("inf"):
+            send_by = take(pool, budget, reserved)
+            if send_by is not None:
+                return send_by
+            want(pool, budget, reserved)
             remaining = ends_at - now()
-            if remaining <= 0.0:
-                return None
+            if remaining <= 0.0 or balance(pool, reserved) < 1.0:
+                break
             budget.news.wait(remaining)
         return None
 
-    def take(budget):
-        """Take a granted retry, else parts of the host's own; return its time."""
-        if budget.granted:
-            return budget.granted.popleft()
-        lacking = 1.0
-        while lacking > 0.0 and budget.parts:
-            taken = min(budget.parts[0][1], lacking)
-            lacking -= taken
-            budget.parts[0][1] -= taken
-            if budget.parts[0][1] <= 0.0:
-                budget.parts.popleft()
-        return now() + TOKEN_SECONDS
+    def take(pool, budget, reserved):
+        """Take a token, else a retry of the host's own; return its time or None."""
+        expire_tokens(budget)
+        for token in budget.tokens:
+            if token.reserved >= reserved:
+                budget.tokens.remove(token)
+                return token.send_by
+        if own_balance(budget) >= 1.0 and balance(pool, reserved) >= 1.0:
+            retry_ledgers.record_retries(budget.ledger, own_bounds, now())
+            return now() + TOKEN_SECONDS
+        return None
+
+    def want(pool, budget, reserved):
+        wanted = budget.wanted_by_reserve.get(reserved, 0) + 1
+        budget.wanted_by_reserve[reserved] = min(wanted, MAX_TOKENS)
+        state.wanting[pool] = None
+        asks.schedule()
 
     def give_back(pool, send_by):
         if now() < send_by:
-            find_budget(pool).granted.appendleft(send_by)
+            find_budget(pool).tokens.insert(0, Token(send_by, float("inf")))
 
     def take_wants():
         wants = []
-        for pool, budget in state.budget_by_pool.items():
-            if not budget.wanted or len(wants) == MAX_WANTS:
-                continue
-            expire(budget.parts)
-            given = sum(part[1] for part in budget.parts)
-            budget.parts.clear()
-            wants.append(RetryWant(pool, budget.wanted, given))
-            budget.wanted = 0
+        for pool in list(state.wanting):
+            budget = find_budget(pool)
+            if len(wants) + len(budget.wanted_by_reserve) > MAX_WANTS:
+                # The others come first in the next ask.
+                asks.schedule()
+                break
+            del state.wanting[pool]
+            given = give_requests(budget.ledger)
+            for reserved, tokens in sorted(budget.wanted_by_reserve.items()):
+                wants.append(RetryWant(pool, tokens, reserved, given))
+                given = ()
+            budget.wanted_by_reserve.clear()
         return tuple(wants)
 
+    def give_requests(ledger):
+        """Return the requests of the last seconds by age, unless some are used here."""
+        if retry_ledgers.has_retries(ledger, own_bounds, now()):
+            return ()
+        return retry_ledgers.take_requests(ledger, now(), MAX_GIVEN_SECONDS)
+
     def on_ask(function):
         asks.on_ask(lambda number, wants: function(RetryAsk(number, wants)))
 
@@ -213,14 +249,16 @@
         sent = asks.receive(grant.number, grant.is_holder)
         if sent is None:
             return
-        tokens_by_pool = {want.pool: want.tokens for want in sent.wants}
-        for item in grant.granted:
-            tokens = min(item.tokens, tokens_by_pool.get(item.pool, 0))
+        send_by = sent.sent_at + TOKEN_SECONDS
+        for want_sent, item in zip(sent.wants, grant.granted):
+            if item.pool != want_sent.pool:
+                continue
             budget = find_budget(item.pool)
-            budget.granted.extend([sent.sent_at + TOKEN_SECONDS] * tokens)
+            tokens = min(item.tokens, want_sent.tokens)
+            budget.tokens.extend([Token(send_by, want_sent.reserved)] * tokens)
             budget.left, budget.left_at = item.left, now()
             metrics.count("retries_received", tokens)
-        for pool in tokens_by_pool:
+        for pool in {want_sent.pool for want_sent in sent.wants}:
             wake(find_budget(pool))
 
     def wake(budget):
@@ -232,7 +270,14 @@
         kernel, "retry", ASK_PERIOD_SECONDS, TOKEN_SECONDS, take_wants
     )
     service = RetryBudgets(
-        deposit, withdraw, give_back, balance, on_ask, receive, pools.answer
+        deposit,
+        withdraw,
+        give_back,
+        balance,
+        on_ask,
+        receive,
+        pools.answer,
+        pools.handover,
     )
     kernel.register("retry_budgets", service)
     return service
--- a/trefoilpin/gateway/admission/retry_pools.py
+++ b/trefoilpin/gateway/admission/retry_pools.py
@@ -1,18 +1,23 @@
 """Retries that the holder of the lease grants, by pool.
 
-They come from the parts that hosts give with their asks, and from a count of retries
-that no request pays for. As the count of an earlier holder isn't known, a new one uses
-it only once the grants of the earlier one lie outside of any window.
+They are paid by the requests that hosts give with their asks, or come from a count of
+retries that no request pays for. A holder that stops hands its count over. Where that
+of an earlier holder isn't known, a new one grants no such retries until those of the
+earlier one lie outside of any window.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 from typing import Callable, NamedTuple
 
+from trefoilpin.gateway.admission import retry_ledgers
+from trefoilpin.gateway.admission.retry_ledgers import Ledger
+
 __all__ = [
     "MAX_GIVEN",
+    "MAX_GIVEN_SECONDS",
+    "MAX_POOLS",
     "MAX_TOKENS",
     "MAX_WANTS",
-    "POOL_SECONDS",
     "GrantedRetries",
     "RetryAsk",
     "RetryBounds",
@@ -22,13 +27,18 @@
     "create",
 ]
 
-# What was given is granted within this time.
-POOL_SECONDS = 0.5
 # Retries for one pool, and pools, that a host asks for at once.
 MAX_TOKENS = 8
 MAX_WANTS = 64
-# A host gives the parts of a second.
-MAX_GIVEN = 1000.0
+# Requests that a host gives for each of the last seconds.
+MAX_GIVEN = 100_000
+MAX_GIVEN_SECONDS = 9
+# More asks than come in the time in which a datagram may be repeated.
+MAX_ANSWERED = 10_000
+# Pools whose counts are handed over, so that the object of the lease stays small.
+MAX_HANDOVER = 200
+# Time for which an ask may be under way; asks take milliseconds.
+TRANSIT_SECONDS = 0.1
 # Pools beyond this number are dropped when nothing is known of them.
 MAX_POOLS = 1000
 
@@ -52,11 +62,22 @@
 
 
 class RetryWant(NamedTuple):
-    """Retries that a host wants for a pool, and the parts that it gives."""
+    """Retries that a host wants for a pool.
+
+    Attributes
+    ----------
+    pool : str
+    tokens : int
+    reserved : float
+        Retries that have to be left beside them.
+    given : tuple of int
+        Requests that the host gives, of each of the last seconds.
+    """
 
     pool: str
     tokens: int
-    given: float
+    reserved: float
+    given: tuple[int, ...]
 
 
 class RetryAsk(NamedTuple):
@@ -84,40 +105,52 @@
 
 
 class RetryPools(NamedTuple):
-    """``answer(ask, time, held_since)`` returns what a host is granted.
+    """``answer(ask, time, held_since)`` returns what a host is granted, by its wants.
 
     It had asked by that time of the clock, at which this host held the lease, without
-    another holder since ``held_since``.
+    another holder since ``held_since``. ``handover()`` is what the next holder has to
+    know, or None.
     """
 
     answer: Callable
+    handover: Callable
 
 
 class PoolRetries:
-    """What is there to be granted for a pool.
+    """What was granted for a pool.
 
     Attributes
     ----------
-    parts : deque of [float, float]
-        When a part was given, and what is left of it.
+    ledger : Ledger
+        Requests that hosts gave, and the retries for which they paid.
     beyond : deque of (float, float)
         When retries were granted that no request paid for, and how many.
     """
 
     def __init__(self):
-        self.parts: deque[list[float]] = deque()
-        self.beyond: deque[tuple[float, float]] = deque()
+        self.ledger = Ledger()
+        self.beyond: deque[tuple[float, int]] = deque()
 
 
 class PoolState:
-    """Retries of each pool, and the lease in which they were counted."""
+    """Retries of each pool, and the lease in which they were counted.
+
+    Attributes
+    ----------
+    counts_since : float
+        Clock time from which on all retries beyond were counted.
+    answered : OrderedDict
+        Numbers of the last asks. Datagrams may be repeated, and no request pays twice.
+    """
 
     def __init__(self):
         self.retries_by_pool: dict[str, PoolRetries] = {}
         self.held_since = float("-inf")
+        self.counts_since = float("-inf")
+        self.answered: OrderedDict[int, None] = OrderedDict()
 
 
-def create(kernel, bounds, token_seconds):
+def create(kernel, bounds, token_seconds, read_handover):
     """Create the pools of a holder.
 
     Parameters
@@ -126,6 +159,8 @@
     bounds : RetryBounds
     token_seconds : float
         Time after an ask by which a granted retry is sent.
+    read_handover : callable
+        Returns what the earlier holder handed over to this one, or None.
 
     Returns
     -------
@@ -133,58 +168,97 @@
     """
     state = PoolState()
     metrics = kernel.find("metrics")
+    ledger_bounds = retry_ledgers.create_bounds(
+        bounds.share, bounds.window, token_seconds
+    )
     # Retries that are sent in a window were granted in this span.
     span = bounds.window + token_seconds
 
     def answer(ask, time, held_since):
         if state.held_since != held_since:
-            state.held_since = held_since
-            state.retries_by_pool.clear()
+            begin(time, held_since)
+        if ask.number in state.answered:
+            return ()
+        state.answered[ask.number] = None
+        if len(state.answered) > MAX_ANSWERED:
+            state.answered.popitem(last=False)
         if len(state.retries_by_pool) > MAX_POOLS:
-            drop_empty(time)
+            drop_unused(time)
         granted = []
         for want in ask.wants[:MAX_WANTS]:
             granted.append(grant(want, time))
         return tuple(granted)
 
+    def begin(time, held_since):
+        """Begin to count for a lease with what the earlier holder counted."""
+        state.held_since = state.counts_since = held_since
+        state.retries_by_pool.clear()
+        count_by_pool = read_handover()
+        if not is_handover(count_by_pool):
+            return
+        state.counts_since = held_since - span
+        for pool, count in count_by_pool.items():
+            retries = state.retries_by_pool[pool] = PoolRetries()
+            retries.beyond.append((time, count))
+
     def grant(want, time):
         retries = state.retries_by_pool.setdefault(want.pool, PoolRetries())
-        expire(retries, time)
-        retries.parts.append([time, min(want.given, MAX_GIVEN)])
-        given = sum(part[1] for part in retries.parts)
-        beyond = 0.0
-        if time >= state.held_since + span:
-            beyond = bounds.slack - sum(count for _, count in retries.beyond)
-        available = given + max(beyond, 0.0)
-        tokens = min(int(available), want.tokens, MAX_TOKENS)
-        lacking = take_parts(retries, float(tokens))
-        if lacking > 0.0:
-            retries.beyond.append((time, lacking))
-            metrics.count("retries_granted_beyond", lacking)
+        for age, count in enumerate(want.given[:MAX_GIVEN_SECONDS]):
+            given_at = time - age - 1.0 - TRANSIT_SECONDS
+            retry_ledgers.record_requests(
+                retries.ledger, ledger_bounds, given_at, min(count, MAX_GIVEN)
+            )
+        paid = retry_ledgers.available(retries.ledger, ledger_bounds, time)
+        paid = max(int(paid), 0)
+        beyond = max(int(beyond_left(retries, time)), 0)
+        free = max(int(paid + beyond - want.reserved), 0)
+        tokens = min(free, want.tokens, MAX_TOKENS)
+        paid_tokens = min(paid, tokens)
+        if paid_tokens:
+            retry_ledgers.record_retries(
+                retries.ledger, ledger_bounds, time, paid_tokens
+            )
+        if tokens > paid_tokens:
+            retries.beyond.append((time, tokens - paid_tokens))
+            metrics.count("retries_granted_beyond", tokens - paid_tokens)
         metrics.count("retries_granted", tokens)
-        return GrantedRetries(want.pool, tokens, available - tokens)
-
-    def take_parts(retries, wanted):
-        """Take what was given; return what is lacking."""
-        while wanted > 0.0 and retries.parts:
-            taken = min(retries.parts[0][1], wanted)
-            wanted -= taken
-            retries.parts[0][1] -= taken
-            if retries.parts[0][1] <= 0.0:
-                retries.parts.popleft()
-        return wanted
-
-    def expire(retries, time):
-        while retries.parts and time - retries.parts[0][0] >= POOL_SECONDS:
-            retries.parts.popleft()
+        return GrantedRetries(want.pool, tokens, float(paid + beyond - tokens))
+
+    def beyond_left(retries, time):
         while retries.beyond and time - retries.beyond[0][0] > span:
             retries.beyond.popleft()
+        if time < state.counts_since + span:
+            return 0.0
+        return bounds.slack - sum(count for _, count in retries.beyond)
 
-    def drop_empty(time):
-        """Drop pools that a new one would equal."""
+    def drop_unused(time):
+        """Drop pools that were asked for nothing lately."""
         for pool, retries in list(state.retries_by_pool.items()):
-            expire(retries, time)
-            if not retries.parts and not retries.beyond:
+            beyond_left(retries, time)
+            is_used = retry_ledgers.has_retries(retries.ledger, ledger_bounds, time)
+            if not (is_used or retries.beyond):
                 del state.retries_by_pool[pool]
 
-    return RetryPools(answer)
+    def handover():
+        now = kernel.clock.now()
+        if now < state.counts_since + span or len(state.retries_by_pool) > MAX_HANDOVER:
+            return None
+        count_by_pool = {}
+        for pool, retries in state.retries_by_pool.items():
+            beyond_left(retries, now)
+            count = sum(granted for _, granted in retries.beyond)
+            if count:
+                count_by_pool[pool] = count
+        return count_by_pool
+
+    return RetryPools(answer, handover)
+
+
+def is_handover(value):
+    """Tell whether a value is the counts of an earlier holder, by pool."""
+    if not isinstance(value, dict) or len(value) > MAX_HANDOVER:
+        return False
+    for pool, count in value.items():
+        if not isinstance(pool, str) or not isinstance(count, int) or count < 0:
+            return False
+    return True
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -256,7 +256,8 @@
     def reserve(pool_id, health, typical_seconds, body_bytes):
         mark_used(health)
         send_by = float("inf")
-        if upstream_health.is_cold(health, now()):
+        is_cold = upstream_health.is_cold(health, now())
+        if is_cold:
             send_by = grants.take(health.upstream)
             log_of_cold.record_send(health)
         state.choice_number += 1
@@ -264,7 +265,7 @@
         state.in_flight_by_number[state.choice_number] = upstream_health.start_request(
             health, now(), typical_seconds, body_bytes
         )
-        return Choice(health.upstream, pool_id, state.choice_number, send_by)
+        return Choice(health.upstream, pool_id, state.choice_number, send_by, is_cold)
 
     def release(choice, attempt, typical_seconds):
         in_flight = state.in_flight_by_number.pop(choice.number)
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -275,6 +275,7 @@
         leases.LeaseHolder(settings.own.address, settings.own.incarnation),
         gossip_service.is_first_reader,
         settings.is_first_start,
+        kernel.find("retry_budgets").handover,
     )
     if settings.rollout_bounds is not None:
         coordinators.create(
--- a/trefoilpin/gateway/fleet/cold_grant_codecs.py
+++ b/trefoilpin/gateway/fleet/cold_grant_codecs.py
@@ -11,6 +11,7 @@
     Want,
 )
 from trefoilpin.gateway.fleet.grant_checks import (
+    check_address,
     check_length,
     check_number,
     check_request_number,
@@ -77,7 +78,7 @@
     if struct is None:
         return None
     check_request_number(struct.number)
-    check_text(struct.holder)
+    check_address(struct.holder)
     check_length(struct.granted, MAX_WANTS)
     granted = []
     for item in struct.granted:
--- a/trefoilpin/gateway/fleet/failure_detection.py
+++ b/trefoilpin/gateway/fleet/failure_detection.py
@@ -37,6 +37,8 @@
 DIGEST_BYTES = 8
 # A host that was heard within this time counts when hosts are asked for the store.
 MAX_HEARD_AGE_SECONDS = 2.5
+# Documents are read and passed on at an age below this one.
+MIN_HEARD_LATER_SECONDS = 1.5
 # Hosts that send to this one regularly do so every 0.4 s; one datagram may be lost.
 MAX_DIRECT_SILENCE_SECONDS = 1.0
 # Documents of hosts that hear each other differ in age by a read, a message, and the
@@ -191,14 +193,24 @@
     members : iterable of Member
     own_configuration_age, now : float
     """
+    # What was heard before a later document could have come tells nothing.
+    max_age = min(
+        MAX_HEARD_AGE_SECONDS, own_configuration_age - MIN_HEARD_LATER_SECONDS
+    )
     known, heard, heard_directly = 1, 1, 0
     for member in members:
         known += 1
-        heard += now - member.last_alive_at <= MAX_HEARD_AGE_SECONDS
-        if now - member.last_message_at > MAX_DIRECT_SILENCE_SECONDS:
+        if now - member.last_alive_at > max_age:
             continue
-        heard_directly += 1
-        difference = own_configuration_age - member.record.configuration_age
+        heard += 1
+        heard_directly += now - member.last_message_at <= MAX_DIRECT_SILENCE_SECONDS
+        difference = own_configuration_age - configuration_age(member, now)
         if difference > MAX_AGE_DIFFERENCE_SECONDS:
             return False
     return heard_directly > 0 and heard * 2 > known
+
+
+def configuration_age(member, now):
+    """Return the age in seconds of a member's configuration, if it read none since."""
+    received_at = member.last_alive_at + member.record.age
+    return member.record.configuration_age + now - received_at
--- a/trefoilpin/gateway/fleet/grant_checks.py
+++ b/trefoilpin/gateway/fleet/grant_checks.py
@@ -1,11 +1,15 @@
 """Checks of the fields of asks and grants, which other hosts write."""
 
+import ipaddress
+
 __all__ = [
+    "check_address",
     "check_amount",
     "check_length",
     "check_number",
     "check_request_number",
     "check_text",
+    "is_address",
 ]
 
 MAX_TEXT = 300
@@ -18,6 +22,21 @@
         raise ValueError("a name in an ask or a grant is missing or too long")
 
 
+def is_address(text):
+    """Tell whether a text is an IP address."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def check_address(text):
+    """Raise ``ValueError`` for a text that is neither an IP address nor empty."""
+    if text != "" and not is_address(text):
+        raise ValueError("the holder named in a grant is no address")
+
+
 def check_number(number, most):
     """Raise ``ValueError`` for a number that is missing or out of range."""
     if number is None or not 0 <= number <= most:
--- a/trefoilpin/gateway/fleet/grant_exchanges.py
+++ b/trefoilpin/gateway/fleet/grant_exchanges.py
@@ -12,6 +12,7 @@
 from trefoilpin import events
 from trefoilpin.gateway.admission.retry_pools import RetryGrant
 from trefoilpin.gateway.balancing.cold_grants import ColdGrant
+from trefoilpin.gateway.fleet.grant_checks import is_address
 
 __all__ = ["GrantExchanges", "GrantKind", "create", "list_kinds"]
 
@@ -232,7 +233,7 @@
             state.holder, state.position = address, 0
         elif is_renewing and state.renewals <= MAX_RENEWALS:
             state.holder = address
-        elif response.holder and response.holder != address:
+        elif is_address(response.holder) and response.holder != address:
             state.holder = response.holder
         else:
             # One that can't take the lease answers all the same.
--- a/trefoilpin/gateway/fleet/retry_grant_codecs.py
+++ b/trefoilpin/gateway/fleet/retry_grant_codecs.py
@@ -5,6 +5,7 @@
 
 from trefoilpin.gateway.admission.retry_pools import (
     MAX_GIVEN,
+    MAX_GIVEN_SECONDS,
     MAX_TOKENS,
     MAX_WANTS,
     GrantedRetries,
@@ -13,6 +14,7 @@
     RetryWant,
 )
 from trefoilpin.gateway.fleet.grant_checks import (
+    check_address,
     check_amount,
     check_length,
     check_number,
@@ -29,6 +31,7 @@
 __all__ = ["read_ask", "read_grant", "write_ask", "write_grant"]
 
 MAX_LEFT = 1e9
+MAX_RESERVED = 1000.0
 
 
 def write_ask(ask):
@@ -62,8 +65,16 @@
     for item in struct.wants:
         check_text(item.pool)
         check_number(item.tokens, MAX_TOKENS)
-        check_amount(item.given, MAX_GIVEN)
-        wants.append(RetryWant(item.pool, item.tokens, item.given))
+        check_amount(item.reserved, MAX_RESERVED)
+        check_length(item.given, MAX_GIVEN_SECONDS)
+        for count in item.given:
+            check_number(count, MAX_GIVEN)
+        paying = [other.pool for other in wants if other.given]
+        if item.given and item.pool in paying:
+            raise ValueError("an ask gives requests for a pool twice")
+        wants.append(
+            RetryWant(item.pool, item.tokens, item.reserved, tuple(item.given))
+        )
     return RetryAsk(struct.number, tuple(wants))
 
 
@@ -78,7 +89,7 @@
     if struct is None:
         return None
     check_request_number(struct.number)
-    check_text(struct.holder)
+    check_address(struct.holder)
     check_length(struct.granted, MAX_WANTS)
     granted = []
     for item in struct.granted:
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -42,7 +42,7 @@
 # The task of an attempt may end this much later than the deadline of the attempt.
 ATTEMPT_GRACE_SECONDS = 0.5
 # Time in which the fleet may grant a retry to a request that is due to be hedged.
-HEDGE_GRANT_SECONDS = 0.15
+HEDGE_GRANT_SECONDS = 0.25
 
 
 class DispatchSettings(NamedTuple):
@@ -209,11 +209,14 @@
         return False
 
     def send(context, choice):
-        attempt = exchange(context, choice, context.typical_seconds)
+        attempt = exchange(context, choice, context.typical_seconds, context.retry_by)
         record_attempt(context, choice.upstream, attempt)
 
-    def exchange(context, choice, charged_seconds):
-        """Run an attempt, of whose time ``queues.enter`` counted a part."""
+    def exchange(context, choice, charged_seconds, retry_by):
+        """Run an attempt, of whose time ``queues.enter`` counted a part.
+
+        A retry has to be sent by the clock time ``retry_by``, a first attempt by none.
+        """
         upstream = choice.upstream
         started_at = now()
         send_pacing.record_send(context.pool)
@@ -230,7 +233,8 @@
                 is_return
                 or is_sent_without_decoys(context, choice)
                 or poison_requests.is_suspect(context.fingerprint),
-                choice.send_by,
+                choice.send_by if retry_by is None else min(choice.send_by, retry_by),
+                not choice.is_cold,
             )
             return attempt
         finally:
@@ -246,7 +250,7 @@
 
     def is_sent_without_decoys(context, choice):
         """Tell whether a refusal could not be told from a copy on a kept connection."""
-        return choice.send_by < float("inf") and not context.route.idempotent
+        return choice.is_cold and not context.route.idempotent
 
     def may_hedge(context):
         """Tell whether the route and the retry budget allow a concurrent attempt."""
@@ -265,9 +269,10 @@
         One that was refused, or reached no upstream, leaves the other one at work.
         """
         attempts = ConcurrentAttempts(kernel.spawn, create_event)
-        charged_seconds = context.typical_seconds
+        charged_seconds, retry_by = context.typical_seconds, context.retry_by
         attempts.start(
-            choice, lambda choice: exchange(context, choice, charged_seconds)
+            choice,
+            lambda choice: exchange(context, choice, charged_seconds, retry_by),
         )
         try:
             finished = attempts.next_finished(hedge_delay(context))
@@ -315,7 +320,10 @@
             retry_budgets.give_back(context.pool, send_by)
             return True
         metrics.count("hedges")
-        attempts.start(second.unwrap(), lambda choice: exchange(context, choice, 0.0))
+        context.retry_by = send_by
+        attempts.start(
+            second.unwrap(), lambda choice: exchange(context, choice, 0.0, send_by)
+        )
         return True
 
     def upstream_headers(context, upstream):
--- a/trefoilpin/gateway/requests/retry_decisions.py
+++ b/trefoilpin/gateway/requests/retry_decisions.py
@@ -19,6 +19,8 @@
 # A request waits up to this time for the holder's response: a host that is silent is
 # passed over after 0.3 s.
 MAX_GRANT_WAIT_SECONDS = 0.4
+# The same while the request holds its place at an upstream.
+MAX_RENEWAL_WAIT_SECONDS = 0.25
 
 
 class RetryDecisions(NamedTuple):
@@ -82,7 +84,7 @@
         """Withdraw another retry if the one withdrawn wasn't sent in time."""
         if context.retry_by is None or now() < context.retry_by:
             return True
-        return withdraw(context, 0.0)
+        return withdraw(context, MAX_RENEWAL_WAIT_SECONDS)
 
     def give_back(context):
         if context.retry_by is not None:
--- a/trefoilpin/gateway/store/lease_asks.py
+++ b/trefoilpin/gateway/store/lease_asks.py
@@ -12,9 +12,12 @@
 # The first ask of a start has a number below this one, drawn at random, so that a late
 # response to an ask of an earlier start meets none.
 MAX_FIRST_NUMBER = 1 << 52
-# Without a response of the holder for this time after an ask, two hosts that were asked
-# have been passed over, and nothing may be granted for seconds.
+# Without a response of the holder to so many asks over this time, two hosts that were
+# asked have been passed over, and nothing may be granted for seconds.
 UNANSWERED_SECONDS = 0.7
+UNANSWERED_ASKS = 3
+# After this time without asks, another host may hold the lease by now.
+FORGET_SECONDS = 3.0
 
 
 class SentAsk(NamedTuple):
@@ -54,6 +57,8 @@
     ----------
     unanswered_since : float or None
         Clock time of the first ask since which no holder of the lease responded.
+    unanswered : int
+        Number of these asks.
     """
 
     def __init__(self, first_number):
@@ -61,6 +66,7 @@
         self.asked_at = float("-inf")
         self.is_scheduled = False
         self.unanswered_since: float | None = None
+        self.unanswered = 0
         self.sent_by_number: dict[int, SentAsk] = {}
         self.listeners: list[Callable] = []
 
@@ -101,8 +107,9 @@
         if not wants:
             return
         state.number += 1
-        if state.unanswered_since is None or not is_asking_often():
-            state.unanswered_since = now()
+        if state.unanswered_since is None or is_forgotten():
+            state.unanswered_since, state.unanswered = now(), 0
+        state.unanswered += 1
         state.asked_at = now()
         for number, sent in list(state.sent_by_number.items()):
             if now() - sent.sent_at >= valid_seconds:
@@ -112,12 +119,12 @@
         for function in state.listeners:
             function(state.number, wants)
 
-    def is_asking_often():
-        return now() - state.asked_at < UNANSWERED_SECONDS
+    def is_forgotten():
+        return now() - state.asked_at >= FORGET_SECONDS
 
     def is_holder_away():
         since = state.unanswered_since
-        if since is None or not is_asking_often():
+        if since is None or is_forgotten() or state.unanswered < UNANSWERED_ASKS:
             return False
         return now() - since >= UNANSWERED_SECONDS
 
--- a/trefoilpin/gateway/store/leases.py
+++ b/trefoilpin/gateway/store/leases.py
@@ -14,7 +14,8 @@
 
 A holder that stops ends its right, and then writes that it has released the lease;
 nobody waits after that write, as it replaced the last one of a right. Nor does a host
-that finds no object while the system starts for the first time: nobody had a right.
+that finds no object while the system starts for the first time, in a store that was
+never restored: nobody had a right.
 
 Source: Gray and Cheriton, "Leases: an efficient fault-tolerant mechanism for
 distributed file cache consistency", SOSP 1989.
@@ -53,7 +54,7 @@
 # A right before which there was none counts as held for this time before it began.
 NO_EARLIER_SECONDS = 3600.0
 # Period in which a host looks whether it is the one that should hold the lease.
-CHECK_SECONDS = 1.0
+CHECK_SECONDS = 0.3
 
 
 class LeaseHolder(NamedTuple):
@@ -70,13 +71,15 @@
     ``held_since(time)`` returns since when this host has held it, without another
     holder in between, if it holds it at that time of the clock, else None.
     ``holder()`` is the address of the host that was last seen to hold it, or empty.
-    ``end()`` has this host release the lease and never take it again.
+    ``end()`` has this host release the lease and never take it again. ``handover()`` is
+    what the earlier holder handed over to this one by its release, or None.
     """
 
     want: Callable[[], None]
     held_since: Callable[[float], float | None]
     holder: Callable[[], str]
     end: Callable[[], None]
+    handover: Callable[[], Any]
 
 
 class LeaseState:
@@ -100,6 +103,8 @@
         True while a call to the store is under way.
     is_ended : bool
         True when this host has released the lease, or is about to.
+    handover : Any
+        What the earlier holder handed over, untrusted.
     """
 
     def __init__(self):
@@ -118,6 +123,7 @@
         self.is_kept = False
         self.is_calling = False
         self.is_ended = False
+        self.handover: Any = None
 
 
 def read_holder(stored):
@@ -149,7 +155,14 @@
     return isinstance(stored.spec, dict) and stored.spec.get("released") == stored.era
 
 
-def create(kernel, own, is_first, is_first_start=False, name=COLD_UPSTREAMS):
+def create(
+    kernel,
+    own,
+    is_first,
+    is_first_start=False,
+    create_handover=lambda: None,
+    name=COLD_UPSTREAMS,
+):
     """Create the service ``leases``.
 
     Parameters
@@ -161,6 +174,8 @@
         before it is wanted, so that it need not wait then.
     is_first_start : bool, optional
         True only when the whole system starts for the first time.
+    create_handover : callable, optional
+        Returns what the next holder has to know, as it stands in JSON.
     name : str, optional
         Name of the object in the store, one for each right.
 
@@ -223,7 +238,8 @@
         """Tell whether no host can have a right, however recently it was read."""
         if stored.revision:
             return is_released(stored)
-        return is_first_start and now() < started_at + LEASE_SECONDS
+        is_new = is_first_start and now() < started_at + LEASE_SECONDS
+        return is_new and stored.era == 0
 
     def observe():
         metrics.count("lease_reads")
@@ -270,6 +286,7 @@
         state.sent_at = now()
         if not was_own:
             state.began_at = state.sent_at
+            state.handover = seen.spec.get("handover") if is_released(seen) else None
             if not seen.revision and is_free(seen):
                 state.began_at -= NO_EARLIER_SECONDS
         metrics.count("lease_writes")
@@ -310,6 +327,7 @@
         state.is_in_doubt = True
         metrics.count("lease_writes")
         spec = {**own_spec(), "released": seen.era}
+        spec["handover"] = create_handover()
         outcome = store.write_object(LEASES, name, spec, seen.revision)
         if isinstance(outcome, Failure):
             record_failure(outcome.failure())
@@ -353,7 +371,13 @@
         return found[0].address
 
     metrics.gauge("lease_held", lambda: int(now() < state.right_until))
-    service = Leases(want, held_since, holder, end)
+    service = Leases(
+        want,
+        held_since,
+        holder,
+        end,
+        lambda: state.handover,
+    )
     kernel.register(
         "leases",
         service,
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -92,7 +92,8 @@
 struct RetryWantStruct {
   1: string pool
   2: i32 tokens
-  3: double given
+  3: double reserved
+  4: list<i32> given
 }
 
 struct RetryAskStruct {
--- a/trefoilpin/messages.py
+++ b/trefoilpin/messages.py
@@ -174,12 +174,15 @@
     number : int
     send_by : float
         Clock time by which the request has to be written to the upstream.
+    is_cold : bool
+        True for a cold upstream, which bears few requests.
     """
 
     upstream: Upstream
     pool: str
     number: int
     send_by: float = float("inf")
+    is_cold: bool = False
 
 
 class OperationKey(NamedTuple):
--- a/trefoilpin/request_services.py
+++ b/trefoilpin/request_services.py
@@ -139,9 +139,10 @@
 
 class Forwarders(NamedTuple):
     """``forwarders``: ``exchange(upstream, request, deadline, idempotent,
-    extra_headers, uses_new_connection, send_by)`` sends a request and gives an
-    ``Attempt``; the last three may be left out. From the time ``send_by`` on nothing is
-    written, and the request did not run."""
+    extra_headers, uses_new_connection, send_by, allows_decoys)`` sends a request and
+    gives an ``Attempt``; the last four may be left out. From the time ``send_by`` on
+    nothing is written, and the request did not run. An upstream that bears few requests
+    allows no decoys."""
 
     exchange: Callable[..., Attempt]
 
--- a/trefoilpin/tests/gateway/test_leases.py
+++ b/trefoilpin/tests/gateway/test_leases.py
@@ -265,3 +265,16 @@
     fleet.run(LEASE_SECONDS + 1.0)
     fleet.run(LEASE_SECONDS - 0.5, "abc")
     assert not fleet.holders()
+
+
+def test_restore_in_the_first_seconds_of_a_system_gives_no_second_right():
+    """Guards against a host that takes a copy without the lease for a new store."""
+    fleet = LeaseFleet(1)
+    fleet.is_first_start = True
+    fleet.start("a")
+    snapshot = fleet.content.take_snapshot()
+    fleet.run(0.5, "a")
+    assert fleet.holders() == [("a", 1)]
+    fleet.content.restore(snapshot)
+    fleet.start("b")
+    fleet.run(LEASE_SECONDS, "ab")
--- a/trefoilpin/tests/gateway/test_shutdowns.py
+++ b/trefoilpin/tests/gateway/test_shutdowns.py
@@ -26,6 +26,7 @@
             "frontends",
         ):
             kernel.register(name, self)
+        kernel.register("leases", self)
 
     def stop(self):
         self.calls.append("stopping")
@@ -37,6 +38,9 @@
         self.calls.append("closed")
         self.closed_after = self.clock.time - self.started_at
 
+    def end(self):
+        self.calls.append("lease released")
+
     def end_by(self, time):
         self.ends_after = time - self.started_at
 
--- a/trefoilpin/tests/scripted_upstreams.py
+++ b/trefoilpin/tests/scripted_upstreams.py
@@ -106,6 +106,7 @@
         caller_gone=lambda: False,
         exchange=exchange,
         send_by=float("inf"),
+        allows_decoys=True,
     ):
         request = CallerRequest(
             "r1", method, "h", "/p", "", headers, body, "", 0.0, caller_gone
@@ -116,6 +117,7 @@
             clocks.boot_seconds() + seconds,
             method == "GET",
             send_by=send_by,
+            allows_decoys=allows_decoys,
         )
 
     script.call = call
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -1156,14 +1156,16 @@
     Attributes:
      - pool
      - tokens
+     - reserved
      - given
 
     """
 
 
-    def __init__(self, pool=None, tokens=None, given=None,):
+    def __init__(self, pool=None, tokens=None, reserved=None, given=None,):
         self.pool = pool
         self.tokens = tokens
+        self.reserved = reserved
         self.given = given
 
     def read(self, iprot):
@@ -1187,7 +1189,17 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.DOUBLE:
-                    self.given = iprot.readDouble()
+                    self.reserved = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.given = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readI32()
+                        self.given.append(_elem26)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1208,9 +1220,16 @@
             oprot.writeFieldBegin('tokens', TType.I32, 2)
             oprot.writeI32(self.tokens)
             oprot.writeFieldEnd()
+        if self.reserved is not None:
+            oprot.writeFieldBegin('reserved', TType.DOUBLE, 3)
+            oprot.writeDouble(self.reserved)
+            oprot.writeFieldEnd()
         if self.given is not None:
-            oprot.writeFieldBegin('given', TType.DOUBLE, 3)
-            oprot.writeDouble(self.given)
+            oprot.writeFieldBegin('given', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.given))
+            for iter27 in self.given:
+                oprot.writeI32(iter27)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1260,11 +1279,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.wants = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = RetryWantStruct()
-                        _elem26.read(iprot)
-                        self.wants.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = RetryWantStruct()
+                        _elem33.read(iprot)
+                        self.wants.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1285,8 +1304,8 @@
         if self.wants is not None:
             oprot.writeFieldBegin('wants', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.wants))
-            for iter27 in self.wants:
-                iter27.write(oprot)
+            for iter34 in self.wants:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1430,11 +1449,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.granted = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = GrantedRetriesStruct()
-                        _elem33.read(iprot)
-                        self.granted.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = GrantedRetriesStruct()
+                        _elem40.read(iprot)
+                        self.granted.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1463,8 +1482,8 @@
         if self.granted is not None:
             oprot.writeFieldBegin('granted', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.granted))
-            for iter34 in self.granted:
-                iter34.write(oprot)
+            for iter41 in self.granted:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1639,11 +1658,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.stamps = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = StampStruct()
-                        _elem40.read(iprot)
-                        self.stamps.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = StampStruct()
+                        _elem47.read(iprot)
+                        self.stamps.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1655,90 +1674,90 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.outcome_upstreams = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.outcome_upstreams.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.outcome_upstreams.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.outcome_kinds = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = iprot.readByte()
-                        self.outcome_kinds.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readByte()
+                        self.outcome_kinds.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.outcome_numbers = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = iprot.readI64()
-                        self.outcome_numbers.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI64()
+                        self.outcome_numbers.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.flight_upstreams = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.flight_upstreams.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.flight_upstreams.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.flight_counts = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readI32()
-                        self.flight_counts.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readI32()
+                        self.flight_counts.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.admitted_accounts = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_accounts.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_accounts.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.admitted_counts = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI64()
-                        self.admitted_counts.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.admitted_counts.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.broken_fingerprints = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readI64()
-                        self.broken_fingerprints.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readI64()
+                        self.broken_fingerprints.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.broken_upstreams = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.broken_upstreams.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.broken_upstreams.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1750,11 +1769,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = DocumentStruct()
-                        _elem100.read(iprot)
-                        self.documents.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = DocumentStruct()
+                        _elem107.read(iprot)
+                        self.documents.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1766,76 +1785,76 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.zone_views = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = ZoneViewStruct()
-                        _elem106.read(iprot)
-                        self.zone_views.append(_elem106)
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = ZoneViewStruct()
+                        _elem113.read(iprot)
+                        self.zone_views.append(_elem113)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.answered_fingerprints = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = iprot.readI64()
-                        self.answered_fingerprints.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = iprot.readI64()
+                        self.answered_fingerprints.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 35:
                 if ftype == TType.LIST:
                     self.pressed_pools = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressed_pools.append(_elem118)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressed_pools.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 36:
                 if ftype == TType.LIST:
                     self.pressed_levels = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = []
-                        (_etype128, _size125) = iprot.readListBegin()
-                        for _i129 in range(_size125):
-                            _elem130 = iprot.readDouble()
-                            _elem124.append(_elem130)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = []
+                        (_etype135, _size132) = iprot.readListBegin()
+                        for _i136 in range(_size132):
+                            _elem137 = iprot.readDouble()
+                            _elem131.append(_elem137)
                         iprot.readListEnd()
-                        self.pressed_levels.append(_elem124)
+                        self.pressed_levels.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 37:
                 if ftype == TType.LIST:
                     self.usage_accounts = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = []
-                        (_etype140, _size137) = iprot.readListBegin()
-                        for _i141 in range(_size137):
-                            _elem142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem136.append(_elem142)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = []
+                        (_etype147, _size144) = iprot.readListBegin()
+                        for _i148 in range(_size144):
+                            _elem149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem143.append(_elem149)
                         iprot.readListEnd()
-                        self.usage_accounts.append(_elem136)
+                        self.usage_accounts.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 38:
                 if ftype == TType.LIST:
                     self.usage_seconds = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = []
-                        (_etype152, _size149) = iprot.readListBegin()
-                        for _i153 in range(_size149):
-                            _elem154 = iprot.readDouble()
-                            _elem148.append(_elem154)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = []
+                        (_etype159, _size156) = iprot.readListBegin()
+                        for _i160 in range(_size156):
+                            _elem161 = iprot.readDouble()
+                            _elem155.append(_elem161)
                         iprot.readListEnd()
-                        self.usage_seconds.append(_elem148)
+                        self.usage_seconds.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1847,103 +1866,103 @@
             elif fid == 33:
                 if ftype == TType.LIST:
                     self.departed_upstreams = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.departed_upstreams.append(_elem160)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.departed_upstreams.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 34:
                 if ftype == TType.LIST:
                     self.departed_born = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = iprot.readI64()
-                        self.departed_born.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readI64()
+                        self.departed_born.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 39:
                 if ftype == TType.LIST:
                     self.pressure_pools = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressure_pools.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressure_pools.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.pressure_rooms = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = iprot.readBool()
-                        self.pressure_rooms.append(_elem178)
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = iprot.readBool()
+                        self.pressure_rooms.append(_elem185)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 41:
                 if ftype == TType.LIST:
                     self.pressure_drain_rates = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = iprot.readDouble()
-                        self.pressure_drain_rates.append(_elem184)
+                    (_etype189, _size186) = iprot.readListBegin()
+                    for _i190 in range(_size186):
+                        _elem191 = iprot.readDouble()
+                        self.pressure_drain_rates.append(_elem191)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 42:
                 if ftype == TType.LIST:
                     self.pressure_shed_shares = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = iprot.readDouble()
-                        self.pressure_shed_shares.append(_elem190)
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = iprot.readDouble()
+                        self.pressure_shed_shares.append(_elem197)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 43:
                 if ftype == TType.LIST:
                     self.pressure_waits = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = iprot.readBinary()
-                        self.pressure_waits.append(_elem196)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = iprot.readBinary()
+                        self.pressure_waits.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.LIST:
                     self.rollout_stages = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = RolloutStageStruct()
-                        _elem202.read(iprot)
-                        self.rollout_stages.append(_elem202)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = RolloutStageStruct()
+                        _elem209.read(iprot)
+                        self.rollout_stages.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.rollout_counts = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = RolloutCountStruct()
-                        _elem208.read(iprot)
-                        self.rollout_counts.append(_elem208)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = RolloutCountStruct()
+                        _elem215.read(iprot)
+                        self.rollout_counts.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 80:
                 if ftype == TType.LIST:
                     self.cold_reports = []
-                    (_etype212, _size209) = iprot.readListBegin()
-                    for _i213 in range(_size209):
-                        _elem214 = ColdReportStruct()
-                        _elem214.read(iprot)
-                        self.cold_reports.append(_elem214)
+                    (_etype219, _size216) = iprot.readListBegin()
+                    for _i220 in range(_size216):
+                        _elem221 = ColdReportStruct()
+                        _elem221.read(iprot)
+                        self.cold_reports.append(_elem221)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2020,8 +2039,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter215 in self.stamps:
-                iter215.write(oprot)
+            for iter222 in self.stamps:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -2031,64 +2050,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter216 in self.outcome_upstreams:
-                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
+            for iter223 in self.outcome_upstreams:
+                oprot.writeString(iter223.encode('utf-8') if sys.version_info[0] == 2 else iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter217 in self.outcome_kinds:
-                oprot.writeByte(iter217)
+            for iter224 in self.outcome_kinds:
+                oprot.writeByte(iter224)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter218 in self.outcome_numbers:
-                oprot.writeI64(iter218)
+            for iter225 in self.outcome_numbers:
+                oprot.writeI64(iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter219 in self.flight_upstreams:
-                oprot.writeString(iter219.encode('utf-8') if sys.version_info[0] == 2 else iter219)
+            for iter226 in self.flight_upstreams:
+                oprot.writeString(iter226.encode('utf-8') if sys.version_info[0] == 2 else iter226)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter220 in self.flight_counts:
-                oprot.writeI32(iter220)
+            for iter227 in self.flight_counts:
+                oprot.writeI32(iter227)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter221 in self.admitted_accounts:
-                oprot.writeString(iter221.encode('utf-8') if sys.version_info[0] == 2 else iter221)
+            for iter228 in self.admitted_accounts:
+                oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter222 in self.admitted_counts:
-                oprot.writeI64(iter222)
+            for iter229 in self.admitted_counts:
+                oprot.writeI64(iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter223 in self.broken_fingerprints:
-                oprot.writeI64(iter223)
+            for iter230 in self.broken_fingerprints:
+                oprot.writeI64(iter230)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter224 in self.broken_upstreams:
-                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
+            for iter231 in self.broken_upstreams:
+                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -2098,8 +2117,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter225 in self.documents:
-                iter225.write(oprot)
+            for iter232 in self.documents:
+                iter232.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -2109,115 +2128,115 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter226 in self.zone_views:
-                iter226.write(oprot)
+            for iter233 in self.zone_views:
+                iter233.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter227 in self.answered_fingerprints:
-                oprot.writeI64(iter227)
+            for iter234 in self.answered_fingerprints:
+                oprot.writeI64(iter234)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter228 in self.rollout_stages:
-                iter228.write(oprot)
+            for iter235 in self.rollout_stages:
+                iter235.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter229 in self.rollout_counts:
-                iter229.write(oprot)
+            for iter236 in self.rollout_counts:
+                iter236.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter230 in self.departed_upstreams:
-                oprot.writeString(iter230.encode('utf-8') if sys.version_info[0] == 2 else iter230)
+            for iter237 in self.departed_upstreams:
+                oprot.writeString(iter237.encode('utf-8') if sys.version_info[0] == 2 else iter237)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter231 in self.departed_born:
-                oprot.writeI64(iter231)
+            for iter238 in self.departed_born:
+                oprot.writeI64(iter238)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter232 in self.pressed_pools:
-                oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
+            for iter239 in self.pressed_pools:
+                oprot.writeString(iter239.encode('utf-8') if sys.version_info[0] == 2 else iter239)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter233 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter233))
-                for iter234 in iter233:
-                    oprot.writeDouble(iter234)
+            for iter240 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter240))
+                for iter241 in iter240:
+                    oprot.writeDouble(iter241)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter235 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter235))
-                for iter236 in iter235:
-                    oprot.writeString(iter236.encode('utf-8') if sys.version_info[0] == 2 else iter236)
+            for iter242 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter242))
+                for iter243 in iter242:
+                    oprot.writeString(iter243.encode('utf-8') if sys.version_info[0] == 2 else iter243)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter237 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter237))
-                for iter238 in iter237:
-                    oprot.writeDouble(iter238)
+            for iter244 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter244))
+                for iter245 in iter244:
+                    oprot.writeDouble(iter245)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter239 in self.pressure_pools:
-                oprot.writeString(iter239.encode('utf-8') if sys.version_info[0] == 2 else iter239)
+            for iter246 in self.pressure_pools:
+                oprot.writeString(iter246.encode('utf-8') if sys.version_info[0] == 2 else iter246)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter240 in self.pressure_rooms:
-                oprot.writeBool(iter240)
+            for iter247 in self.pressure_rooms:
+                oprot.writeBool(iter247)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter241 in self.pressure_drain_rates:
-                oprot.writeDouble(iter241)
+            for iter248 in self.pressure_drain_rates:
+                oprot.writeDouble(iter248)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter242 in self.pressure_shed_shares:
-                oprot.writeDouble(iter242)
+            for iter249 in self.pressure_shed_shares:
+                oprot.writeDouble(iter249)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter243 in self.pressure_waits:
-                oprot.writeBinary(iter243)
+            for iter250 in self.pressure_waits:
+                oprot.writeBinary(iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
@@ -2243,8 +2262,8 @@
         if self.cold_reports is not None:
             oprot.writeFieldBegin('cold_reports', TType.LIST, 80)
             oprot.writeListBegin(TType.STRUCT, len(self.cold_reports))
-            for iter244 in self.cold_reports:
-                iter244.write(oprot)
+            for iter251 in self.cold_reports:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2367,7 +2386,8 @@
     None,  # 0
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
     (2, TType.I32, 'tokens', None, None, ),  # 2
-    (3, TType.DOUBLE, 'given', None, None, ),  # 3
+    (3, TType.DOUBLE, 'reserved', None, None, ),  # 3
+    (4, TType.LIST, 'given', (TType.I32, None, False), None, ),  # 4
 )
 all_structs.append(RetryAskStruct)
 RetryAskStruct.thrift_spec = (
