Show that two bursts exceed the retry budget

Cause: a retry is paid by a request up to 2.5 s earlier, so a window can have the retries of two bursts and the requests of one, as can the two windows with which the rule compares it. Conclusion: the tests' own measure, with the requests of 12.5 s, doesn't show it.

--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -210,3 +210,50 @@
         earliest = since - retry_pools.POOL_SECONDS
         paid = sum(n for time, n in given if earliest <= time <= since + SPAN)
         assert taken <= paid + bounds.slack + 1e-6
+
+
+def rule_excess(requests, retries):
+    """Return the most retries in a window beyond the share of its requests.
+
+    The requests are those of that window, of the one before it or of the one half a
+    window before it, whichever has most.
+    """
+    worst = float("-inf")
+    for since in retries:
+        counts = []
+        for earlier in (0.0, WINDOW / 2, WINDOW):
+            start = since - earlier
+            counts.append(count(requests, start, start + WINDOW))
+        allowed = RETRY_BOUNDS.share * max(counts) + RETRY_BOUNDS.slack
+        worst = max(worst, count(retries, since, since + WINDOW) - allowed)
+    return worst
+
+
+def send_burst(fleet, requests):
+    """Have requests begin in 0.4 s that fail 0.5 s after they began."""
+    nodes = list(fleet.fleet.nodes.values())
+
+    def send(node, seconds):
+        budgets = node.kernel.find("retry_budgets")
+        fleet.fleet.tasks.sleep(seconds)
+        budgets.deposit(POOL)
+        fleet.requests.append(fleet.fleet.now())
+        fleet.fleet.tasks.sleep(0.5)
+        if budgets.withdraw(POOL, 0.0, WAIT_SECONDS) is not None:
+            fleet.retries.append(fleet.fleet.now())
+
+    for number in range(requests):
+        node = nodes[number % len(nodes)]
+        fleet.fleet.tasks.spawn(node.owner, send, node, 0.4 * number / requests)
+
+
+@pytest.mark.parametrize("hosts, requests", [(1, 1000), (6, 300)])
+def test_retries_of_two_bursts_stay_within_the_share_of_one(hosts, requests):
+    """Guards against a window that has the retries of requests before it."""
+    fleet = RetryFleet(hosts, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    send_burst(fleet, requests)
+    fleet.fleet.run(WINDOW - 0.5)
+    send_burst(fleet, requests)
+    fleet.fleet.run(3.0)
+    assert fleet.retries and rule_excess(fleet.requests, fleet.retries) <= 0.0
