Show that retries reserved for urgent requests are granted to others

Cause: the holder grants whoever asks; how many retries a request leaves to others is compared with what the asking host believes is left, 10 if it doesn't know.

--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -16,6 +16,7 @@
 from trefoilpin.gateway.admission import retry_pools
 from trefoilpin.gateway.admission.retry_budgets import MAX_AGE_SECONDS, TOKEN_SECONDS
 from trefoilpin.gateway.admission.retry_pools import RetryAsk, RetryBounds, RetryWant
+from trefoilpin.gateway.admission.send_pacing import RESERVED_RETRIES_BY_PRIORITY
 from trefoilpin.gateway.store.leases import LEASE_SECONDS
 
 POOL = "p"
@@ -257,3 +258,27 @@
     send_burst(fleet, requests)
     fleet.fleet.run(3.0)
     assert fleet.retries and rule_excess(fleet.requests, fleet.retries) <= 0.0
+
+
+def test_urgent_requests_get_the_retries_that_others_leave_to_them():
+    """Guards against reserves that only the host that asks knows."""
+    fleet = RetryFleet(12, 0.6)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    nodes = list(fleet.fleet.nodes.values())
+    urgent = []
+
+    def withdraw(node, reserved, found):
+        budgets = node.kernel.find("retry_budgets")
+        found.append(budgets.withdraw(POOL, reserved, WAIT_SECONDS))
+
+    low = []
+    reserved = RESERVED_RETRIES_BY_PRIORITY[-1]
+    for number in range(150):
+        node = nodes[number % len(nodes)]
+        fleet.fleet.tasks.spawn(node.owner, withdraw, node, reserved, low)
+        fleet.fleet.run(0.02)
+    fleet.fleet.run(1.0)
+    for node in nodes[: int(reserved)]:
+        fleet.fleet.tasks.spawn(node.owner, withdraw, node, 0.0, urgent)
+    fleet.fleet.run(1.0)
+    assert None in low and None not in urgent
