Show that a retry that waited in the queue is given up

Cause: once its time has passed another retry is withdrawn without a wait for the response, so a host without whole retries of its own never gets one, whatever the fleet has left.

--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -1,6 +1,7 @@
 """Retries of a whole fleet stay within its budget."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -17,6 +18,7 @@
 from trefoilpin.gateway.admission.retry_budgets import MAX_AGE_SECONDS, TOKEN_SECONDS
 from trefoilpin.gateway.admission.retry_pools import RetryAsk, RetryBounds, RetryWant
 from trefoilpin.gateway.admission.send_pacing import RESERVED_RETRIES_BY_PRIORITY
+from trefoilpin.gateway.requests import retry_decisions
 from trefoilpin.gateway.store.leases import LEASE_SECONDS
 
 POOL = "p"
@@ -282,3 +284,30 @@
         fleet.fleet.tasks.spawn(node.owner, withdraw, node, 0.0, urgent)
     fleet.fleet.run(1.0)
     assert None in low and None not in urgent
+
+
+def test_retry_that_waited_in_the_queue_is_sent_when_the_fleet_has_retries():
+    """Guards against requests that are given up when their turn has come."""
+    fleet = RetryFleet(6, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    node = fleet.fleet.nodes["10.0.0.1"]
+    decisions = retry_decisions.create(node.kernel)
+    found = []
+
+    def wait_in_queue():
+        budgets = node.kernel.find("retry_budgets")
+        retry_by = budgets.withdraw(POOL, 0.0, WAIT_SECONDS)
+        deadline = fleet.fleet.now() + 5.0
+        context = SimpleNamespace(
+            pool=POOL,
+            deadline=deadline,
+            typical_seconds=0.1,
+            priority=0,
+            retry_by=retry_by,
+        )
+        fleet.fleet.tasks.sleep(TOKEN_SECONDS + 0.1)
+        found.extend((retry_by is not None, decisions.may_send(context)))
+
+    fleet.fleet.tasks.spawn(node.owner, wait_in_queue)
+    fleet.fleet.run(5.0)
+    assert found == [True, True]
