Show that failing requests wait for grants through a whole outage

Cause: a host takes the holder for away only while its last ask is under 0.7 s old; with fewer requests that fail each of them begins anew.

--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -311,3 +311,23 @@
     fleet.fleet.tasks.spawn(node.owner, wait_in_queue)
     fleet.fleet.run(5.0)
     assert found == [True, True]
+
+
+def test_requests_do_not_wait_while_it_is_known_that_nobody_grants():
+    """Guards against asks that are too rare to tell that no host responds."""
+    fleet = RetryFleet(6, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    fleet.content.is_down = True
+    fleet.fleet.run(10.0)
+    node = fleet.fleet.nodes["10.0.0.1"]
+    waits = []
+
+    def wait():
+        since = fleet.fleet.now()
+        node.kernel.find("retry_budgets").withdraw(POOL, 0.0, WAIT_SECONDS)
+        waits.append(fleet.fleet.now() - since)
+
+    for _ in range(10):
+        fleet.fleet.tasks.spawn(node.owner, wait)
+        fleet.fleet.run(1.2)
+    assert sum(waits) <= 3 * WAIT_SECONDS
