Show that a planned stop of the holder leaves pools without retries

Cause: the next holder grants no retries beyond the parts for 10.9 s, as it doesn't know the count of the last one, though that one writes a release.

--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -331,3 +331,16 @@
         fleet.fleet.tasks.spawn(node.owner, wait)
         fleet.fleet.run(1.2)
     assert sum(waits) <= 3 * WAIT_SECONDS
+
+
+def test_retries_go_on_after_the_holder_stopped():
+    """Guards against a rolling restart without retries for pools with few requests."""
+    fleet = RetryFleet(12, 2.4)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    fleet.failing = 0.2
+    fleet.fleet.run(2.0)
+    retries, lacking = len(fleet.retries), fleet.lacking
+    for address in fleet.holders():
+        fleet.fleet.nodes[address].kernel.find("leases").end()
+    fleet.fleet.run(SPAN)
+    assert len(fleet.retries) - retries > fleet.lacking - lacking
