Show that the pools after the 64th get no retries

Cause: an ask takes the first 64 pools in their fixed order, and the others wait without another ask being scheduled.

--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -344,3 +344,22 @@
         fleet.fleet.nodes[address].kernel.find("leases").end()
     fleet.fleet.run(SPAN)
     assert len(fleet.retries) - retries > fleet.lacking - lacking
+
+
+def test_each_of_many_pools_gets_its_retries():
+    """Guards against pools that an ask has no room for."""
+    fleet = RetryFleet(3, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    node = fleet.fleet.nodes["10.0.0.1"]
+    found = dict.fromkeys((f"pool-{number}" for number in range(140)), 0)
+
+    def withdraw(pool):
+        budgets = node.kernel.find("retry_budgets")
+        found[pool] += budgets.withdraw(pool, 0.0, WAIT_SECONDS) is not None
+
+    for _ in range(50):
+        for pool in found:
+            fleet.fleet.tasks.spawn(node.owner, withdraw, pool)
+        fleet.fleet.run(0.1)
+    fleet.fleet.run(1.0)
+    assert min(found.values()) >= 10
