--- a/trefoilpin/tests/gateway/test_leases.py
+++ b/trefoilpin/tests/gateway/test_leases.py
@@ -265,3 +265,16 @@
     fleet.run(LEASE_SECONDS + 1.0)
     fleet.run(LEASE_SECONDS - 0.5, "abc")
     assert not fleet.holders()
+
+
+def test_restore_during_the_first_start_gives_no_second_right():
+    """Guards against a host that takes a copy without the lease for a new system."""
+    fleet = LeaseFleet(1)
+    fleet.is_first_start = True
+    for address in "ab":
+        fleet.start(address)
+    snapshot = fleet.content.take_snapshot()
+    fleet.run(0.5, "a")
+    assert fleet.holders() == [("a", 1)]
+    fleet.content.restore(snapshot)
+    fleet.run(2.0, "b")
