Show that a retry may be written after its time

Cause: the time of a retry is compared before the connect only, which may take 0.3 s; the forwarder, which compares the time of a cold token before the write, isn't told of it.

--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -507,3 +507,28 @@
     assert shares[0] >= 0.66
     assert shares[0] >= shares[1] >= shares[2] - 0.02
     assert sum(shares) / 3 >= 0.53
+
+
+def test_retry_is_not_written_after_its_time(monkeypatch):
+    """Guards against a connect that takes until after the time of a grant."""
+    limits = []
+    create_budgets = local_retries.create
+
+    def create(kernel, *arguments):
+        budgets = create_budgets(kernel, *arguments)
+        now = kernel.clock.now
+        service = budgets._replace(withdraw=lambda *arguments: now() + 0.9)
+        kernel.register("retry_budgets", service)
+
+    monkeypatch.setattr(local_retries, "create", create)
+    exchange = Host.exchange
+    monkeypatch.setattr(
+        Host,
+        "exchange",
+        lambda host, *arguments: limits.append(arguments[-1])
+        or exchange(host, *arguments),
+    )
+    host = Host()
+    host.attempts = [SHED, GOOD]
+    assert isinstance(host.send_request(), Success)
+    assert limits[0] == float("inf") and limits[1] <= host.clock.time + 0.9
