--- a/trefoilpin/tests/gateway/test_gossip_codecs.py
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -9,6 +9,12 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
+from trefoilpin.gateway.admission.retry_pools import (
+    GrantedRetries,
+    RetryAsk,
+    RetryGrant,
+    RetryWant,
+)
 from trefoilpin.gateway.balancing.cold_grants import (
     ColdAsk,
     ColdGrant,
@@ -184,3 +190,33 @@
 def test_tokens_out_of_range_are_rejected(fields):
     data = gossip_codecs.encode(MESSAGE._replace(**fields))
     assert isinstance(gossip_codecs.decode(data), Failure)
+
+
+RETRY_ASK = RetryAsk(3, (RetryWant("p", 2, 0.5), RetryWant("q", 1, 0.0)))
+RETRY_GRANT = RetryGrant(3, True, "10.0.0.1", (GrantedRetries("p", 1, 2.5),))
+
+
+def test_ask_for_retries_and_its_response_arrive_as_sent():
+    fields = {"retry_ask": RETRY_ASK, "retry_grant": RETRY_GRANT}
+    decoded = gossip_codecs.decode(gossip_codecs.encode(MESSAGE._replace(**fields)))
+    assert decoded.unwrap().retry_ask == RETRY_ASK
+    assert decoded.unwrap().retry_grant == RETRY_GRANT
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"retry_ask": RETRY_ASK._replace(number=-1)},
+        {"retry_ask": RETRY_ASK._replace(wants=RETRY_ASK.wants * 33)},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 9, 0.5),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, -0.5),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, math.nan),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, math.inf),))},
+        {"retry_grant": RETRY_GRANT._replace(granted=(GrantedRetries("p", 9, 0.0),))},
+        {"retry_grant": RETRY_GRANT._replace(granted=RETRY_GRANT.granted * 65)},
+    ],
+)
+def test_retries_out_of_range_are_rejected(fields):
+    """Guards against a host that makes others send more than the fleet may."""
+    data = gossip_codecs.encode(MESSAGE._replace(**fields))
+    assert isinstance(gossip_codecs.decode(data), Failure)
