Show that a message may grant a pool's retries several times

Cause: the limits hold for each item, and neither side looks for a second one with the same name; a grant to one pool, named 64 times, gives 64 times what was asked (cold tokens are taken once, by pop).

--- a/trefoilpin/tests/gateway/test_gossip_codecs.py
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -220,3 +220,16 @@
     """Guards against a host that makes others send more than the fleet may."""
     data = gossip_codecs.encode(MESSAGE._replace(**fields))
     assert isinstance(gossip_codecs.decode(data), Failure)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, 1000.0),) * 2)},
+        {"retry_grant": RETRY_GRANT._replace(granted=RETRY_GRANT.granted * 2)},
+    ],
+)
+def test_retries_of_a_pool_that_is_named_twice_are_rejected(fields):
+    """Guards against parts and retries that count once for each mention."""
+    data = gossip_codecs.encode(MESSAGE._replace(**fields))
+    assert isinstance(gossip_codecs.decode(data), Failure)
