Show that a host that is named as the holder need not be an address

Cause: the text is checked for its length only, and the next ask is sent to it: a name is looked up by the system while all tasks wait, and one that can't be encoded raises TypeError in the task that sends all messages. So is the holder in the object in the store (leases.read_holder).

--- a/trefoilpin/tests/gateway/test_gossip_codecs.py
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -233,3 +233,12 @@
     """Guards against parts and retries that count once for each mention."""
     data = gossip_codecs.encode(MESSAGE._replace(**fields))
     assert isinstance(gossip_codecs.decode(data), Failure)
+
+
+@pytest.mark.parametrize("holder", ["no.such.host", "a" * 300, "10.0.0.1\0"])
+@pytest.mark.parametrize("field, grant", [("cold", GRANT), ("retry", RETRY_GRANT)])
+def test_holder_that_is_no_address_is_rejected(field, grant, holder):
+    """Guards against a look-up of a name, for which the whole host stands still."""
+    fields = {f"{field}_grant": grant._replace(is_holder=False, holder=holder)}
+    data = gossip_codecs.encode(MESSAGE._replace(**fields))
+    assert isinstance(gossip_codecs.decode(data), Failure)
