--- a/trefoilpin/fakes/local_retries.py
+++ b/trefoilpin/fakes/local_retries.py
@@ -6,7 +6,7 @@
 __all__ = ["create"]
 
 
-def create(kernel, share, min_per_second, max_balance):
+def create(kernel, share, min_per_second, max_balance, valid_seconds=float("inf")):
     """Create the service ``retry_budgets`` over a token bucket of this host.
 
     Parameters
@@ -14,6 +14,8 @@
     kernel : Kernel
     share, min_per_second, max_balance : float
         As in ``retries.create``.
+    valid_seconds : float, optional
+        Time in which a retry has to be sent.
 
     Returns
     -------
@@ -22,7 +24,8 @@
     bucket = retries.create(kernel, share, min_per_second, max_balance)
 
     def withdraw(pool, reserved=0.0, seconds=0.0):
-        return float("inf") if bucket.withdraw(pool, reserved) else None
+        is_taken = bucket.withdraw(pool, reserved)
+        return kernel.clock.now() + valid_seconds if is_taken else None
 
     service = RetryBudgets(
         bucket.deposit,
--- a/trefoilpin/tests/gateway/test_gossip_codecs.py
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -9,6 +9,12 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
+from trefoilpin.gateway.admission.retry_pools import (
+    GrantedRetries,
+    RetryAsk,
+    RetryGrant,
+    RetryWant,
+)
 from trefoilpin.gateway.balancing.cold_grants import (
     ColdAsk,
     ColdGrant,
@@ -184,3 +190,53 @@
 def test_tokens_out_of_range_are_rejected(fields):
     data = gossip_codecs.encode(MESSAGE._replace(**fields))
     assert isinstance(gossip_codecs.decode(data), Failure)
+
+
+RETRY_ASK = RetryAsk(3, (RetryWant("p", 2, 0.0, (5, 0, 3)), RetryWant("q", 1, 4.0, ())))
+RETRY_GRANT = RetryGrant(3, True, "10.0.0.1", (GrantedRetries("p", 1, 2.5),))
+
+
+def test_ask_for_retries_and_its_response_arrive_as_sent():
+    fields = {"retry_ask": RETRY_ASK, "retry_grant": RETRY_GRANT}
+    decoded = gossip_codecs.decode(gossip_codecs.encode(MESSAGE._replace(**fields)))
+    assert decoded.unwrap().retry_ask == RETRY_ASK
+    assert decoded.unwrap().retry_grant == RETRY_GRANT
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"retry_ask": RETRY_ASK._replace(number=-1)},
+        {"retry_ask": RETRY_ASK._replace(wants=RETRY_ASK.wants * 33)},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 9, 0.0, ()),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, -0.5, ()),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, math.nan, ()),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, math.inf, ()),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, 0.0, (-1,)),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, 0.0, (1 << 20,)),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, 0.0, (1,) * 10),))},
+        {"retry_grant": RETRY_GRANT._replace(granted=(GrantedRetries("p", 9, 0.0),))},
+        {"retry_grant": RETRY_GRANT._replace(granted=RETRY_GRANT.granted * 65)},
+    ],
+)
+def test_retries_out_of_range_are_rejected(fields):
+    """Guards against a host that makes others send more than the fleet may."""
+    data = gossip_codecs.encode(MESSAGE._replace(**fields))
+    assert isinstance(gossip_codecs.decode(data), Failure)
+
+
+def test_requests_that_are_given_twice_are_rejected():
+    """Guards against requests that pay once for each mention of their pool."""
+    wants = (RetryWant("p", 1, 0.0, (9,)), RetryWant("p", 1, 4.0, (9,)))
+    ask = RETRY_ASK._replace(wants=wants)
+    data = gossip_codecs.encode(MESSAGE._replace(retry_ask=ask))
+    assert isinstance(gossip_codecs.decode(data), Failure)
+
+
+@pytest.mark.parametrize("holder", ["no.such.host", "a" * 300, "10.0.0.1\0"])
+@pytest.mark.parametrize("field, grant", [("cold", GRANT), ("retry", RETRY_GRANT)])
+def test_holder_that_is_no_address_is_rejected(field, grant, holder):
+    """Guards against a look-up of a name, for which the whole host stands still."""
+    fields = {f"{field}_grant": grant._replace(is_holder=False, holder=holder)}
+    data = gossip_codecs.encode(MESSAGE._replace(**fields))
+    assert isinstance(gossip_codecs.decode(data), Failure)
