Take no cut for an outage of the store

Change: store_absences has the judgement. Hosts count as heard when they were heard later than a later document could have come; with an old document the judgement takes 0.6 s, in which a host that is back hears of later ones; a gap of 0.8 s doesn't end it. The tests run over 4 draws.

--- a/trefoilpin/gateway/fleet/failure_detection.py
+++ b/trefoilpin/gateway/fleet/failure_detection.py
@@ -17,7 +17,6 @@
     "SUSPICION_TIMEOUT_SECONDS",
     "create_member",
     "is_live",
-    "is_store_away",
     "member_digest",
     "is_suspected",
     "record_digest",
@@ -35,15 +34,6 @@
 # Callers are not directed to a host whose configuration is older.
 MAX_CONFIGURATION_AGE_SECONDS = 2.8
 DIGEST_BYTES = 8
-# A host that was heard within this time counts when hosts are asked for the store.
-MAX_HEARD_AGE_SECONDS = 2.5
-# Documents are read and passed on at an age below this one.
-MIN_HEARD_LATER_SECONDS = 1.5
-# Hosts that send to this one regularly do so every 0.4 s; one datagram may be lost.
-MAX_DIRECT_SILENCE_SECONDS = 1.0
-# Documents of hosts that hear each other differ in age by a read, a message, and the
-# time since the message.
-MAX_AGE_DIFFERENCE_SECONDS = 1.5
 
 
 class Member:
@@ -179,38 +169,3 @@
         member.suspected_at = member.last_alive_at
     member.changed_at = now
     return True
-
-
-def is_store_away(members, own_configuration_age, now):
-    """Tell whether it seems that no host reaches the store.
-
-    That is so when most hosts are heard, and those that this one hears itself have
-    documents as old as its own. A host that is cut off hears few or none; one that was
-    suspended, or is back from a cut, soon hears of later documents.
-
-    Parameters
-    ----------
-    members : iterable of Member
-    own_configuration_age, now : float
-    """
-    # What was heard before a later document could have come tells nothing.
-    max_age = min(
-        MAX_HEARD_AGE_SECONDS, own_configuration_age - MIN_HEARD_LATER_SECONDS
-    )
-    known, heard, heard_directly = 1, 1, 0
-    for member in members:
-        known += 1
-        if now - member.last_alive_at > max_age:
-            continue
-        heard += 1
-        heard_directly += now - member.last_message_at <= MAX_DIRECT_SILENCE_SECONDS
-        difference = own_configuration_age - configuration_age(member, now)
-        if difference > MAX_AGE_DIFFERENCE_SECONDS:
-            return False
-    return heard_directly > 0 and heard * 2 > known
-
-
-def configuration_age(member, now):
-    """Return the age in seconds of a member's configuration, if it read none since."""
-    received_at = member.last_alive_at + member.record.age
-    return member.record.configuration_age + now - received_at
--- a/trefoilpin/gateway/fleet/members.py
+++ b/trefoilpin/gateway/fleet/members.py
@@ -10,7 +10,7 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
-from trefoilpin.gateway.fleet import failure_detection, zone_views
+from trefoilpin.gateway.fleet import failure_detection, store_absences, zone_views
 from trefoilpin.gateway.fleet.failure_detection import (
     MAX_CONFIGURATION_AGE_SECONDS,
     SUSPICION_TIMEOUT_SECONDS,
@@ -258,14 +258,6 @@
             current.is_store_unreachable = is_most and not has_recent
         return current.is_store_unreachable
 
-    def is_store_away():
-        current = view()
-        if current.is_store_away is None:
-            current.is_store_away = failure_detection.is_store_away(
-                state.member_by_address.values(), configuration_age(), now()
-            )
-        return current.is_store_away
-
     def caller_hosts(zone):
         callers_by_zone = view().callers_by_zone
         if zone not in callers_by_zone:
@@ -359,6 +351,7 @@
         weight = min(seconds / LOAD_AVERAGE_SECONDS, 1.0)
         state.load += (rate - state.load) * weight
         state.view = None
+        absence.update()
         is_changed = False
         for address, member in state.member_by_address.items():
             if not failure_detection.update_suspicion(member, now()):
@@ -372,6 +365,9 @@
         member = state.member_by_address.get(address)
         return member is not None and member.record.zone != own.zone
 
+    absence = store_absences.create(
+        now, configuration_age, state.member_by_address.values
+    )
     views = zone_views.create(view, state.member_by_address.get, now)
     service = Members(
         own,
@@ -394,7 +390,7 @@
         tick,
         lambda: state.load,
         is_serving,
-        is_store_away,
+        absence.is_away,
     )
     kernel.register("members", service)
     return service
--- a/trefoilpin/gateway/fleet/membership_views.py
+++ b/trefoilpin/gateway/fleet/membership_views.py
@@ -41,8 +41,6 @@
         Hosts that callers of a zone should use.
     is_store_unreachable : bool or None
         None until it is needed.
-    is_store_away : bool or None
-        As ``failure_detection.is_store_away``; None until it is needed.
     """
 
     def __init__(self, computed_at, live):
@@ -55,4 +53,3 @@
         self.digest_by_zone: dict[str, int] = {}
         self.callers_by_zone: dict[str, list[MemberRecord]] = {}
         self.is_store_unreachable: bool | None = None
-        self.is_store_away: bool | None = None
--- a/trefoilpin/tests/gateway/test_cold_checks.py
+++ b/trefoilpin/tests/gateway/test_cold_checks.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Success
 
 from trefoilpin import events
-from trefoilpin.fakes.gateway_fleets import Fleet, StoreContent
+from trefoilpin.fakes.gateway_fleets import Fleet, FleetSettings, StoreContent
 from trefoilpin.fakes.gateways import (
     configuration,
     create_document_cache,
@@ -17,7 +17,7 @@
 from trefoilpin.gateway.balancing.cold_checks import MAX_WARMTH_AGE_SECONDS, ColdReport
 from trefoilpin.gateway.balancing.upstream_selection import RetryPolicy
 from trefoilpin.gateway.fleet import cold_report_codecs
-from trefoilpin.gateway.fleet.failure_detection import MAX_AGE_DIFFERENCE_SECONDS
+from trefoilpin.gateway.fleet.store_absences import MAX_AGE_DIFFERENCE_SECONDS
 from trefoilpin.gateway.store.document_cache import (
     CONFIGURATION,
     UPSTREAMS,
@@ -300,13 +300,13 @@
         cold_report_codecs.read_cold_reports(encoded)
 
 
-@pytest.fixture
-def fleet():
-    """Return a running fleet of three zones with a store."""
+@pytest.fixture(params=[1, 4, 5, 8])
+def fleet(request):
+    """Return a running fleet of three zones with a store; other draws each time."""
     content = StoreContent()
     for kind in (CONFIGURATION, UPSTREAMS, ZONES_OUT):
         content.put(kind, "main", "1")
-    running = Fleet(content=content)
+    running = Fleet(FleetSettings(seed=request.param), content)
     for number in range(1, 25):
         running.start(number, "abc"[number % 3])
     running.run(6.0)
