--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -515,7 +515,8 @@
     create_budgets = local_retries.create
 
     def create(kernel, *arguments):
-        budgets = create_budgets(kernel, *arguments)
+        unregistered = kernel._replace(register=lambda name, service: None)
+        budgets = create_budgets(unregistered, *arguments)
         now = kernel.clock.now
         service = budgets._replace(withdraw=lambda *arguments: now() + 0.9)
         kernel.register("retry_budgets", service)
