--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -363,3 +363,21 @@
         fleet.fleet.run(0.1)
     fleet.fleet.run(1.0)
     assert min(found.values()) >= 10
+
+
+@pytest.mark.parametrize("hosts", [1, 6])
+def test_requests_that_fail_at_once_are_sent_again(hosts):
+    """Guards against an upstream whose crash loses most of a host's requests."""
+    fleet = RetryFleet(hosts, 0.5)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    node = fleet.fleet.nodes["10.0.0.1"]
+    found = []
+
+    def withdraw():
+        budgets = node.kernel.find("retry_budgets")
+        found.append(budgets.withdraw(POOL, 0.0, WAIT_SECONDS) is not None)
+
+    for _ in range(40):
+        fleet.fleet.tasks.spawn(node.owner, withdraw)
+    fleet.fleet.run(2.0)
+    assert found.count(True) >= 36
