Show that retries count as left while nobody grants

Cause: what the holder has left is taken for 10 when it was not heard of for 0.5 s, and the holder counts as away for 0.7 s after an ask only; RetryPolicy and hedges rely on it.

--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -381,3 +381,19 @@
         fleet.fleet.tasks.spawn(node.owner, withdraw)
     fleet.fleet.run(2.0)
     assert found.count(True) >= 36
+
+
+def test_nothing_counts_as_left_while_nobody_grants():
+    """Guards against risks that are taken for the sake of a retry."""
+    fleet = RetryFleet(6, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    fleet.failing = 1.0
+    fleet.content.is_down = True
+    node = fleet.fleet.nodes["10.0.0.1"]
+    budgets = node.kernel.find("retry_budgets")
+    left = []
+    for _ in range(10):
+        fleet.fleet.tasks.spawn(node.owner, budgets.withdraw, POOL, 0.0, WAIT_SECONDS)
+        fleet.fleet.run(2.0)
+        left.append(budgets.balance(POOL))
+    assert max(left[-5:]) < 1.0
