--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -1,5 +1,6 @@
 """Retries of a whole fleet stay within its budget."""
 
+import gc
 import random
 from types import SimpleNamespace
 
@@ -15,7 +16,11 @@
 )
 from trefoilpin.fakes.gateways import create_host
 from trefoilpin.gateway.admission import retry_pools
-from trefoilpin.gateway.admission.retry_budgets import MAX_AGE_SECONDS, TOKEN_SECONDS
+from trefoilpin.gateway.admission.retry_budgets import (
+    MAX_AGE_SECONDS,
+    TOKEN_SECONDS,
+    PoolBudget,
+)
 from trefoilpin.gateway.admission.retry_pools import RetryAsk, RetryBounds, RetryWant
 from trefoilpin.gateway.admission.send_pacing import RESERVED_RETRIES_BY_PRIORITY
 from trefoilpin.gateway.requests import retry_decisions
@@ -397,3 +402,22 @@
         fleet.fleet.run(2.0)
         left.append(budgets.balance(POOL))
     assert max(left[-5:]) < 1.0
+
+
+def test_pools_that_get_no_requests_any_more_are_forgotten():
+    """Guards against memory for each pool that a configuration ever had."""
+    fleet = RetryFleet(1, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS)
+    budgets = fleet.fleet.nodes["10.0.0.1"].kernel.find("retry_budgets")
+    gc.collect()
+    before = count_budgets()
+    for number in range(5000):
+        budgets.deposit(f"pool-{number}")
+    fleet.fleet.run(60.0)
+    budgets.deposit(POOL)
+    gc.collect()
+    assert count_budgets() - before < 2500
+
+
+def count_budgets():
+    return sum(isinstance(found, PoolBudget) for found in gc.get_objects())
