Merge the last tests of the review; grant up to 64 retries at once

Requests that fail in one moment at one host got 8 retries, whatever was left (found by the review; test_requests_that_fail_at_once_are_sent_again).

--- a/trefoilpin/gateway/admission/retry_pools.py
+++ b/trefoilpin/gateway/admission/retry_pools.py
@@ -28,7 +28,7 @@
 ]
 
 # Retries for one pool, and pools, that a host asks for at once.
-MAX_TOKENS = 8
+MAX_TOKENS = 64
 MAX_WANTS = 64
 # Requests that a host gives for each of the last seconds.
 MAX_GIVEN = 100_000
--- a/trefoilpin/tests/gateway/test_cold_checks.py
+++ b/trefoilpin/tests/gateway/test_cold_checks.py
@@ -323,6 +323,7 @@
                 check(node, age, node.members.is_store_away())
 
 
+@pytest.mark.parametrize("fleet", [5, 1, 8], indirect=True)
 def test_hosts_know_that_the_store_is_away_for_all(fleet):
     verdicts = []
 
--- a/trefoilpin/tests/gateway/test_gossip_codecs.py
+++ b/trefoilpin/tests/gateway/test_gossip_codecs.py
@@ -208,14 +208,14 @@
     [
         {"retry_ask": RETRY_ASK._replace(number=-1)},
         {"retry_ask": RETRY_ASK._replace(wants=RETRY_ASK.wants * 33)},
-        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 9, 0.0, ()),))},
+        {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 65, 0.0, ()),))},
         {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, -0.5, ()),))},
         {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, math.nan, ()),))},
         {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, math.inf, ()),))},
         {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, 0.0, (-1,)),))},
         {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, 0.0, (1 << 20,)),))},
         {"retry_ask": RETRY_ASK._replace(wants=(RetryWant("p", 1, 0.0, (1,) * 10),))},
-        {"retry_grant": RETRY_GRANT._replace(granted=(GrantedRetries("p", 9, 0.0),))},
+        {"retry_grant": RETRY_GRANT._replace(granted=(GrantedRetries("p", 65, 0.0),))},
         {"retry_grant": RETRY_GRANT._replace(granted=RETRY_GRANT.granted * 65)},
     ],
 )
--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -1,5 +1,6 @@
 """Retries of a whole fleet stay within its budget."""
 
+import gc
 import random
 from types import SimpleNamespace
 
@@ -16,7 +17,7 @@
 )
 from trefoilpin.fakes.gateways import create_host
 from trefoilpin.gateway.admission import retry_budgets, retry_pools
-from trefoilpin.gateway.admission.retry_budgets import TOKEN_SECONDS
+from trefoilpin.gateway.admission.retry_budgets import TOKEN_SECONDS, PoolBudget
 from trefoilpin.gateway.admission.retry_pools import (
     GrantedRetries,
     RetryAsk,
@@ -448,3 +449,55 @@
     granted = (GrantedRetries(POOL, 8, 0.0),) * 64
     budgets.receive(RetryGrant(asks[0].number, True, "10.0.0.1", granted))
     assert budgets.withdraw(POOL) is not None and budgets.withdraw(POOL) is None
+
+
+@pytest.mark.parametrize("hosts", [1, 6])
+def test_requests_that_fail_at_once_are_sent_again(hosts):
+    """Guards against an upstream whose crash loses most of a host's requests."""
+    fleet = RetryFleet(hosts, 0.5)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    node = fleet.fleet.nodes["10.0.0.1"]
+    found = []
+
+    def withdraw():
+        budgets = node.kernel.find("retry_budgets")
+        found.append(budgets.withdraw(POOL, 0.0, WAIT_SECONDS) is not None)
+
+    for _ in range(40):
+        fleet.fleet.tasks.spawn(node.owner, withdraw)
+    fleet.fleet.run(2.0)
+    assert found.count(True) >= 36
+
+
+def test_nothing_counts_as_left_while_nobody_grants():
+    """Guards against risks that are taken for the sake of a retry."""
+    fleet = RetryFleet(6, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS + LEASE_SECONDS + SPAN)
+    fleet.content.is_down = True
+    node = fleet.fleet.nodes["10.0.0.1"]
+    budgets = node.kernel.find("retry_budgets")
+    left = []
+    for _ in range(10):
+        fleet.fleet.tasks.spawn(node.owner, budgets.withdraw, POOL, 0.0, WAIT_SECONDS)
+        fleet.fleet.run(2.0)
+        left.append(budgets.balance(POOL))
+    assert max(left[-5:]) < 1.0
+
+
+def test_pools_that_get_no_requests_any_more_are_forgotten():
+    """Guards against memory for each pool that a configuration ever had."""
+    fleet = RetryFleet(1, 1e9)
+    fleet.fleet.run(SETTLE_SECONDS)
+    budgets = fleet.fleet.nodes["10.0.0.1"].kernel.find("retry_budgets")
+    gc.collect()
+    before = count_budgets()
+    for number in range(5000):
+        budgets.deposit(f"pool-{number}")
+    fleet.fleet.run(60.0)
+    budgets.deposit(POOL)
+    gc.collect()
+    assert count_budgets() - before < 2500
+
+
+def count_budgets():
+    return sum(isinstance(found, PoolBudget) for found in gc.get_objects())
