Have every host pass on the breaks of requests that crash upstreams

A break at a host without callers reached the relays of its zone only, one at a host with callers no host without; one lost datagram was enough for a host to miss it, and hosts that start or were cut off heard nothing. Change: break_reports has what is new: each host passes on to its zone what it hears, and relays what their zone has to other relays, for 1.5 s and once. Breaks of refused requests are repeated each second in the zone and between relays, and are part of an introduction. Answers travel the same way. A break at a host whose refusal ended up to 5 s earlier than here renews the refusal here.

--- a/trefoilpin/gateway/admission/poison_requests.py
+++ b/trefoilpin/gateway/admission/poison_requests.py
@@ -3,7 +3,8 @@
 A connection that breaks without an answer counts against the request's fingerprint. A
 request that broke the connections of several upstreams and was not answered since is
 refused by every host for a while, twice as long each time. A complete answer at any
-host clears it. An upstream that crashed and started again counts once more.
+host clears it. An upstream that crashed and started again counts once more. Each host
+passes on what it learns, see ``break_reports``.
 
 A connection that was idle for long may have been closed before the request reached its
 upstream, so its break counts against no request. Such a request is sent over new
@@ -14,6 +15,8 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
+from trefoilpin.gateway.admission import break_reports
+from trefoilpin.gateway.admission.break_reports import Audience
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
 __all__ = ["PoisonRequests", "create", "fingerprint", "name_incarnation"]
@@ -30,10 +33,11 @@
 MAX_DOUBTED = 1_000
 # Of a request, the incarnations that are remembered.
 MAX_INCARNATIONS = 32
-# Own breaks and answers that are sent to other hosts.
-MAX_SHARED = 32
-# A break or an answer is sent repeatedly to the other hosts for this time.
-SHARING_SECONDS = 0.5
+# Hosts begin to refuse a request this long after each other at most. A break so soon
+# before the end of a refusal came after the end of that of another host.
+MAX_REFUSAL_SPREAD_SECONDS = 5.0
+# Refused requests whose breaks hosts are told again.
+MAX_REPEATED = 10
 SEPARATOR = "\0"
 FINGERPRINT_BYTES = 8
 
@@ -46,10 +50,11 @@
     ``record_break(fingerprint, incarnation)`` records a broken connection to an
     incarnation of an upstream, ``record_doubt(fingerprint)`` one that may have been
     closed before, and ``record_answer(fingerprint)`` a complete answer.
-    ``merge_breaks(broken_requests)`` takes the breaks that other hosts report, as pairs
-    of a fingerprint and an incarnation, and ``merge_answers(fingerprints)`` the answers
-    to requests that had broken upstreams. ``recent_breaks()`` and ``recent_answers()``
-    return those of this host.
+    ``merge_breaks(broken_requests, is_same_zone)`` takes the breaks that another host
+    reports, as pairs of a fingerprint and an incarnation, and
+    ``merge_answers(fingerprints, is_same_zone)`` the answers to requests that had
+    broken upstreams. ``recent_breaks(audience)`` and ``recent_answers(audience)``
+    return those to send, and ``introduced_breaks()`` the breaks for a host that starts.
     """
 
     check: Callable
@@ -61,6 +66,7 @@
     merge_answers: Callable
     recent_breaks: Callable
     recent_answers: Callable
+    introduced_breaks: Callable[[], tuple]
 
 
 class SuspectRequest:
@@ -107,8 +113,7 @@
     """
     suspect_by_fingerprint: dict[int, SuspectRequest] = {}
     doubted: dict[int, None] = {}
-    own_breaks: list[tuple[float, int, str]] = []
-    own_answers: list[tuple[float, int]] = []
+    refused: dict[int, None] = {}
     now = kernel.clock.now
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
@@ -131,13 +136,17 @@
             del doubted[next(iter(doubted))]
 
     def record_break(request_fingerprint, incarnation):
-        own_breaks.append((now(), request_fingerprint, incarnation))
-        del own_breaks[:-MAX_SHARED]
+        reports.add_break((request_fingerprint, incarnation), True, True)
         add_break(request_fingerprint, incarnation)
 
-    def merge_breaks(broken_requests):
+    def merge_breaks(broken_requests, is_same_zone=False):
         for request_fingerprint, incarnation in broken_requests:
-            add_break(request_fingerprint, incarnation)
+            suspect = suspect_by_fingerprint.get(request_fingerprint)
+            if suspect and incarnation in suspect.broken_at_by_incarnation:
+                continue
+            item = (request_fingerprint, incarnation)
+            if reports.add_break(item, False, is_same_zone):
+                add_break(request_fingerprint, incarnation)
 
     def add_break(request_fingerprint, incarnation):
         suspect = suspect_by_fingerprint.get(request_fingerprint)
@@ -148,12 +157,14 @@
         break_times.setdefault(incarnation, now())
         if len(break_times) > MAX_INCARNATIONS:
             del break_times[next(iter(break_times))]
-        if now() < suspect.refused_until or not is_poison(suspect):
+        if now() < last_refused(suspect) or not is_poison(suspect):
             return
         seconds = suspect.refusal_seconds
         suspect.was_refused = True
         suspect.refused_until = now() + seconds
         suspect.refusal_seconds = min(2 * seconds, MAX_REFUSAL_SECONDS)
+        refused.pop(request_fingerprint, None)
+        refused[request_fingerprint] = None
         emit(
             events.SUSPECT_REFUSED,
             fingerprint=f"{request_fingerprint:016x}",
@@ -161,11 +172,15 @@
             seconds=seconds,
         )
 
+    def last_refused(suspect):
+        """Return the time from which on a break counts as one after the refusal."""
+        return suspect.refused_until - MAX_REFUSAL_SPREAD_SECONDS
+
     def is_poison(suspect):
         """Tell whether a request broke enough upstreams, or one after a refusal."""
         break_times = suspect.broken_at_by_incarnation.values()
         if suspect.was_refused:
-            return max(break_times) >= suspect.refused_until
+            return max(break_times) >= last_refused(suspect)
         recent = [at for at in break_times if now() - at < BREAK_WINDOW_SECONDS]
         return len(recent) >= MIN_BROKEN_UPSTREAMS
 
@@ -183,12 +198,12 @@
     def record_answer(request_fingerprint):
         doubted.pop(request_fingerprint, None)
         if clear(request_fingerprint):
-            own_answers.append((now(), request_fingerprint))
-            del own_answers[:-MAX_SHARED]
+            reports.add_answer(request_fingerprint, True, True, True)
 
-    def merge_answers(fingerprints):
+    def merge_answers(fingerprints, is_same_zone=False):
         for request_fingerprint in fingerprints:
-            clear(request_fingerprint)
+            has_cleared = clear(request_fingerprint)
+            reports.add_answer(request_fingerprint, False, is_same_zone, has_cleared)
 
     def clear(request_fingerprint):
         """Clear a request; return False when it broke no upstream or is refused."""
@@ -198,20 +213,26 @@
         del suspect_by_fingerprint[request_fingerprint]
         return True
 
-    def recent_breaks():
+    def refused_breaks():
+        """Return breaks for which requests are refused, enough for another host."""
         breaks = []
-        for broken_at, request_fingerprint, incarnation in own_breaks:
-            if now() - broken_at < SHARING_SECONDS:
+        for request_fingerprint in list(refused):
+            suspect = suspect_by_fingerprint.get(request_fingerprint)
+            if suspect is None or now() >= suspect.refused_until:
+                del refused[request_fingerprint]
+                continue
+            incarnations = list(suspect.broken_at_by_incarnation)
+            for incarnation in incarnations[-MIN_BROKEN_UPSTREAMS:]:
                 breaks.append((request_fingerprint, incarnation))
-        return tuple(breaks)
+        return tuple(breaks[-MAX_REPEATED * MIN_BROKEN_UPSTREAMS :])
+
+    def recent_breaks(audience=Audience.OTHERS):
+        return reports.due_breaks(audience)
 
-    def recent_answers():
-        fingerprints = []
-        for answered_at, request_fingerprint in own_answers:
-            if now() - answered_at < SHARING_SECONDS:
-                fingerprints.append(request_fingerprint)
-        return tuple(fingerprints)
+    def recent_answers(audience=Audience.OTHERS):
+        return reports.due_answers(audience)
 
+    reports = break_reports.create(now, refused_breaks)
     service = PoisonRequests(
         check,
         is_suspect,
@@ -222,6 +243,7 @@
         merge_answers,
         recent_breaks,
         recent_answers,
+        refused_breaks,
     )
     kernel.register("poison_requests", service)
     return service
--- a/trefoilpin/gateway/fleet/gossip.py
+++ b/trefoilpin/gateway/fleet/gossip.py
@@ -194,8 +194,9 @@
         if message.versions and message.sends_regularly:
             state.last_update_at = now() - age
         document_fetchers.handle_versions(address, message.versions)
-        poison_requests.merge_breaks(message.broken_requests)
-        poison_requests.merge_answers(message.answered_requests)
+        is_same_zone = message.zone == own.zone
+        poison_requests.merge_breaks(message.broken_requests, is_same_zone)
+        poison_requests.merge_answers(message.answered_requests, is_same_zone)
         receive_departures(address, message)
         account_usage.merge(address, message.pool_reports, age)
         cold_checks.merge(message.cold_reports)
--- a/trefoilpin/gateway/fleet/gossip_builders.py
+++ b/trefoilpin/gateway/fleet/gossip_builders.py
@@ -3,6 +3,7 @@
 from functools import partial
 from typing import Callable, NamedTuple
 
+from trefoilpin.gateway.admission.break_reports import Audience
 from trefoilpin.gateway.fleet import sender_reports
 from trefoilpin.gateway.fleet.messages import NO_BASE, Document, GossipMessage
 from trefoilpin.gateway.store.document_cache import CONFIGURATION
@@ -226,8 +227,11 @@
             records, views = records_for(peer), views_for(peer)
         else:
             records, views = (), reported_views() if peer.is_relay else ()
+        audience = audience_of(peer)
         message = build(peer.receives_documents, records)._replace(
             sends_regularly=True,
+            broken_requests=poison_requests.recent_breaks(audience),
+            answered_requests=poison_requests.recent_answers(audience),
             zone_views=views,
             departures=departures.recent(peer.zone == own.zone),
             cold_reports=cold_checks.reports() if peer.zone == own.zone else (),
@@ -243,9 +247,16 @@
             return message
         return senders.add_to(message, peer)
 
+    def audience_of(peer):
+        if peer.zone == own.zone:
+            return Audience.ZONE
+        return Audience.RELAYS if peer.receives_documents else Audience.OTHERS
+
     def build_outcomes(sends_regularly):
         return build(with_versions=False)._replace(
             sends_regularly=sends_regularly,
+            broken_requests=poison_requests.recent_breaks(Audience.ZONE),
+            answered_requests=poison_requests.recent_answers(Audience.ZONE),
             outcomes=upstreams.recent_outcomes(True),
             departures=departures.recent(True),
         )
@@ -341,7 +352,9 @@
         )
         records = records_of_zones(differing)
         return build(records=records)._replace(
-            documents=tuple(documents), departures=departures.introduced()
+            documents=tuple(documents),
+            departures=departures.introduced(),
+            broken_requests=poison_requests.introduced_breaks(),
         )
 
     for kind in document_cache.kinds:
--- a/trefoilpin/tests/gateway/test_poison_requests.py
+++ b/trefoilpin/tests/gateway/test_poison_requests.py
@@ -1,7 +1,8 @@
 """Detection of requests that crash upstreams."""
 
 from trefoilpin.fakes.gateways import ACCOUNT, create_host
-from trefoilpin.gateway.admission import poison_requests
+from trefoilpin.gateway.admission import break_reports, poison_requests
+from trefoilpin.gateway.admission.break_reports import Audience
 from trefoilpin.messages import CallerRequest
 
 POISON = 7
@@ -108,9 +109,70 @@
     kernel, clock, _ = create_host()
     service = poison_requests.create(kernel)
     service.record_break(POISON, "u1")
-    assert service.recent_breaks() == ((POISON, "u1"),)
-    clock.time += poison_requests.SHARING_SECONDS + 0.1
-    assert service.recent_breaks() == ()
+    for audience in Audience:
+        assert service.recent_breaks(audience) == ((POISON, "u1"),)
+    clock.time += break_reports.OWN_SHARING_SECONDS + 0.1
+    assert service.recent_breaks(Audience.OTHERS) == ()
+    assert service.recent_breaks(Audience.RELAYS) == ((POISON, "u1"),)
+    clock.time += break_reports.SHARING_SECONDS
+    for audience in Audience:
+        assert service.recent_breaks(audience) == ()
+
+
+def test_what_a_host_hears_is_passed_on_once():
+    """Guards against hosts that tell each other the same break without end."""
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    service.merge_breaks(((POISON, "u1"),), is_same_zone=False)
+    service.merge_breaks(((POISON, "u2"),), is_same_zone=True)
+    both = ((POISON, "u1"), (POISON, "u2"))
+    assert service.recent_breaks(Audience.ZONE) == both
+    assert service.recent_breaks(Audience.RELAYS) == ((POISON, "u2"),)
+    assert service.recent_breaks(Audience.OTHERS) == ()
+    service.merge_answers((POISON,), is_same_zone=True)
+    assert service.recent_answers(Audience.ZONE) == (POISON,)
+    assert service.recent_answers(Audience.RELAYS) == (POISON,)
+    clock.time += break_reports.SHARING_SECONDS + 0.1
+    service.merge_breaks(both, is_same_zone=True)
+    service.merge_answers((POISON,), is_same_zone=True)
+    for audience in Audience:
+        assert service.recent_breaks(audience) == ()
+        assert service.recent_answers(audience) == ()
+    service.merge_breaks(((POISON, "u3"),))
+    assert service.check(POISON) is None
+
+
+def test_breaks_of_refused_requests_are_repeated_and_introduced():
+    """Guards against hosts that start, or were cut off, and know nothing of them."""
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    for number in range(5):
+        service.record_break(POISON, f"u{number}")
+    told = 0
+    for _ in range(100):
+        clock.time += 0.1
+        breaks = service.recent_breaks(Audience.RELAYS)
+        told += len(breaks) >= poison_requests.MIN_BROKEN_UPSTREAMS
+        assert service.recent_breaks(Audience.OTHERS) == () or clock.time < 101
+    assert 40 <= told <= 70
+    other_kernel, _, _ = create_host()
+    other = poison_requests.create(other_kernel)
+    other.merge_breaks(service.introduced_breaks())
+    assert other.check(POISON) is not None
+    clock.time += poison_requests.REFUSAL_SECONDS
+    assert service.introduced_breaks() == ()
+    assert service.recent_breaks(Audience.ZONE) == ()
+
+
+def test_break_at_a_host_whose_refusal_ended_earlier_counts():
+    """Guards against one more crash at each host whose refusal ends later."""
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    service.merge_breaks(tuple((POISON, f"u{number}") for number in range(3)))
+    clock.time += poison_requests.REFUSAL_SECONDS - 1.0
+    service.merge_breaks(((POISON, "u4"),))
+    clock.time += 2.0
+    assert service.check(POISON) is not None
 
 
 def test_fingerprint_is_the_same_on_every_host_and_depends_on_account_and_body():
