Have hosts of the simulated fleet read what came while they were suspended

Cause (found by the review): datagrams reached frozen hosts, which received, granted and responded, so drawn histories with frozen hosts tested less than they say. Change: a datagram is read by a task of its host, and counts as having waited.

--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -229,23 +229,31 @@
         seconds = self.reserve_link(node, len(data))
         is_lost = self.rng.random() < self.settings.lost
         if self.is_connected(node.address, target) and not is_lost:
-            self.tasks.spawn(None, self.deliver, seconds, node.address, target, data)
+            arrives_at = self.loop.now + seconds
+            self.tasks.spawn(None, self.deliver, arrives_at, node.address, target, data)
         return len(data)
 
-    def deliver(self, seconds, source, target, data):
+    def deliver(self, arrives_at, source, target, data):
+        """Bring a datagram to a host, which reads it once it runs."""
+        self.tasks.sleep(arrives_at - self.loop.now)
+        node = self.nodes.get(target)
+        if node is not None:
+            self.tasks.spawn(
+                node.owner, self.read_datagram, arrives_at, source, target, data
+            )
+
+    def read_datagram(self, arrived_at, source, target, data):
         """Have a host read a datagram, after those that arrived earlier."""
-        self.tasks.sleep(seconds)
         node = self.nodes.get(target)
         if node is None:
             return
         woken_at = self.loop.now + MAX_WAKE_UP_SECONDS * self.rng.random()
         node.reader_free_at = max(node.reader_free_at, woken_at)
-        read_delay = node.reader_free_at - self.loop.now
-        self.tasks.sleep(read_delay)
+        self.tasks.sleep(node.reader_free_at - self.loop.now)
         node = self.nodes.get(target)
         if node is not None:
             message = gossip_codecs.decode(data).unwrap()
-            node.gossip.receive(source, message, read_delay)
+            node.gossip.receive(source, message, self.loop.now - arrived_at)
 
     def reserve_link(self, node, size):
         """Occupy a host's link; return the seconds until the bytes have arrived."""
