Give the tests of proxies a virtual clock

Change: virtual_clocks runs each call as a task of the simulated scheduler, which can end a task now. All hosts of test_proxies use it. Where the tests had limits (under 0.9 and 0.7 s, 0.65 s at least) they have the exact times now, and all of them that no attempt is left in flight when the answer is returned. Stricter, as the times are exact and three tests had no limit.

--- a/trefoilpin/fakes/tasks.py
+++ b/trefoilpin/fakes/tasks.py
@@ -29,13 +29,16 @@
 
     ``spawn(owner, function, *arguments)`` starts a task of a host, ``sleep(seconds)``
     suspends the current task, ``create_event()`` returns a new event, and
-    ``run(until)`` runs tasks until that time.
+    ``run(until, is_done)`` runs tasks until that time, or until ``is_done()`` holds
+    after one of them. ``kill(task)`` ends a task of those that ``spawn`` returned; it
+    must not suspend itself any more.
     """
 
     spawn: Callable[..., Any]
     sleep: Callable[[float], None]
     create_event: Callable[[], Any]
-    run: Callable[[float], None]
+    run: Callable[..., None]
+    kill: Callable[[Any], None]
 
 
 class Event(NamedTuple):
@@ -93,7 +96,16 @@
 
         return Event(wait, send, lambda: bool(signals))
 
-    def run(until):
+    def kill(task):
+        for entry in state.waiting:
+            if entry[2] is task:
+                entry[2] = None
+        state.owner_by_task.pop(task, None)
+        if not task.dead:
+            task.parent = greenlet.getcurrent()
+            task.throw()
+
+    def run(until, is_done=lambda: False):
         while state.waiting and state.waiting[0][0] <= until:
             entry = heapq.heappop(state.waiting)
             due_at, _, task = entry
@@ -111,6 +123,8 @@
             task.switch()
             if task.dead:
                 state.owner_by_task.pop(task, None)
+            if is_done():
+                return
         loop.now = max(loop.now, until)
 
-    return Tasks(spawn, sleep, create_event, run)
+    return Tasks(spawn, sleep, create_event, run, kill)
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -2,12 +2,9 @@
 
 import random
 
-import eventlet
-import eventlet.event
 import pytest
 from returns.result import Failure, Success
 
-from trefoilpin import clocks
 from trefoilpin.fakes import local_retries
 from trefoilpin.fakes.gateways import (
     ACCOUNT,
@@ -18,6 +15,7 @@
     table,
     upstream,
 )
+from trefoilpin.fakes.virtual_clocks import VirtualClock
 from trefoilpin.gateway.admission import (
     poison_requests,
     pool_pressure,
@@ -62,11 +60,10 @@
 class Host:
     """The services of one host; ``attempts`` scripts the results of its sends."""
 
-    def __init__(self, has_real_clock=False, upstream_count=4, era=0):
-        kernel, self.clock, self.lines = create_host()
-        kernel = kernel._replace(spawn=eventlet.spawn)
-        if has_real_clock:
-            kernel = kernel._replace(clock=clocks.system_clock(eventlet.sleep))
+    def __init__(self, upstream_count=4, era=0):
+        kernel, _, self.lines = create_host()
+        self.clock = VirtualClock()
+        kernel = kernel._replace(spawn=self.clock.spawn, clock=self.clock.clock)
         self.now = kernel.clock.now
         self.attempts = []
         self.sends = []
@@ -95,8 +92,8 @@
         self.upstreams = upstreams.create(kernel, "a", lambda: 1)
         kernel.register("forwarders", Forwarders(self.exchange))
         settings = DispatchSettings(MAX_KEY_AGE_SECONDS, "x-account", "x-expected")
-        self.dispatchers = dispatchers.create(kernel, settings, eventlet.event.Event)
-        first_documents.create(kernel, eventlet.event.Event)
+        self.dispatchers = dispatchers.create(kernel, settings, self.clock.create_event)
+        first_documents.create(kernel, self.clock.create_event)
         self.proxies = proxies.create(kernel)
         routes = (ROUTE, IDEMPOTENT, OPEN, *PRIORITY_ROUTES)
         self.put(CONFIGURATION, 1, configuration(routes), era=era)
@@ -134,7 +131,8 @@
             self.now(),
             lambda: self.is_caller_gone,
         )
-        return self.proxies.handle(IncomingRequest(request, key, caller_timeout))
+        incoming = IncomingRequest(request, key, caller_timeout)
+        return self.clock.call(self.proxies.handle, incoming)
 
 
 @pytest.fixture
@@ -280,57 +278,72 @@
     """Return a scripted attempt that takes a number of seconds."""
 
     def run(host):
-        eventlet.sleep(seconds)
+        host.clock.sleep(seconds)
         return attempt
 
     return run
 
 
+def send_timed(host):
+    """Send an idempotent request; return its answer and the seconds that it took."""
+    started = host.now()
+    answer = host.send_request("/s/1", caller_timeout=1.5).unwrap()
+    assert all(health.own_in_flight == 0 for health in host.upstream_health())
+    return answer, host.now() - started
+
+
+def hedge_seconds(host):
+    return host.dispatchers.typical_seconds(IDEMPOTENT) * dispatchers.HEDGE_FACTOR
+
+
 def test_long_request_is_not_cancelled_by_its_hedge():
     """The request takes 0.7 s at every upstream and has a timeout of 1.5 s."""
-    host = Host(has_real_clock=True)
+    host = Host()
     host.attempts = [delayed(0.7, GOOD), delayed(0.7, GOOD)]
-    started = host.now()
-    assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
-    assert host.now() - started < 0.9
+    answer, seconds = send_timed(host)
+    assert answer.status == 200 and seconds == pytest.approx(0.7)
+    assert len(host.sends) == 2
 
 
 def test_hanging_request_is_answered_by_another_upstream():
-    host = Host(has_real_clock=True)
+    host = Host()
     host.attempts = [delayed(1.5, BROKEN), delayed(0.05, GOOD)]
-    started = host.now()
-    assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
-    assert host.now() - started < 0.7
+    expected = hedge_seconds(host) + 0.05
+    answer, seconds = send_timed(host)
+    assert answer.status == 200 and seconds == pytest.approx(expected)
+    assert seconds < 0.7
     assert len({chosen for chosen, _, _ in host.sends}) == 2
-    assert all(health.own_in_flight == 0 for health in host.upstream_health())
 
 
 def test_failed_hedge_does_not_cancel_the_first_attempt():
-    host = Host(has_real_clock=True)
+    host = Host()
     host.attempts = [delayed(0.7, GOOD), delayed(0.05, BAD)]
-    assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
+    answer, seconds = send_timed(host)
+    assert answer.status == 200 and seconds == pytest.approx(0.7)
+    assert len(host.sends) == 2
 
 
 @pytest.mark.parametrize("hedge", [SHED, UNREACHED])
 def test_hedge_that_did_not_run_leaves_the_first_attempt_at_work(hedge):
     """Guards against a request that starts anew, and runs once more than allowed."""
-    host = Host(has_real_clock=True)
+    host = Host()
     host.attempts = [delayed(0.7, GOOD), delayed(0.05, hedge), GOOD]
-    started = host.now()
-    assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
-    assert host.now() - started >= 0.65
+    answer, seconds = send_timed(host)
+    assert answer.status == 200 and seconds == pytest.approx(0.7)
     assert len(host.sends) == 2
 
 
 def test_first_attempt_that_was_refused_leaves_the_hedge_at_work():
-    host = Host(has_real_clock=True)
+    host = Host()
     host.attempts = [delayed(0.6, SHED), delayed(0.6, GOOD), GOOD]
-    assert host.send_request("/s/1", caller_timeout=1.5).unwrap().status == 200
+    expected = hedge_seconds(host) + 0.6
+    answer, seconds = send_timed(host)
+    assert answer.status == 200 and seconds == pytest.approx(expected)
     assert len(host.sends) == 2
 
 
 def test_non_idempotent_request_is_not_hedged():
-    host = Host(has_real_clock=True)
+    host = Host()
     host.attempts = [delayed(0.7, GOOD)]
     assert host.send_request("/a/1", caller_timeout=1.5).unwrap().status == 200
     assert len(host.sends) == 1
