Don't send a waiting request once it is known to crash upstreams

Cause: whether a request crashes upstreams was checked when it came in only. One that waits in a queue, or between attempts, for longer than the 3 s after the third crash reached upstreams nevertheless. Change: the check is among those repeated before each send. Result: test_request_that_waits_is_not_sent_once_it_is_known_to_crash_upstreams failed before, and passes.

--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -203,6 +203,8 @@
             early_refusal = STOPPING
         elif context.account is not None and are_keys_stale():
             early_refusal = NOT_CURRENT
+        else:
+            early_refusal = poison_requests.check(context.fingerprint)
         if early_refusal is None:
             return True
         context.refusal = early_refusal
--- a/trefoilpin/tests/gateway/test_proxies.py
+++ b/trefoilpin/tests/gateway/test_proxies.py
@@ -77,7 +77,7 @@
         self.rate_limits = rate_limits.create(
             kernel, rate_limits.RateLimitSettings(True, 1, 5.0, 1), lambda: (1, 1)
         )
-        poison_requests.create(kernel)
+        self.poison_requests = poison_requests.create(kernel)
         pool_pressure.create(kernel)
         send_pacing.create(kernel, False)
         local_retries.create(kernel, 0.2, 6.0, 6.0)
@@ -119,7 +119,12 @@
         return self.upstreams.pool_health("p")
 
     def send_request(self, path="/a/1", key="k1", caller_timeout=None, body=b""):
-        request = CallerRequest(
+        request = self.create_request(path, body)
+        incoming = IncomingRequest(request, key, caller_timeout)
+        return self.clock.call(self.proxies.handle, incoming)
+
+    def create_request(self, path, body=b""):
+        return CallerRequest(
             "id1",
             "POST",
             "h",
@@ -131,8 +136,6 @@
             self.now(),
             lambda: self.is_caller_gone,
         )
-        incoming = IncomingRequest(request, key, caller_timeout)
-        return self.clock.call(self.proxies.handle, incoming)
 
 
 @pytest.fixture
@@ -446,6 +449,21 @@
     assert isinstance(host.send_request(body=b"other"), Success)
 
 
+def test_request_that_waits_is_not_sent_once_it_is_known_to_crash_upstreams(host):
+    """Guards against waiting requests that crash upstreams long after the third."""
+    number = poison_requests.fingerprint(ACCOUNT, host.create_request("/a/1"))
+
+    def wait(choose):
+        host.poison_requests.merge_breaks(tuple((number, f"u{i}/9") for i in range(3)))
+        return choose()
+
+    host.enter = wait
+    refusal = get_refusal(host.send_request("/a/1"))
+    assert refusal.reason is Reason.SUSPECT and refusal.verdict is Verdict.NOT_RUN
+    assert not host.sends
+    assert all(health.own_in_flight == 0 for health in host.upstream_health())
+
+
 def test_refusal_over_the_rate_limit_has_a_retry_delay(host):
     host.attempts = [GOOD] * 10
     outcomes = [host.send_request() for _ in range(7)]
