Ignore breaks that an answer cleared when others repeat them

Cause: hosts repeat the breaks of a request while they refuse it. A host whose refusal had ended, and at which the request was answered, took the repeated breaks for new, refused the request again and repeated them itself: hosts out of step could have each other refuse a sound request without end. Change: a host remembers the breaks that an answer cleared, 2,000 at most, and takes them from no other host. A break of its own counts again. Result: the new test failed before, and passes; test_poison_fleets passes.

--- a/trefoilpin/gateway/admission/poison_requests.py
+++ b/trefoilpin/gateway/admission/poison_requests.py
@@ -31,6 +31,8 @@
 MAX_FINGERPRINTS = 5_000
 # Requests that broke an idle connection and were not answered since.
 MAX_DOUBTED = 1_000
+# Breaks that an answer cleared. Hosts that still refuse the request go on telling them.
+MAX_CLEARED = 2_000
 # Of a request, the incarnations that are remembered.
 MAX_INCARNATIONS = 32
 # Hosts begin to refuse a request this long after each other at most. A break so soon
@@ -114,6 +116,7 @@
     suspect_by_fingerprint: dict[int, SuspectRequest] = {}
     doubted: dict[int, None] = {}
     refused: dict[int, None] = {}
+    cleared: dict[tuple[int, str], None] = {}
     now = kernel.clock.now
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
@@ -136,6 +139,7 @@
             del doubted[next(iter(doubted))]
 
     def record_break(request_fingerprint, incarnation):
+        cleared.pop((request_fingerprint, incarnation), None)
         reports.add_break((request_fingerprint, incarnation), True, True)
         add_break(request_fingerprint, incarnation)
 
@@ -145,7 +149,7 @@
             if suspect and incarnation in suspect.broken_at_by_incarnation:
                 continue
             item = (request_fingerprint, incarnation)
-            if reports.add_break(item, False, is_same_zone):
+            if item not in cleared and reports.add_break(item, False, is_same_zone):
                 add_break(request_fingerprint, incarnation)
 
     def add_break(request_fingerprint, incarnation):
@@ -211,6 +215,10 @@
         if suspect is None or now() < suspect.refused_until:
             return False
         del suspect_by_fingerprint[request_fingerprint]
+        for incarnation in suspect.broken_at_by_incarnation:
+            cleared[request_fingerprint, incarnation] = None
+            if len(cleared) > MAX_CLEARED:
+                del cleared[next(iter(cleared))]
         return True
 
     def refused_breaks():
--- a/trefoilpin/tests/gateway/test_poison_requests.py
+++ b/trefoilpin/tests/gateway/test_poison_requests.py
@@ -164,6 +164,25 @@
     assert service.recent_breaks(Audience.ZONE) == ()
 
 
+def test_request_that_was_answered_is_not_refused_by_what_others_repeat():
+    """Guards against hosts that have each other refuse a sound request for ever."""
+    kernel, clock, _ = create_host()
+    service = poison_requests.create(kernel)
+    for number in range(3):
+        service.record_break(POISON, f"u{number}")
+    other_kernel, _, _ = create_host()
+    other = poison_requests.create(other_kernel)
+    other.merge_breaks(service.introduced_breaks())
+    clock.time += poison_requests.REFUSAL_SECONDS + 1.0
+    service.record_answer(POISON)
+    service.merge_breaks(other.introduced_breaks(), is_same_zone=True)
+    assert service.check(POISON) is None
+    assert service.recent_breaks(Audience.ZONE) == ()
+    service.record_break(POISON, "u0")
+    service.merge_breaks(((POISON, "u5"), (POISON, "u6")))
+    assert service.check(POISON) is not None
+
+
 def test_break_at_a_host_whose_refusal_ended_earlier_counts():
     """Guards against one more crash at each host whose refusal ends later."""
     kernel, clock, _ = create_host()
