Ask upstreams for their health in turns that the hosts of the fleet share

Cause: a question is a request to a cold upstream, and each host that was cut off for itself asked each upstream of its zone once in 1 to 1.5 s, whatever the others did. The grants leave 3 a second.

Change: each known host, silent ones too, has a turn at each upstream by its place among the addresses of the zone, 1.5 a second for the zone and 0.7 for all others. Results that are heard spare turns, and have hosts without requests take theirs. Upstreams in use in an outage of the store are asked as before, but not before 0.6 s, as a host that was just cut off may take that for an outage.

Zone in test_stale_views tells its hosts how many they are; before, each of 44 believed to be the only host of the fleet.

--- a/trefoilpin/fakes/cold_fleets.py
+++ b/trefoilpin/fakes/cold_fleets.py
@@ -21,6 +21,7 @@
 __all__ = [
     "POOL",
     "SINGLE_ATTEMPT",
+    "SLACK",
     "TYPICAL_SECONDS",
     "ColdFleet",
     "ColdFleetSettings",
@@ -39,6 +40,9 @@
 MAX_WAIT_SECONDS = 0.8
 # Longest time from the choice of an upstream until the request is written to it.
 MAX_CONNECT_SECONDS = 0.02
+HEALTH_PATH = "/healthz"
+# Longest time from a question for an upstream's health until its answer.
+MAX_CHECK_SECONDS = 0.02
 # As the platform states them.
 OVERSHOOT, SLACK = 1.5, 5.0
 
@@ -92,8 +96,11 @@
         table = {name: Upstream(*json.loads(text)) for name, text in rows.items()}
         return Success(table)
 
+    value = configuration(cold_rate=cold_rate)
+    pool = value.pool_by_id[POOL]._replace(health_path=HEALTH_PATH)
+    value = value._replace(pool_by_id={POOL: pool})
     decoders: dict[str, Any] = dict.fromkeys(KINDS)
-    decoders[CONFIGURATION] = lambda rows: Success(configuration(cold_rate=cold_rate))
+    decoders[CONFIGURATION] = lambda rows: Success(value)
     decoders[UPSTREAMS] = decode_upstreams
     decoders[ZONES_OUT] = lambda rows: Success(frozenset(rows))
     return lambda emit, reads_rollouts=False: decoders
@@ -104,10 +111,12 @@
 
     Attributes
     ----------
-    sends_by_upstream : dict
-        Times at which requests were written to each upstream.
-    refused : int
-        Requests that found no upstream in time.
+    sends_by_upstream, checks_by_upstream : dict
+        Times at which each upstream got requests, and questions for its health.
+    cold_until_by_upstream : dict
+        Time until which an upstream is cold, also where the store does not say so.
+    served, refused : int
+        Requests that were written to an upstream, and such that found none in time.
     """
 
     def __init__(self, settings=ColdFleetSettings()):
@@ -122,7 +131,9 @@
         self.fleet = gateway_fleets.Fleet(fleet_settings, self.content)
         self.rng = self.fleet.rng
         self.sends_by_upstream: dict[str, list[float]] = {}
-        self.refused = 0
+        self.checks_by_upstream: dict[str, list[float]] = {}
+        self.cold_until_by_upstream: dict[str, float] = {}
+        self.served = self.refused = 0
         self.content.put(CONFIGURATION, "main", {})
         for number in range(settings.warm_upstreams):
             self.put_upstream(f"warm-{number}", number)
@@ -134,6 +145,7 @@
         """Start or restart a host with its requests."""
         node = self.fleet.start(number, self.zone_of(number), incarnation)
         self.fleet.tasks.spawn(node.owner, self.send_requests, node)
+        self.fleet.tasks.spawn(node.owner, self.ask_upstreams, node)
 
     def zone_of(self, number):
         return self.settings.zones[number % len(self.settings.zones)]
@@ -144,6 +156,28 @@
         zone = self.zone_of(number)
         fields = (name, born, POOL, address, zone, SLOTS, False, cold_seconds)
         self.content.put(UPSTREAMS, name, fields)
+        self.turn_cold(name, cold_seconds)
+
+    def turn_cold(self, name, seconds):
+        """Have an upstream be cold, without a change of its entry."""
+        self.cold_until_by_upstream[name] = self.fleet.now() + seconds
+
+    def ask_upstreams(self, node):
+        """Ask upstreams for their health when they are due."""
+        tasks = self.fleet.tasks
+        checks = node.kernel.find("cold_checks")
+        while True:
+            tasks.sleep(checks.pause())
+            for check in checks.take_due():
+                tasks.spawn(node.owner, self.ask_upstream, checks, check)
+
+    def ask_upstream(self, checks, check):
+        tasks, name = self.fleet.tasks, check.upstream.id
+        asked_at = self.fleet.now()
+        tasks.sleep(self.rng.random() * MAX_CHECK_SECONDS)
+        self.checks_by_upstream.setdefault(name, []).append(self.fleet.now())
+        cold_seconds = self.cold_until_by_upstream[name] - self.fleet.now()
+        checks.record(check, asked_at, Success(max(cold_seconds, 0.0)))
 
     def send_requests(self, node):
         """Send a host's requests, as they come from its callers."""
@@ -176,6 +210,7 @@
         if sent_at >= choice.send_by:
             upstreams.release(choice, TOO_LATE, TYPICAL_SECONDS)
             return
+        self.served += 1
         self.sends_by_upstream.setdefault(choice.upstream.id, []).append(sent_at)
         tasks.sleep(TYPICAL_SECONDS * (0.5 + self.rng.random()))
         seconds = self.fleet.now() - sent_at
@@ -189,3 +224,8 @@
         """Return the times at which an upstream got requests within a span."""
         times = self.sends_by_upstream.get(name, ())
         return [time for time in times if since <= time < until]
+
+    def checks(self, name, since, until):
+        """Return the times at which an upstream was asked within a span."""
+        times = self.checks_by_upstream.get(name, ())
+        return [time for time in times if since <= time < until]
--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -160,7 +160,8 @@
     """Hosts, the store and the network between them.
 
     While ``cut`` is not empty, the network is partitioned between the addresses in it
-    and all others. ``on_datagram(source, target, size)`` is called for each datagram.
+    and all others; each host in ``isolated`` reaches no other one.
+    ``on_datagram(source, target, size)`` is called for each datagram.
     """
 
     def __init__(self, settings=FleetSettings(), content=None):
@@ -172,6 +173,7 @@
         self.object_rng = random.Random(settings.seed)
         self.tasks = create_tasks(self.loop)
         self.cut: frozenset[str] = frozenset()
+        self.isolated: frozenset[str] = frozenset()
         self.fetch_count = 0
         self.on_datagram = lambda source, target, size: None
         self.nodes: dict[str, Node] = {}
@@ -216,6 +218,8 @@
         self.loop.dead.add(self.nodes.pop(address).owner)
 
     def is_connected(self, source, target):
+        if source in self.isolated or target in self.isolated:
+            return False
         return (source in self.cut) == (target in self.cut)
 
     def send(self, node, target, message):
@@ -316,7 +320,13 @@
     node.pool_pressure = pool_pressure.create(kernel)
     queues.create(kernel, create_event)
     retry_budgets.create(kernel, RETRY_BOUNDS, create_event)
-    checks = cold_checks.create(kernel, node.zone, node.members.is_store_away)
+    checks = cold_checks.create(
+        kernel,
+        node.zone,
+        node.members.is_store_away,
+        lambda: not settings.counts_senders or node.gossip.is_sender(),
+        node.members.known_hosts,
+    )
     if settings.counts_senders:
         upstreams.create(
             kernel,
--- a/trefoilpin/gateway/balancing/cold_checks.py
+++ b/trefoilpin/gateway/balancing/cold_checks.py
@@ -5,9 +5,15 @@
 the zone asked the upstream itself. Where that is too long ago the upstream gets no
 requests. While no host reaches the store, nothing later can be known of most upstreams;
 then only those are held back that this host could not reach since.
+
+A question is a request like any other to an upstream that is cold. So each host that is
+known in the zone, silent or not, has a turn of its own, by its position among them, and
+asks in no other. Hosts that hear each other share results, and skip their turns while
+one is recent; hosts that are cut off each for itself know less, but ask no more often.
 """
 
 from typing import Callable, NamedTuple
+from zlib import crc32
 
 from returns.result import Failure
 
@@ -23,6 +29,7 @@
     "ColdChecks",
     "ColdReport",
     "DueCheck",
+    "KnownHosts",
     "create",
     "is_unsure",
 ]
@@ -33,12 +40,18 @@
 MAX_WARMTH_AGE_SECONDS = 2.5
 # Upstreams are asked from this age of the document on, above that of a new reader.
 CHECK_FROM_AGE_SECONDS = 1.9
-# An upstream is asked again after this time, and up to half of it more, so that one
-# host of a zone is first and the others take its result.
+# An upstream isn't asked while a result is younger than this.
 CHECK_INTERVAL_SECONDS = 1.0
-CHECK_SPREAD = 0.5
-# The same while no host reaches the store, when a result only holds upstreams back.
+# While no host reaches the store, a result only holds upstreams back. Then those that
+# are in use are asked again after this time, and up to half of it more, so that one
+# host of a zone is first and the others take its result.
 AWAY_CHECK_INTERVAL_SECONDS = 2.0
+CHECK_SPREAD = 0.5
+# Questions a second that an upstream gets from all hosts of its zone, and from all
+# others. The grants leave 3 in each second: the slack of 5 without the 2 of a full
+# bucket; the hosts' documents don't grow old at the same moment.
+ZONE_CHECKS_PER_SECOND = 1.5
+OTHER_CHECKS_PER_SECOND = 0.7
 STEP_INTERVAL_SECONDS = 0.05
 # A host with few requests needs few upstreams.
 CHECKS_PER_REQUEST = 2
@@ -51,6 +64,26 @@
 SAME_RESULT_SECONDS = 0.2
 
 
+class KnownHosts(NamedTuple):
+    """Hosts that this one knows, silent ones and itself included.
+
+    Attributes
+    ----------
+    in_zone, in_all : int
+        Number of those of its zone, and of all.
+    zone_position, position : int
+        Its place among them by address, from 0.
+    """
+
+    in_zone: int
+    in_all: int
+    zone_position: int
+    position: int
+
+
+ALONE = KnownHosts(1, 1, 0, 0)
+
+
 class ColdReport(NamedTuple):
     """What a host learned from an upstream's answer.
 
@@ -118,9 +151,13 @@
     report_by_upstream : dict
         Recent results, and the clock times at which the upstreams were asked, and at
         which this host learned the result.
+    known : KnownHosts
+        When the document was last recent. A host that is cut off forgets others in
+        time, but they go on asking.
     """
 
     def __init__(self):
+        self.known = ALONE
         self.checks_left_by_pool: dict[str, int] = {}
         self.unsure_since_by_pool: dict[str, float] = {}
         self.report_by_upstream: dict[str, tuple[float, float, ColdReport]] = {}
@@ -144,7 +181,13 @@
     return not is_store_away or known_at <= health.avoided_until
 
 
-def create(kernel, own_zone, is_store_away, is_sender=lambda: True):
+def create(
+    kernel,
+    own_zone,
+    is_store_away,
+    is_sender=lambda: True,
+    known_hosts=lambda: ALONE,
+):
     """Create the service ``cold_checks``.
 
     Parameters
@@ -156,6 +199,8 @@
     is_sender : callable, optional
         Tells whether this host is one of those that send most requests. While no host
         reaches the store, only these ask upstreams that they could reach.
+    known_hosts : callable, optional
+        Returns the ``KnownHosts``.
 
     Returns
     -------
@@ -203,7 +248,11 @@
     def take_due():
         if document_cache.age(UPSTREAMS) <= CHECK_FROM_AGE_SECONDS:
             state.checks_left_by_pool.clear()
+            state.known = known_hosts()
             return ()
+        current = known_hosts()
+        if current.in_all > state.known.in_all:
+            state.known = current
         taken = []
         for pool_id, left in state.checks_left_by_pool.items():
             due = list_due(pool_id)
@@ -211,14 +260,58 @@
             taken.extend(due[:left])
             state.checks_left_by_pool[pool_id] = max(left - len(due), 0)
         for check in taken:
-            check.health.check_due_at = next_check_at(now())
+            check.health.recheck_at = next_check_at(now())
+            if check.health.turn_at > float("-inf"):
+                end_turn(check.health)
         return tuple(taken)
 
     def next_check_at(asked_at):
-        interval = CHECK_INTERVAL_SECONDS
-        if is_store_away():
-            interval = AWAY_CHECK_INTERVAL_SECONDS
-        return asked_at + interval * (1.0 + CHECK_SPREAD * kernel.rng.random())
+        """Draw when an upstream is asked again while no host reaches the store."""
+        spread = 1.0 + CHECK_SPREAD * kernel.rng.random()
+        return asked_at + AWAY_CHECK_INTERVAL_SECONDS * spread
+
+    def turns(upstream):
+        """Return the seconds between two turns at an upstream, and the share of one."""
+        if upstream.zone == own_zone:
+            count, rate = state.known.in_zone, ZONE_CHECKS_PER_SECOND
+        else:
+            count, rate = state.known.in_all, OTHER_CHECKS_PER_SECOND
+        period = max(CHECK_INTERVAL_SECONDS, count / rate)
+        return period, period / count
+
+    def begin_turns(health, time):
+        """Set this host's turns at an upstream that all may ask from a time on."""
+        upstream = health.upstream
+        number = crc32(upstream.id.encode())
+        if upstream.zone == own_zone:
+            place = (number + state.known.zone_position) % state.known.in_zone
+        else:
+            place = (number + state.known.position) % state.known.in_all
+        health.turn_at = time + place * turns(upstream)[1]
+
+    def end_turn(health):
+        """Wait for the next turn at an upstream."""
+        period, _ = turns(health.upstream)
+        missed = max((now() - health.turn_at) // period, 0.0)
+        health.turn_at += (missed + 1.0) * period
+
+    def is_only_host():
+        return state.known.in_all == 1
+
+    def is_turn(health):
+        """Tell whether this host may ask an upstream now."""
+        if health.turn_at < grown_old_at():
+            begin_turns(health, grown_old_at())
+        _, seconds = turns(health.upstream)
+        # Late in its turn a host would ask together with the next one.
+        if now() >= health.turn_at + seconds / 2.0 and not is_only_host():
+            end_turn(health)
+        if now() < health.turn_at:
+            return False
+        if now() - health.checked_at < CHECK_INTERVAL_SECONDS:
+            end_turn(health)
+            return False
+        return True
 
     def list_due(pool_id):
         """Return the upstreams of a pool that are due, of the own zone if it has any.
@@ -228,19 +321,42 @@
         pool = document_cache.value(CONFIGURATION).pool_by_id.get(pool_id)
         if pool is None or not pool.health_path:
             return []
+        is_away = is_store_away()
         in_use = list_in_use(pool_id)
-        if is_store_away() and not is_sender():
-            in_use = [health for health in in_use if health.is_unsure]
         in_zone = [health for health in in_use if health.upstream.zone == own_zone]
         due = []
         for health in in_zone or in_use:
-            not_before = max(
-                health.check_due_at, health.cold_until, health.avoided_until
-            )
-            if now() >= not_before:
+            if now() < max(health.cold_until, health.avoided_until):
+                continue
+            if is_due(health, is_away and not health.is_unsure):
                 due.append(DueCheck(health, health.upstream, pool.health_path))
         return due
 
+    def is_due(health, is_in_use):
+        """Tell whether to ask an upstream, which may be in use in an outage."""
+        if not is_in_use:
+            return is_turn(health)
+        if not is_sender():
+            return False
+        if health.recheck_at < grown_old_at():
+            health.recheck_at = first_recheck_at()
+        return now() >= health.recheck_at
+
+    def first_recheck_at():
+        """Draw when an upstream is first asked while no host reaches the store.
+
+        A host that was just cut off may take that for such an outage until its document
+        is too old, and is to ask in its turns only.
+        """
+        if is_only_host():
+            return now()
+        seconds = MAX_WARMTH_AGE_SECONDS - CHECK_FROM_AGE_SECONDS
+        return now() + seconds * (1.0 + kernel.rng.random())
+
+    def grown_old_at():
+        """Return when the document became old enough for questions."""
+        return now() - document_cache.age(UPSTREAMS) + CHECK_FROM_AGE_SECONDS
+
     def list_in_use(pool_id):
         zones_out = document_cache.value(ZONES_OUT)
         found = []
@@ -284,6 +400,7 @@
         """
         if report.cold_seconds > 0.0:
             health.cold_until = max(health.cold_until, now() + report.cold_seconds)
+            begin_turns(health, health.cold_until)
         asked_at = now() - report.age
         if asked_at < health.checked_at and not report.cold_seconds:
             return
@@ -315,9 +432,15 @@
                 if asked_at > health.checked_at + SAME_RESULT_SECONDS:
                     # Drawn once for each result, not for each message with it.
                     due_at = next_check_at(asked_at)
-                    health.check_due_at = max(health.check_due_at, due_at)
+                    health.recheck_at = max(health.recheck_at, due_at)
+                    join_questions(report.pool)
                 learn(health, report)
 
+    def join_questions(pool_id):
+        """Have this host take its turns, as others of the zone have requests."""
+        left = state.checks_left_by_pool.get(pool_id, 0)
+        state.checks_left_by_pool[pool_id] = max(left, CHECKS_PER_REQUEST)
+
     def pause():
         remaining = CHECK_FROM_AGE_SECONDS - document_cache.age(UPSTREAMS)
         return max(remaining, STEP_INTERVAL_SECONDS)
--- a/trefoilpin/gateway/balancing/upstream_health.py
+++ b/trefoilpin/gateway/balancing/upstream_health.py
@@ -67,8 +67,12 @@
         Clock times until which it is cold, unreachable from this host, or full.
     paused_until : float
         Clock time until which it asked this host to send it nothing.
-    checked_at, check_due_at : float
-        Clock times of the last question for its health, and from which it may be asked.
+    checked_at : float
+        Clock time of the last question for its health.
+    turn_at : float
+        Clock time from which this host may ask it next, by its turns.
+    recheck_at : float
+        The same while no host reaches the store and it is in use.
     is_unsure : bool
         True while it may have turned cold without this host's knowledge.
     is_leaving : bool
@@ -102,7 +106,8 @@
         self.full_until = float("-inf")
         self.paused_until = float("-inf")
         self.checked_at = float("-inf")
-        self.check_due_at = float("-inf")
+        self.turn_at = float("-inf")
+        self.recheck_at = float("-inf")
         self.is_unsure = False
         self.is_leaving = False
         self.used_at = now
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -236,6 +236,7 @@
             settings.own.zone,
             membership.is_store_away,
             lambda: kernel.find("gossip").is_sender(),
+            membership.known_hosts,
         ),
         settings.cold_bounds,
     )
--- a/trefoilpin/gateway/fleet/members.py
+++ b/trefoilpin/gateway/fleet/members.py
@@ -10,6 +10,7 @@
 from typing import Callable, NamedTuple
 
 from trefoilpin import events
+from trefoilpin.gateway.balancing.cold_checks import KnownHosts
 from trefoilpin.gateway.fleet import failure_detection, zone_views
 from trefoilpin.gateway.fleet.failure_detection import (
     MAX_CONFIGURATION_AGE_SECONDS,
@@ -87,7 +88,7 @@
     count into ``load()``; it returns True when another host became suspected or was
     cleared. ``is_serving()`` tells whether the load exceeds that of the health checks,
     which reach every host. ``is_store_away()`` tells whether it seems that no host
-    reaches the store.
+    reaches the store. ``known_hosts()`` returns the ``KnownHosts``.
     """
 
     own: OwnHost
@@ -111,6 +112,7 @@
     load: Callable[[], float]
     is_serving: Callable[[], bool]
     is_store_away: Callable[[], bool]
+    known_hosts: Callable[[], KnownHosts]
 
 
 class MembershipState:
@@ -328,6 +330,16 @@
             heard += silence < SUSPICION_TIMEOUT_SECONDS
         return heard, total
 
+    def known_hosts():
+        in_zone, zone_position, position = 1, 0, 0
+        for address, member in state.member_by_address.items():
+            is_in_zone = member.record.zone == own.zone
+            in_zone += is_in_zone
+            position += address < own.address
+            zone_position += is_in_zone and address < own.address
+        in_all = len(state.member_by_address) + 1
+        return KnownHosts(in_zone, in_all, zone_position, position)
+
     def expect_heartbeats(addresses):
         for address, member in state.member_by_address.items():
             member.is_heartbeat_expected = address in addresses
@@ -395,6 +407,7 @@
         lambda: state.load,
         is_serving,
         is_store_away,
+        known_hosts,
     )
     kernel.register("members", service)
     return service
--- a/trefoilpin/tests/gateway/test_cold_starts.py
+++ b/trefoilpin/tests/gateway/test_cold_starts.py
@@ -9,13 +9,16 @@
 from trefoilpin.fakes.cold_fleets import (
     POOL,
     SINGLE_ATTEMPT,
+    SLACK,
     TYPICAL_SECONDS,
     ColdFleet,
     ColdFleetSettings,
     bound,
     worst_second,
 )
+from trefoilpin.gateway.balancing.cold_grants import MAX_CAPACITY
 from trefoilpin.gateway.balancing.pool_refusals import HELD_BACK
+from trefoilpin.gateway.fleet.failure_detection import MAX_DIRECT_SILENCE_SECONDS
 from trefoilpin.gateway.store.leases import LEASE_SECONDS
 
 COLD_SECONDS = 4.0
@@ -231,3 +234,50 @@
     cold_fleet.run(5.0)
     rate = cold_fleet.settings.cold_rate
     assert holders and len(cold_fleet.sends("u", since, since + 5.0)) > rate * 5.0 / 2
+
+
+# What the grants leave of the bound in any second: the slack without a full bucket.
+MAX_CHECKS = SLACK - MAX_CAPACITY
+
+
+def isolate_all(cold_fleet):
+    fleet = cold_fleet.fleet
+    fleet.isolated = cold_fleet.content.refused = frozenset(fleet.nodes)
+
+
+def isolate_all_in_an_outage(cold_fleet):
+    cold_fleet.content.is_down = True
+    cold_fleet.run(4.0)
+    isolate_all(cold_fleet)
+    # Until then the hosts take it for the outage that it was.
+    cold_fleet.run(MAX_DIRECT_SILENCE_SECONDS)
+
+
+def cut_zone(cold_fleet):
+    nodes = cold_fleet.fleet.nodes.values()
+    zone = frozenset(node.address for node in nodes if node.zone == "a")
+    cold_fleet.fleet.cut = cold_fleet.content.refused = zone
+
+
+@pytest.mark.parametrize(
+    "disrupt, zones",
+    ((isolate_all, "a"), (isolate_all_in_an_outage, "abc"), (cut_zone, "abc")),
+)
+def test_questions_for_health_leave_the_grants_their_part(disrupt, zones):
+    """Guards against a question of each host that is cut off (issue 47)."""
+    settings = ColdFleetSettings(44, 6, request_seconds=0.4, zones=zones)
+    cold_fleet = ColdFleet(settings)
+    disrupt(cold_fleet)
+    since = cold_fleet.fleet.now()
+    served = cold_fleet.served
+    # Of the zone that is cut off; the store says so to the others.
+    cold_fleet.put_upstream("warm-0", 0, 8.0)
+    cold_fleet.run(8.0)
+    most_by_name = {}
+    for name in cold_fleet.cold_until_by_upstream:
+        checks = cold_fleet.checks(name, since, since + 8.0)
+        most_by_name[name] = worst_second(checks)
+    assert cold_fleet.checks("warm-0", since, since + 8.0)
+    assert max(most_by_name.values()) <= MAX_CHECKS, most_by_name
+    # Those that are known to be warm stay in use.
+    assert cold_fleet.served - served > 44 * 8.0 / 0.4 * 0.4
--- a/trefoilpin/tests/gateway/test_stale_views.py
+++ b/trefoilpin/tests/gateway/test_stale_views.py
@@ -11,6 +11,7 @@
     upstream,
 )
 from trefoilpin.gateway.balancing import cold_checks, upstreams
+from trefoilpin.gateway.balancing.cold_checks import KnownHosts
 from trefoilpin.gateway.balancing.pool_refusals import SATURATED
 from trefoilpin.gateway.balancing.upstream_selection import RetryPolicy
 from trefoilpin.gateway.store.document_cache import CONFIGURATION, UPSTREAMS
@@ -123,11 +124,13 @@
             kernel, clock, _ = create_host(number)
             _, put = create_document_cache(kernel)
             is_sender = number < senders
+            known = KnownHosts(host_count, host_count, number, number)
             checks = cold_checks.create(
                 kernel,
                 "a",
                 lambda: is_store_away,
                 lambda is_sender=is_sender: is_sender,
+                lambda known=known: known,
             )
             # Outside the mesh no host sends to upstreams that it knows to be cold.
             service = upstreams.create(
