Take no entry from before a restore of the store as evidence of warmth

Cause: hosts that start after a restore had the copy's document, of age 0, and took an upstream for warm whose cold start the copy lacks, until its next heartbeat.

Change: after a restore the document counts from the last one whose entries were all renewed: 3 s of reads in the era (two heartbeats), by this host or those that it hears, or a store that never was restored. Until then upstreams are asked for their health, and those that are known to be warm stay in use. The turns of a host without any such document count from its start.

--- a/trefoilpin/gateway/balancing/cold_checks.py
+++ b/trefoilpin/gateway/balancing/cold_checks.py
@@ -211,9 +211,10 @@
     emit = kernel.find("events").emit
     metrics = kernel.find("metrics")
     document_cache = kernel.find("document_cache")
+    started_at = now()
 
     def mark(pool_id, healths):
-        age = document_cache.age(UPSTREAMS)
+        age = document_cache.renewed_age(UPSTREAMS)
         if age > CHECK_FROM_AGE_SECONDS:
             left = state.checks_left_by_pool.get(pool_id, 0) + CHECKS_PER_REQUEST
             state.checks_left_by_pool[pool_id] = min(left, MAX_CHECKS_AHEAD)
@@ -246,7 +247,7 @@
             emit(events.WARMTH_KNOWN, pool=pool_id, seconds=round(now() - since, 3))
 
     def take_due():
-        if document_cache.age(UPSTREAMS) <= CHECK_FROM_AGE_SECONDS:
+        if document_cache.renewed_age(UPSTREAMS) <= CHECK_FROM_AGE_SECONDS:
             state.checks_left_by_pool.clear()
             state.known = known_hosts()
             return ()
@@ -355,7 +356,8 @@
 
     def grown_old_at():
         """Return when the document became old enough for questions."""
-        return now() - document_cache.age(UPSTREAMS) + CHECK_FROM_AGE_SECONDS
+        seconds = document_cache.renewed_age(UPSTREAMS) - CHECK_FROM_AGE_SECONDS
+        return max(now() - seconds, started_at)
 
     def list_in_use(pool_id):
         zones_out = document_cache.value(ZONES_OUT)
@@ -442,7 +444,7 @@
         state.checks_left_by_pool[pool_id] = max(left, CHECKS_PER_REQUEST)
 
     def pause():
-        remaining = CHECK_FROM_AGE_SECONDS - document_cache.age(UPSTREAMS)
+        remaining = CHECK_FROM_AGE_SECONDS - document_cache.renewed_age(UPSTREAMS)
         return max(remaining, STEP_INTERVAL_SECONDS)
 
     service = ColdChecks(mark, take_due, record, reports, merge, pause)
--- a/trefoilpin/gateway/store/cached_documents.py
+++ b/trefoilpin/gateway/store/cached_documents.py
@@ -14,6 +14,7 @@
     "MAX_DELTAS",
     "delta_since",
     "is_unproven",
+    "record_renewal",
     "settle_proof",
 ]
 
@@ -78,6 +79,10 @@
     read_span : ReadSpan
         Kept for kinds whose objects expire, and for all kinds of a store that was
         restored.
+    renewed_era : int
+        Era in which all writers of entries have renewed them, as far as known.
+    renewed_at : float
+        When the store held the last document of such an era that this host had.
     is_unproven : bool
         True when the first document came from a restored store, and neither a change
         of it nor another host has shown since what was in force before.
@@ -92,6 +97,8 @@
         self.held_at = float("-inf")
         self.known_since = None
         self.read_span = NO_READS
+        self.renewed_era = 0
+        self.renewed_at = float("-inf")
         self.is_settling = False
         self.is_unproven = False
         self.deltas: deque[AppliedDelta] = deque(maxlen=MAX_DELTAS)
@@ -104,6 +111,24 @@
     return document.is_unproven and seconds < OPERATOR_REWRITE_SECONDS
 
 
+def record_renewal(document, seconds):
+    """Record whether the entries of a document were renewed since the last restore.
+
+    A restored store has entries from before it, until their writers are heard again.
+
+    Parameters
+    ----------
+    document : CachedDocument
+    seconds : float
+        Time in which each writer renews its entry.
+    """
+    span = document.read_span
+    if span.last_read_at - span.started_at >= seconds:
+        document.renewed_era = document.era
+    if document.renewed_era == document.era:
+        document.renewed_at = document.held_at
+
+
 def settle_proof(document, now):
     """Keep a document proven once it was; a later outage of the store is no restore."""
     document.is_unproven = is_unproven(document, now)
--- a/trefoilpin/gateway/store/document_cache.py
+++ b/trefoilpin/gateway/store/document_cache.py
@@ -28,6 +28,7 @@
     DocumentVersion,
     delta_since,
     is_unproven,
+    record_renewal,
     settle_proof,
 )
 from trefoilpin.gateway.store.records import EMPTY_CONFIGURATION
@@ -63,6 +64,8 @@
 EXPIRING_KINDS = frozenset((UPSTREAMS,))
 # Used unless the settings state another period in which upstreams renew their entries.
 HEARTBEAT_SECONDS = 1.5
+# Heartbeats after a restore until entries count as renewed; one may be late.
+HEARTBEATS_UNTIL_RENEWED = 2
 RULES_BY_KIND = {
     CONFIGURATION: restore_overlays.Rules(
         store_restores.keep_configuration, store_restores.learn_configuration
@@ -101,9 +104,10 @@
     and ``rows(kind)`` are what other hosts are sent. ``is_unproven(kind)`` tells
     whether the document may be an older one, of a store that was restored while no
     known host ran. ``delta_since(kind, digest)`` is the delta from an earlier document,
-    or None when it is no longer kept, and
-    ``age(kind)`` the age in seconds. ``subscribe(kind, function)`` has the function
-    called with each new value. ``kinds`` are the kinds that this host keeps.
+    or None when it is no longer kept, and ``age(kind)`` the age in seconds;
+    ``renewed_age(kind)`` is that of the last document that had no entries from before a
+    restore of the store. ``subscribe(kind, function)`` has the function called with
+    each new value. ``kinds`` are the kinds that this host keeps.
     """
 
     apply_document: Callable[..., bool]
@@ -118,6 +122,7 @@
     learn: Callable[[str, Overlay, str], None]
     overlay: Callable[[str], Overlay]
     is_unproven: Callable[[str], bool]
+    renewed_age: Callable[[str], float]
     kinds: tuple[str, ...] = KINDS
 
 
@@ -172,6 +177,7 @@
     if ROLLOUTS in decode_by_kind:
         document_by_kind[ROLLOUTS] = CachedDocument({})
     kinds = tuple(document_by_kind)
+    renewal_seconds = HEARTBEATS_UNTIL_RENEWED * heartbeat_seconds
     overlay_by_kind = create_overlays(
         now, document_by_kind, decode_by_kind, heartbeat_seconds
     )
@@ -322,10 +328,12 @@
         if document.known_since is None:
             document.known_since = document.held_at
         settle_proof(document, now())
+        record_renewal(document, renewal_seconds)
         settle(version.kind)
 
     def extend_span(document, version):
         document.read_span = joined_span(document, version)
+        record_renewal(document, renewal_seconds)
         settle(version.kind)
 
     def joined_span(document, version):
@@ -359,6 +367,9 @@
     def age(kind):
         return now() - document_by_kind[kind].held_at
 
+    def renewed_age(kind):
+        return now() - document_by_kind[kind].renewed_at
+
     def is_document_unproven(kind):
         return is_unproven(document_by_kind[kind], now())
 
@@ -393,6 +404,7 @@
         learn,
         lambda kind: overlay_by_kind[kind].shared(),
         is_document_unproven,
+        renewed_age,
         kinds,
     )
     kernel.register("document_cache", service)
--- a/trefoilpin/tests/gateway/test_cold_starts.py
+++ b/trefoilpin/tests/gateway/test_cold_starts.py
@@ -19,6 +19,7 @@
 from trefoilpin.gateway.balancing.cold_grants import MAX_CAPACITY
 from trefoilpin.gateway.balancing.pool_refusals import HELD_BACK
 from trefoilpin.gateway.fleet.failure_detection import MAX_DIRECT_SILENCE_SECONDS
+from trefoilpin.gateway.store.document_cache import HEARTBEAT_SECONDS
 from trefoilpin.gateway.store.leases import LEASE_SECONDS
 
 COLD_SECONDS = 4.0
@@ -218,6 +219,32 @@
     assert 0 < worst_second(sends) <= bound(settings)
 
 
+@pytest.mark.parametrize("survivors", (0, 15))
+def test_hosts_that_start_after_a_restore_do_not_flood_a_cold_upstream(survivors):
+    """Guards against a copy of the store that lacks the cold start (issue 47)."""
+    settings = ColdFleetSettings(16, 3, request_seconds=0.05)
+    cold_fleet = ColdFleet(settings)
+    cold_fleet.put_upstream("u", 100)
+    cold_fleet.run(3.0)
+    snapshot = cold_fleet.content.take_snapshot()
+    cold_fleet.put_upstream("u", 100, 20.0)
+    cold_fleet.run(4.0)
+    restored_at = cold_fleet.fleet.now()
+    cold_fleet.content.restore(snapshot)
+    for number in range(survivors + 1, 17):
+        cold_fleet.fleet.kill(f"10.0.0.{number}")
+        cold_fleet.start(number, 2)
+    cold_fleet.run(HEARTBEAT_SECONDS)
+    # Its heartbeat comes late.
+    cold_fleet.put_upstream("u", 100, 20.0 - 4.0 - HEARTBEAT_SECONDS)
+    cold_fleet.run(4.0)
+    sends = cold_fleet.sends("u", restored_at, restored_at + 5.0)
+    assert worst_second(sends) <= bound(settings)
+    # The others answer questions for their health.
+    warm = cold_fleet.sends("warm-0", restored_at, restored_at + HEARTBEAT_SECONDS * 2)
+    assert len(warm) > 10
+
+
 def test_upstream_is_used_while_the_store_refuses_the_host_asked():
     """Guards against asks that go on to a host that can not hold the lease."""
     cold_fleet = ColdFleet(ColdFleetSettings(12, 2, request_seconds=0.05))
