Bound what each host admits of an account by a part of its rate

Beyond a cut no counts come. Both sides used the whole rate once silent hosts were forgotten, and hosts that came back took the first counts as a baseline.

Change: the holder of the lease deals out parts of each rate, which add up to one. A part that is lowered counts until its host says that it has less. A silent host uses its part for 20 s, and it counts for 25 s; a new holder deals out what hosts bring, and the rest after 25 s. Counts go on beside, without shares for hosts that are missing, and what a host admitted while it was silent is no longer charged as one lump.

Not run whole: the gateway's tests.

--- a/trefoilpin/gateway/fleet/grant_exchanges.py
+++ b/trefoilpin/gateway/fleet/grant_exchanges.py
@@ -10,6 +10,7 @@
 from typing import Any, Callable, NamedTuple
 
 from trefoilpin import events
+from trefoilpin.gateway.admission.rate_pools import RateGrant
 from trefoilpin.gateway.admission.retry_pools import RetryGrant
 from trefoilpin.gateway.balancing.cold_grants import ColdGrant
 
@@ -35,8 +36,8 @@
     on_ask : callable
         ``on_ask(function)`` has ``function(ask)`` called with each ask of this host.
     grant : callable
-        ``grant(ask, time, held_since, own_address)`` returns the response of the holder
-        of the lease.
+        ``grant(address, ask, time, held_since, own_address)`` returns the response of
+        the holder of the lease to a host.
     refuse : callable
         ``refuse(ask, holder)`` returns the response of another host, which names the
         holder, or the empty text.
@@ -85,24 +86,27 @@
         self.waiting_since: float | None = None
 
 
-def create_kind(name, service, create_response):
+def create_kind(name, service, create_response, knows_asker=False):
     """Return the kind of the grants of a service.
 
     Parameters
     ----------
     name : str
-    service : ColdGrants or RetryBudgets
+    service : ColdGrants, RetryBudgets or RateParts
     create_response : callable
         Creates the response from the number of the ask, whether this host grants, the
         address of the holder, and what is granted.
+    knows_asker : bool, optional
+        Whether the service is told which host asks.
 
     Returns
     -------
     GrantKind
     """
 
-    def grant(ask, time, held_since, own_address):
-        granted = service.answer(ask, time, held_since)
+    def grant(address, ask, time, held_since, own_address):
+        asker = (address,) if knows_asker else ()
+        granted = service.answer(*asker, ask, time, held_since)
         return create_response(ask.number, True, own_address, granted)
 
     def refuse(ask, holder):
@@ -133,6 +137,7 @@
     return (
         create_kind("cold", kernel.find("cold_grants"), ColdGrant),
         create_kind("retry", kernel.find("retry_budgets"), RetryGrant),
+        create_kind("rate", kernel.find("rate_parts"), RateGrant, True),
     )
 
 
@@ -198,7 +203,7 @@
         pass_over_silent_host(kind)
         address = target(kind.name)
         if address == own_address:
-            take_response(kind, own_address, respond(kind, ask))
+            take_response(kind, own_address, respond(kind, own_address, ask))
             return
         state = state_by_name[kind.name]
         if state.waiting_since is None:
@@ -213,7 +218,7 @@
 
         send_queues.enqueue(address, field, build)
 
-    def respond(kind, ask):
+    def respond(kind, address, ask):
         """Return the response to an ask; have this host hold the lease from now on."""
         time = now()
         leases = kernel.find("leases")
@@ -221,7 +226,7 @@
         leases.want()
         if held_since is None:
             return kind.refuse(ask, leases.holder())
-        return kind.grant(ask, time, held_since, own_address)
+        return kind.grant(address, ask, time, held_since, own_address)
 
     def take_response(kind, address, response):
         state = state_by_name[kind.name]
@@ -245,7 +250,7 @@
         for kind in kinds:
             ask = getattr(message, kind.ask_field)
             if ask is not None:
-                send(address, kind.grant_field, respond(kind, ask))
+                send(address, kind.grant_field, respond(kind, address, ask))
             response = getattr(message, kind.grant_field)
             if response is not None:
                 take_response(kind, address, response)
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -1485,6 +1485,362 @@
         return not (self == other)
 
 
+class RateWantStruct(object):
+    """
+    Attributes:
+     - account
+     - held
+     - used
+     - wanted
+
+    """
+
+
+    def __init__(self, account=None, held=None, used=None, wanted=None,):
+        self.account = account
+        self.held = held
+        self.used = used
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.held = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.used = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateWantStruct')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.I32, 2)
+            oprot.writeI32(self.held)
+            oprot.writeFieldEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.I32, 3)
+            oprot.writeI32(self.used)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 4)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RateAskStruct(object):
+    """
+    Attributes:
+     - number
+     - incarnation
+     - wants
+
+    """
+
+
+    def __init__(self, number=None, incarnation=None, wants=None,):
+        self.number = number
+        self.incarnation = incarnation
+        self.wants = wants
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.wants = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = RateWantStruct()
+                        _elem40.read(iprot)
+                        self.wants.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateAskStruct')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.wants is not None:
+            oprot.writeFieldBegin('wants', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.wants))
+            for iter41 in self.wants:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantedPartStruct(object):
+    """
+    Attributes:
+     - account
+     - part
+     - is_scarce
+
+    """
+
+
+    def __init__(self, account=None, part=None, is_scarce=None,):
+        self.account = account
+        self.part = part
+        self.is_scarce = is_scarce
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_scarce = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantedPartStruct')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 2)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.is_scarce is not None:
+            oprot.writeFieldBegin('is_scarce', TType.BOOL, 3)
+            oprot.writeBool(self.is_scarce)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RateGrantStruct(object):
+    """
+    Attributes:
+     - number
+     - is_holder
+     - holder
+     - granted
+
+    """
+
+
+    def __init__(self, number=None, is_holder=None, holder=None, granted=None,):
+        self.number = number
+        self.is_holder = is_holder
+        self.holder = holder
+        self.granted = granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_holder = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.granted = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = GrantedPartStruct()
+                        _elem47.read(iprot)
+                        self.granted.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateGrantStruct')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.is_holder is not None:
+            oprot.writeFieldBegin('is_holder', TType.BOOL, 2)
+            oprot.writeBool(self.is_holder)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 3)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.granted))
+            for iter48 in self.granted:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BulletinStruct(object):
     """
     Attributes:
@@ -1532,11 +1888,13 @@
      - cold_grant
      - retry_ask
      - retry_grant
+     - rate_ask
+     - rate_grant
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None, retry_ask=None, retry_grant=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None, retry_ask=None, retry_grant=None, rate_ask=None, rate_grant=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -1581,6 +1939,8 @@
         self.cold_grant = cold_grant
         self.retry_ask = retry_ask
         self.retry_grant = retry_grant
+        self.rate_ask = rate_ask
+        self.rate_grant = rate_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1639,11 +1999,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.stamps = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = StampStruct()
-                        _elem40.read(iprot)
-                        self.stamps.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = StampStruct()
+                        _elem54.read(iprot)
+                        self.stamps.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1655,90 +2015,90 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.outcome_upstreams = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.outcome_upstreams.append(_elem46)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.outcome_upstreams.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.outcome_kinds = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = iprot.readByte()
-                        self.outcome_kinds.append(_elem52)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = iprot.readByte()
+                        self.outcome_kinds.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.outcome_numbers = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = iprot.readI64()
-                        self.outcome_numbers.append(_elem58)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = iprot.readI64()
+                        self.outcome_numbers.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.flight_upstreams = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.flight_upstreams.append(_elem64)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.flight_upstreams.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.flight_counts = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readI32()
-                        self.flight_counts.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readI32()
+                        self.flight_counts.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.admitted_accounts = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_accounts.append(_elem76)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_accounts.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.admitted_counts = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI64()
-                        self.admitted_counts.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readI64()
+                        self.admitted_counts.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.broken_fingerprints = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readI64()
-                        self.broken_fingerprints.append(_elem88)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readI64()
+                        self.broken_fingerprints.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.broken_upstreams = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.broken_upstreams.append(_elem94)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.broken_upstreams.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1750,11 +2110,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = DocumentStruct()
-                        _elem100.read(iprot)
-                        self.documents.append(_elem100)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = DocumentStruct()
+                        _elem114.read(iprot)
+                        self.documents.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1766,76 +2126,76 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.zone_views = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = ZoneViewStruct()
-                        _elem106.read(iprot)
-                        self.zone_views.append(_elem106)
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = ZoneViewStruct()
+                        _elem120.read(iprot)
+                        self.zone_views.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.answered_fingerprints = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = iprot.readI64()
-                        self.answered_fingerprints.append(_elem112)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readI64()
+                        self.answered_fingerprints.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 35:
                 if ftype == TType.LIST:
                     self.pressed_pools = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressed_pools.append(_elem118)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressed_pools.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 36:
                 if ftype == TType.LIST:
                     self.pressed_levels = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = []
-                        (_etype128, _size125) = iprot.readListBegin()
-                        for _i129 in range(_size125):
-                            _elem130 = iprot.readDouble()
-                            _elem124.append(_elem130)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = []
+                        (_etype142, _size139) = iprot.readListBegin()
+                        for _i143 in range(_size139):
+                            _elem144 = iprot.readDouble()
+                            _elem138.append(_elem144)
                         iprot.readListEnd()
-                        self.pressed_levels.append(_elem124)
+                        self.pressed_levels.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 37:
                 if ftype == TType.LIST:
                     self.usage_accounts = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = []
-                        (_etype140, _size137) = iprot.readListBegin()
-                        for _i141 in range(_size137):
-                            _elem142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem136.append(_elem142)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = []
+                        (_etype154, _size151) = iprot.readListBegin()
+                        for _i155 in range(_size151):
+                            _elem156 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem150.append(_elem156)
                         iprot.readListEnd()
-                        self.usage_accounts.append(_elem136)
+                        self.usage_accounts.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 38:
                 if ftype == TType.LIST:
                     self.usage_seconds = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = []
-                        (_etype152, _size149) = iprot.readListBegin()
-                        for _i153 in range(_size149):
-                            _elem154 = iprot.readDouble()
-                            _elem148.append(_elem154)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = []
+                        (_etype166, _size163) = iprot.readListBegin()
+                        for _i167 in range(_size163):
+                            _elem168 = iprot.readDouble()
+                            _elem162.append(_elem168)
                         iprot.readListEnd()
-                        self.usage_seconds.append(_elem148)
+                        self.usage_seconds.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1847,103 +2207,103 @@
             elif fid == 33:
                 if ftype == TType.LIST:
                     self.departed_upstreams = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.departed_upstreams.append(_elem160)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.departed_upstreams.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 34:
                 if ftype == TType.LIST:
                     self.departed_born = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = iprot.readI64()
-                        self.departed_born.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readI64()
+                        self.departed_born.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 39:
                 if ftype == TType.LIST:
                     self.pressure_pools = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressure_pools.append(_elem172)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressure_pools.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.pressure_rooms = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = iprot.readBool()
-                        self.pressure_rooms.append(_elem178)
+                    (_etype190, _size187) = iprot.readListBegin()
+                    for _i191 in range(_size187):
+                        _elem192 = iprot.readBool()
+                        self.pressure_rooms.append(_elem192)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 41:
                 if ftype == TType.LIST:
                     self.pressure_drain_rates = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = iprot.readDouble()
-                        self.pressure_drain_rates.append(_elem184)
+                    (_etype196, _size193) = iprot.readListBegin()
+                    for _i197 in range(_size193):
+                        _elem198 = iprot.readDouble()
+                        self.pressure_drain_rates.append(_elem198)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 42:
                 if ftype == TType.LIST:
                     self.pressure_shed_shares = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = iprot.readDouble()
-                        self.pressure_shed_shares.append(_elem190)
+                    (_etype202, _size199) = iprot.readListBegin()
+                    for _i203 in range(_size199):
+                        _elem204 = iprot.readDouble()
+                        self.pressure_shed_shares.append(_elem204)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 43:
                 if ftype == TType.LIST:
                     self.pressure_waits = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = iprot.readBinary()
-                        self.pressure_waits.append(_elem196)
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = iprot.readBinary()
+                        self.pressure_waits.append(_elem210)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.LIST:
                     self.rollout_stages = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = RolloutStageStruct()
-                        _elem202.read(iprot)
-                        self.rollout_stages.append(_elem202)
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = RolloutStageStruct()
+                        _elem216.read(iprot)
+                        self.rollout_stages.append(_elem216)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.rollout_counts = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = RolloutCountStruct()
-                        _elem208.read(iprot)
-                        self.rollout_counts.append(_elem208)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = RolloutCountStruct()
+                        _elem222.read(iprot)
+                        self.rollout_counts.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 80:
                 if ftype == TType.LIST:
                     self.cold_reports = []
-                    (_etype212, _size209) = iprot.readListBegin()
-                    for _i213 in range(_size209):
-                        _elem214 = ColdReportStruct()
-                        _elem214.read(iprot)
-                        self.cold_reports.append(_elem214)
+                    (_etype226, _size223) = iprot.readListBegin()
+                    for _i227 in range(_size223):
+                        _elem228 = ColdReportStruct()
+                        _elem228.read(iprot)
+                        self.cold_reports.append(_elem228)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1971,6 +2331,18 @@
                     self.retry_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 54:
+                if ftype == TType.STRUCT:
+                    self.rate_ask = RateAskStruct()
+                    self.rate_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 55:
+                if ftype == TType.STRUCT:
+                    self.rate_grant = RateGrantStruct()
+                    self.rate_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2020,8 +2392,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter215 in self.stamps:
-                iter215.write(oprot)
+            for iter229 in self.stamps:
+                iter229.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -2031,64 +2403,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter216 in self.outcome_upstreams:
-                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
+            for iter230 in self.outcome_upstreams:
+                oprot.writeString(iter230.encode('utf-8') if sys.version_info[0] == 2 else iter230)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter217 in self.outcome_kinds:
-                oprot.writeByte(iter217)
+            for iter231 in self.outcome_kinds:
+                oprot.writeByte(iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter218 in self.outcome_numbers:
-                oprot.writeI64(iter218)
+            for iter232 in self.outcome_numbers:
+                oprot.writeI64(iter232)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter219 in self.flight_upstreams:
-                oprot.writeString(iter219.encode('utf-8') if sys.version_info[0] == 2 else iter219)
+            for iter233 in self.flight_upstreams:
+                oprot.writeString(iter233.encode('utf-8') if sys.version_info[0] == 2 else iter233)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter220 in self.flight_counts:
-                oprot.writeI32(iter220)
+            for iter234 in self.flight_counts:
+                oprot.writeI32(iter234)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter221 in self.admitted_accounts:
-                oprot.writeString(iter221.encode('utf-8') if sys.version_info[0] == 2 else iter221)
+            for iter235 in self.admitted_accounts:
+                oprot.writeString(iter235.encode('utf-8') if sys.version_info[0] == 2 else iter235)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter222 in self.admitted_counts:
-                oprot.writeI64(iter222)
+            for iter236 in self.admitted_counts:
+                oprot.writeI64(iter236)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter223 in self.broken_fingerprints:
-                oprot.writeI64(iter223)
+            for iter237 in self.broken_fingerprints:
+                oprot.writeI64(iter237)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter224 in self.broken_upstreams:
-                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
+            for iter238 in self.broken_upstreams:
+                oprot.writeString(iter238.encode('utf-8') if sys.version_info[0] == 2 else iter238)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -2098,8 +2470,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter225 in self.documents:
-                iter225.write(oprot)
+            for iter239 in self.documents:
+                iter239.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -2109,115 +2481,115 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter226 in self.zone_views:
-                iter226.write(oprot)
+            for iter240 in self.zone_views:
+                iter240.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter227 in self.answered_fingerprints:
-                oprot.writeI64(iter227)
+            for iter241 in self.answered_fingerprints:
+                oprot.writeI64(iter241)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter228 in self.rollout_stages:
-                iter228.write(oprot)
+            for iter242 in self.rollout_stages:
+                iter242.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter229 in self.rollout_counts:
-                iter229.write(oprot)
+            for iter243 in self.rollout_counts:
+                iter243.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter230 in self.departed_upstreams:
-                oprot.writeString(iter230.encode('utf-8') if sys.version_info[0] == 2 else iter230)
+            for iter244 in self.departed_upstreams:
+                oprot.writeString(iter244.encode('utf-8') if sys.version_info[0] == 2 else iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter231 in self.departed_born:
-                oprot.writeI64(iter231)
+            for iter245 in self.departed_born:
+                oprot.writeI64(iter245)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter232 in self.pressed_pools:
-                oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
+            for iter246 in self.pressed_pools:
+                oprot.writeString(iter246.encode('utf-8') if sys.version_info[0] == 2 else iter246)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter233 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter233))
-                for iter234 in iter233:
-                    oprot.writeDouble(iter234)
+            for iter247 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter247))
+                for iter248 in iter247:
+                    oprot.writeDouble(iter248)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter235 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter235))
-                for iter236 in iter235:
-                    oprot.writeString(iter236.encode('utf-8') if sys.version_info[0] == 2 else iter236)
+            for iter249 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter249))
+                for iter250 in iter249:
+                    oprot.writeString(iter250.encode('utf-8') if sys.version_info[0] == 2 else iter250)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter237 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter237))
-                for iter238 in iter237:
-                    oprot.writeDouble(iter238)
+            for iter251 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter251))
+                for iter252 in iter251:
+                    oprot.writeDouble(iter252)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter239 in self.pressure_pools:
-                oprot.writeString(iter239.encode('utf-8') if sys.version_info[0] == 2 else iter239)
+            for iter253 in self.pressure_pools:
+                oprot.writeString(iter253.encode('utf-8') if sys.version_info[0] == 2 else iter253)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter240 in self.pressure_rooms:
-                oprot.writeBool(iter240)
+            for iter254 in self.pressure_rooms:
+                oprot.writeBool(iter254)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter241 in self.pressure_drain_rates:
-                oprot.writeDouble(iter241)
+            for iter255 in self.pressure_drain_rates:
+                oprot.writeDouble(iter255)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter242 in self.pressure_shed_shares:
-                oprot.writeDouble(iter242)
+            for iter256 in self.pressure_shed_shares:
+                oprot.writeDouble(iter256)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter243 in self.pressure_waits:
-                oprot.writeBinary(iter243)
+            for iter257 in self.pressure_waits:
+                oprot.writeBinary(iter257)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
@@ -2240,11 +2612,19 @@
             oprot.writeFieldBegin('retry_grant', TType.STRUCT, 53)
             self.retry_grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.rate_ask is not None:
+            oprot.writeFieldBegin('rate_ask', TType.STRUCT, 54)
+            self.rate_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rate_grant is not None:
+            oprot.writeFieldBegin('rate_grant', TType.STRUCT, 55)
+            self.rate_grant.write(oprot)
+            oprot.writeFieldEnd()
         if self.cold_reports is not None:
             oprot.writeFieldBegin('cold_reports', TType.LIST, 80)
             oprot.writeListBegin(TType.STRUCT, len(self.cold_reports))
-            for iter244 in self.cold_reports:
-                iter244.write(oprot)
+            for iter258 in self.cold_reports:
+                iter258.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2390,6 +2770,36 @@
     (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
     (4, TType.LIST, 'granted', (TType.STRUCT, [GrantedRetriesStruct, None], False), None, ),  # 4
 )
+all_structs.append(RateWantStruct)
+RateWantStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'held', None, None, ),  # 2
+    (3, TType.I32, 'used', None, None, ),  # 3
+    (4, TType.I32, 'wanted', None, None, ),  # 4
+)
+all_structs.append(RateAskStruct)
+RateAskStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.LIST, 'wants', (TType.STRUCT, [RateWantStruct, None], False), None, ),  # 3
+)
+all_structs.append(GrantedPartStruct)
+GrantedPartStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'part', None, None, ),  # 2
+    (3, TType.BOOL, 'is_scarce', None, None, ),  # 3
+)
+all_structs.append(RateGrantStruct)
+RateGrantStruct.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.BOOL, 'is_holder', None, None, ),  # 2
+    (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'granted', (TType.STRUCT, [GrantedPartStruct, None], False), None, ),  # 4
+)
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
     None,  # 0
@@ -2446,8 +2856,8 @@
     (51, TType.STRUCT, 'cold_grant', [ColdGrantStruct, None], None, ),  # 51
     (52, TType.STRUCT, 'retry_ask', [RetryAskStruct, None], None, ),  # 52
     (53, TType.STRUCT, 'retry_grant', [RetryGrantStruct, None], None, ),  # 53
-    None,  # 54
-    None,  # 55
+    (54, TType.STRUCT, 'rate_ask', [RateAskStruct, None], None, ),  # 54
+    (55, TType.STRUCT, 'rate_grant', [RateGrantStruct, None], None, ),  # 55
     None,  # 56
     None,  # 57
     None,  # 58
