Keep parts of rates while the store is away

Cause: parts ended 20 s after the last grant, so that in a longer outage of the store each account had a few requests a host. Change: while no host reaches the store, nobody deals out parts, and each host keeps its own, a second at a time. A holder that could not renew its right for failed calls begins anew with what hosts bring.

--- a/trefoilpin/fakes/gateway_fleets.py
+++ b/trefoilpin/fakes/gateway_fleets.py
@@ -346,6 +346,7 @@
         own.incarnation,
         create_event,
         lambda: len(node.members.live()),
+        node.members.is_store_away,
     )
     node.rate_limits = rate_limits.create(
         kernel,
--- a/trefoilpin/gateway/admission/rate_parts.py
+++ b/trefoilpin/gateway/admission/rate_parts.py
@@ -33,6 +33,9 @@
 # Hosts that use an account ask so often while others lack some of it, and otherwise.
 SCARCE_PERIOD_SECONDS, PERIOD_SECONDS = 0.3, 2.0
 STEP_SECONDS = 0.3
+# While no host reaches the store nobody deals out parts, and all keep theirs: each so
+# long at a time.
+AWAY_SECONDS = 1.0
 # Above this share of its part, a host asks for more.
 LOW_SHARE = 0.7
 # A part that wasn't used for this time is given back.
@@ -133,7 +136,14 @@
         self.news = news
 
 
-def create(kernel, bounds, incarnation, create_event, count_hosts):
+def create(
+    kernel,
+    bounds,
+    incarnation,
+    create_event,
+    count_hosts,
+    is_store_away=lambda: False,
+):
     """Create the service ``rate_parts``.
 
     Parameters
@@ -146,6 +156,8 @@
         Creates an event with ``wait(seconds)``, ``send()`` and ``ready()``.
     count_hosts : callable
         Returns the number of live hosts, this one included.
+    is_store_away : callable, optional
+        Tells whether no host reaches the store.
 
     Returns
     -------
@@ -243,8 +255,11 @@
             state.is_stepping = False
 
     def step():
+        is_away = is_store_away()
         for account, item in list(state.part_by_account.items()):
             expire(item)
+            if is_away and now() < item.until:
+                item.until = max(item.until, now() + AWAY_SECONDS)
             if not (item.part or item.told or item.own):
                 if now() - item.used_at > IDLE_SECONDS:
                     del state.part_by_account[account]
@@ -316,6 +331,11 @@
         # Others may leave some of their parts by then.
         return min(max(oldest, ASK_PERIOD_SECONDS), PERIOD_SECONDS)
 
+    def answer(address, ask, time, held_since):
+        """Deal out parts; hosts kept theirs while the store was away."""
+        resumed_at = kernel.find("leases").resumed_at()
+        return pools.answer(address, ask, time, max(held_since, resumed_at))
+
     # Later starts have larger numbers: a host asks less than once a millisecond.
     asks = lease_asks.create(
         kernel, "rate", ASK_PERIOD_SECONDS, PART_SECONDS, take_wants, incarnation << 10
@@ -330,7 +350,7 @@
         seconds_until_room,
         on_ask,
         receive,
-        pools.answer,
+        answer,
     )
     kernel.register("rate_parts", service)
     return service
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -231,6 +231,7 @@
         settings.own.incarnation,
         eventlet.event.Event,
         lambda: len(membership.live()),
+        membership.is_store_away,
     )
     rate_limits.create(kernel, rate_settings, membership.mesh_coverage, parts)
     poison_requests.create(kernel)
--- a/trefoilpin/tests/gateway/test_rate_parts.py
+++ b/trefoilpin/tests/gateway/test_rate_parts.py
@@ -269,6 +269,21 @@
     assert not fleet.refused_share(since)
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_accounts_keep_their_rate_while_the_store_is_away(seed):
+    """Guards against parts that end while nobody can deal out others."""
+    fleet = RateFleet(12, seed)
+    fleet.run(6.0, 60.0)
+    fleet.content.is_down = True
+    since = fleet.fleet.now()
+    fleet.run(PART_SECONDS + 20.0, 60.0)
+    assert fleet.refused_share(since) <= 0.01
+    fleet.run(3.0, 900.0)
+    fleet.content.is_down = False
+    fleet.run(10.0, 900.0)
+    assert fleet.most_in_window() <= ALLOWED
+
+
 def test_many_accounts_are_admitted():
     """Guards against asks that hold the first accounts only."""
     fleet = RateFleet(12, 1)
