Ask upstreams by turns in an outage of the store, too

Cause: in an outage each host of the mesh drew the time of its next question anew at each result.

Change: turns there as well, for all hosts of the zone, while the last result is 2 s old or older. The drawn times go.

--- a/trefoilpin/gateway/balancing/cold_checks.py
+++ b/trefoilpin/gateway/balancing/cold_checks.py
@@ -42,11 +42,8 @@
 CHECK_FROM_AGE_SECONDS = 1.9
 # An upstream isn't asked while a result is younger than this.
 CHECK_INTERVAL_SECONDS = 1.0
-# While no host reaches the store, a result only holds upstreams back. Then those that
-# are in use are asked again after this time, and up to half of it more, so that one
-# host of a zone is first and the others take its result.
+# The same while no host reaches the store, when a result only holds upstreams back.
 AWAY_CHECK_INTERVAL_SECONDS = 2.0
-CHECK_SPREAD = 0.5
 # Questions a second that an upstream gets from all hosts of its zone, and from all
 # others. The grants leave 3 in each second: the slack of 5 without the 2 of a full
 # bucket; the hosts' documents don't grow old at the same moment.
@@ -197,8 +194,9 @@
     is_store_away : callable
         Tells whether no host reaches the store.
     is_sender : callable, optional
-        Tells whether this host is one of those that send most requests. While no host
-        reaches the store, only these ask upstreams that they could reach.
+        Tells whether this host is one of those that send most requests. One that isn't
+        and knows no other host doesn't ask upstreams that it could reach while it can't
+        read the store.
     known_hosts : callable, optional
         Returns the ``KnownHosts``.
 
@@ -261,16 +259,9 @@
             taken.extend(due[:left])
             state.checks_left_by_pool[pool_id] = max(left - len(due), 0)
         for check in taken:
-            check.health.recheck_at = next_check_at(now())
-            if check.health.turn_at > float("-inf"):
-                end_turn(check.health)
+            end_turn(check.health)
         return tuple(taken)
 
-    def next_check_at(asked_at):
-        """Draw when an upstream is asked again while no host reaches the store."""
-        spread = 1.0 + CHECK_SPREAD * kernel.rng.random()
-        return asked_at + AWAY_CHECK_INTERVAL_SECONDS * spread
-
     def turns(upstream):
         """Return the seconds between two turns at an upstream, and the share of one."""
         if upstream.zone == own_zone:
@@ -299,8 +290,11 @@
     def is_only_host():
         return state.known.in_all == 1
 
-    def is_turn(health):
-        """Tell whether this host may ask an upstream now."""
+    def is_turn(health, interval):
+        """Tell whether this host may ask an upstream now.
+
+        Not while a result is younger than the interval in seconds.
+        """
         if health.turn_at < grown_old_at():
             begin_turns(health, grown_old_at())
         _, seconds = turns(health.upstream)
@@ -309,7 +303,7 @@
             end_turn(health)
         if now() < health.turn_at:
             return False
-        if now() - health.checked_at < CHECK_INTERVAL_SECONDS:
+        if now() - health.checked_at < interval:
             end_turn(health)
             return False
         return True
@@ -336,23 +330,10 @@
     def is_due(health, is_in_use):
         """Tell whether to ask an upstream, which may be in use in an outage."""
         if not is_in_use:
-            return is_turn(health)
-        if not is_sender():
+            return is_turn(health, CHECK_INTERVAL_SECONDS)
+        if is_only_host() and not is_sender():
             return False
-        if health.recheck_at < grown_old_at():
-            health.recheck_at = first_recheck_at()
-        return now() >= health.recheck_at
-
-    def first_recheck_at():
-        """Draw when an upstream is first asked while no host reaches the store.
-
-        A host that was just cut off may take that for such an outage until its document
-        is too old, and is to ask in its turns only.
-        """
-        if is_only_host():
-            return now()
-        seconds = MAX_WARMTH_AGE_SECONDS - CHECK_FROM_AGE_SECONDS
-        return now() + seconds * (1.0 + kernel.rng.random())
+        return is_turn(health, AWAY_CHECK_INTERVAL_SECONDS)
 
     def grown_old_at():
         """Return when the document became old enough for questions."""
@@ -432,9 +413,6 @@
                     continue
                 asked_at = now() - report.age
                 if asked_at > health.checked_at + SAME_RESULT_SECONDS:
-                    # Drawn once for each result, not for each message with it.
-                    due_at = next_check_at(asked_at)
-                    health.recheck_at = max(health.recheck_at, due_at)
                     join_questions(report.pool)
                 learn(health, report)
 
--- a/trefoilpin/gateway/balancing/upstream_health.py
+++ b/trefoilpin/gateway/balancing/upstream_health.py
@@ -71,8 +71,6 @@
         Clock time of the last question for its health.
     turn_at : float
         Clock time from which this host may ask it next, by its turns.
-    recheck_at : float
-        The same while no host reaches the store and it is in use.
     is_unsure : bool
         True while it may have turned cold without this host's knowledge.
     is_leaving : bool
@@ -107,7 +105,6 @@
         self.paused_until = float("-inf")
         self.checked_at = float("-inf")
         self.turn_at = float("-inf")
-        self.recheck_at = float("-inf")
         self.is_unsure = False
         self.is_leaving = False
         self.used_at = now
