--- a/trefoilpin/gateway/admission/rate_limits.py
+++ b/trefoilpin/gateway/admission/rate_limits.py
@@ -5,8 +5,9 @@
 and those that the others report as admitted, so each can use the whole rate without
 coordination. Requests that several hosts admit before their counts arrive are charged
 afterwards. A host that receives reports from only some of the serving hosts uses just
-their share of the rate. What a host doesn't know of the others is bounded by its part
-of the rate, see ``rate_parts``.
+their share of the rate. In a network partition, the hosts of each side leave the share
+of the missing ones unused for a while, so that both sides together stay within the
+rate.
 
 A rejection names the time at which there is room for the request, behind the callers
 that were asked to return before. Their places are kept, so that a caller that returns
@@ -20,7 +21,6 @@
 
 from trefoilpin import events
 from trefoilpin.gateway.admission.return_times import (
-    MAX_FOLLOWED_SHARE,
     Places,
     Room,
     round_up,
@@ -163,15 +163,13 @@
     """Requests that one incarnation of another host admitted, by account.
 
     Until ``baseline_until`` the first count of an account is a baseline: it covers
-    requests from before this host discovered the other one. So does the next count of
-    each of ``stale_accounts``, after the other host was silent.
+    requests from before this host discovered the other one.
     """
 
     def __init__(self, incarnation, baseline_until):
         self.incarnation = incarnation
         self.baseline_until = baseline_until
         self.count_by_account: dict[str, int] = {}
-        self.stale_accounts: set[str] = set()
         self.merged_at = float("-inf")
 
 
@@ -187,7 +185,7 @@
         self.counts_by_host: dict[str, HostCounts] = {}
 
 
-def create(kernel, settings, mesh_coverage, parts=None):
+def create(kernel, settings, mesh_coverage):
     """Create the service ``rate_limits``.
 
     Parameters
@@ -197,9 +195,6 @@
     mesh_coverage : callable
         Returns the number of serving hosts that reported recently, and of all serving
         hosts.
-    parts : RateParts, optional
-        Bounds what this host admits, whatever it knows of the others; without it, only
-        the counts do.
 
     Returns
     -------
@@ -213,8 +208,6 @@
 
     def usable_share():
         """Return the share of every rate that this host may use."""
-        if parts is not None:
-            return 1.0
         reporting, serving = mesh_coverage()
         if serving != state.serving_hosts:
             state.serving_hosts, state.serving_hosts_changed_at = serving, now()
@@ -269,11 +262,8 @@
     def admit(account, key=None, seconds_left=float("inf")):
         if account.rate <= 0:
             return Success(account)
-        limit = account.rate * window + account.burst
-        has_part = parts is None or parts.await_part(
-            account.id, limit, seconds_left * MAX_FOLLOWED_SHARE
-        )
         share = usable_share()
+        limit = account.rate * window + account.burst
         usage = find_usage(account, limit, share)
         fill_rate = refill(account, usage, share)
         room = usage.room(max(limit * share, 1.0), fill_rate, window, now())
@@ -284,15 +274,12 @@
             kept = places.count_before(key) + unreported(usage)
         # A full bucket gains no more tokens, so its last one is not kept.
         kept_tokens = min(kept, max(account.burst * share, 1.0) - 1.0)
-        has_room = room.tokens >= 1.0 + kept_tokens and room.window_room >= 1.0 + kept
-        if not has_part or not has_room:
+        if room.tokens < 1.0 + kept_tokens or room.window_room < 1.0 + kept:
             return Failure(refuse(account, usage, room, key, seconds_left))
         places.remove(key)
         usage.add(1, now(), own_count=1)
         count = state.admitted_by_account.get(account.id, 0)
         state.admitted_by_account[account.id] = count + 1
-        if parts is not None:
-            parts.take(account.id, limit)
         return Success(account)
 
     def refuse(account, usage, room, key, seconds_left):
@@ -302,9 +289,6 @@
         position += kernel.rng.random() * (1 / own_share(usage) - 1)
         position += unreported(usage)
         seconds = seconds_until_room(room, position)
-        if parts is not None:
-            parts.refuse(account.id)
-            seconds = max(seconds, parts.seconds_until_room(account.id))
         kept_until = places.due_by_key.get(key, now())
         retry_after = round_up(max(seconds, kept_until - now()))
         if key is not None and will_return(retry_after, seconds_left):
@@ -345,16 +329,11 @@
             return
         usage.add(-1, now(), own_count=-1)
         state.admitted_by_account[account.id] -= 1
-        if parts is not None:
-            parts.give_back(account.id)
 
     def merge_counts(host, incarnation, count_by_account):
         host_counts = state.counts_by_host.get(host)
         if host_counts is not None and incarnation < host_counts.incarnation:
             return
-        is_back = host_counts is not None and (
-            now() - host_counts.merged_at > MAX_REPORT_AGE_SECONDS
-        )
         if host_counts is None or incarnation > host_counts.incarnation:
             # The first counts of an unknown host may be older than the window and are
             # not charged. Those of a new incarnation of a known host, or of a host that
@@ -366,18 +345,11 @@
             host_counts = state.counts_by_host[host] = HostCounts(
                 incarnation, baseline_end
             )
-        elif is_back and parts is not None:
-            # What it admitted meanwhile is of unknown age, and within its parts.
-            host_counts.baseline_until = now() + BASELINE_TIMEOUT_SECONDS
-            host_counts.stale_accounts = set(host_counts.count_by_account)
         host_counts.merged_at = now()
         for account, count in count_by_account.items():
             previous = host_counts.count_by_account.get(account)
             if previous is None:
                 previous = count if now() < host_counts.baseline_until else 0
-            if account in host_counts.stale_accounts:
-                host_counts.stale_accounts.remove(account)
-                previous = max(count, previous)
             host_counts.count_by_account[account] = max(count, previous)
             if count > previous:
                 usage = state.usage_by_account.setdefault(account, AccountUsage(now()))
--- a/trefoilpin/gateway/daemons.py
+++ b/trefoilpin/gateway/daemons.py
@@ -25,7 +25,6 @@
     pool_pressure,
     queues,
     rate_limits,
-    rate_parts,
     response_memory,
     retry_budgets,
     send_pacing,
@@ -93,9 +92,6 @@
         Retries allowed per request, and further ones allowed in a window in seconds.
     rate_window : float
         Seconds over which an account's requests are counted against its rate.
-    rate_overshoot, rate_slack : float
-        Tolerance of the rates, as a share of what an account may have in the window,
-        and in requests.
     link_rate : float
         Bandwidth of the host's link in bytes per second.
     body_bytes : int
@@ -127,8 +123,6 @@
     retry_slack: float
     retry_window: float
     rate_window: float
-    rate_overshoot: float
-    rate_slack: float
     link_rate: float
     body_bytes: int
     descriptors: int
@@ -219,21 +213,7 @@
         settings.rate_window,
         settings.own.incarnation,
     )
-    rate_bounds = rate_parts.RateBounds(
-        settings.rate_overshoot,
-        settings.rate_slack,
-        settings.rate_window,
-        planned_senders,
-    )
-    parts = rate_parts.create(
-        kernel,
-        rate_bounds,
-        settings.own.incarnation,
-        eventlet.event.Event,
-        lambda: len(membership.live()),
-        membership.is_store_away,
-    )
-    rate_limits.create(kernel, rate_settings, membership.mesh_coverage, parts)
+    rate_limits.create(kernel, rate_settings, membership.mesh_coverage)
     poison_requests.create(kernel)
     account_usage.create(kernel)
     pool_pressure.create(kernel)
--- a/trefoilpin/gateway/fleet/gossip_codecs.py
+++ b/trefoilpin/gateway/fleet/gossip_codecs.py
@@ -13,7 +13,6 @@
 from trefoilpin.gateway.balancing.failure_models import Outcome, UpstreamOutcome
 from trefoilpin.gateway.fleet import (
     cold_grant_codecs,
-    rate_grant_codecs,
     retry_grant_codecs,
     rollout_codecs,
 )
@@ -125,8 +124,6 @@
         cold_grant=cold_grant_codecs.write_grant(gossip_message.cold_grant),
         retry_ask=retry_grant_codecs.write_ask(gossip_message.retry_ask),
         retry_grant=retry_grant_codecs.write_grant(gossip_message.retry_grant),
-        rate_ask=rate_grant_codecs.write_ask(gossip_message.rate_ask),
-        rate_grant=rate_grant_codecs.write_grant(gossip_message.rate_grant),
     )
     set_pool_reports(message, gossip_message.pool_reports)
     add_pressure(message, gossip_message.pressure_reports)
@@ -325,6 +322,4 @@
         cold_grant_codecs.read_grant(message.cold_grant),
         retry_grant_codecs.read_ask(message.retry_ask),
         retry_grant_codecs.read_grant(message.retry_grant),
-        rate_grant_codecs.read_ask(message.rate_ask),
-        rate_grant_codecs.read_grant(message.rate_grant),
     )
--- a/trefoilpin/gateway/fleet/grant_exchanges.py
+++ b/trefoilpin/gateway/fleet/grant_exchanges.py
@@ -10,7 +10,6 @@
 from typing import Any, Callable, NamedTuple
 
 from trefoilpin import events
-from trefoilpin.gateway.admission.rate_pools import RateGrant
 from trefoilpin.gateway.admission.retry_pools import RetryGrant
 from trefoilpin.gateway.balancing.cold_grants import ColdGrant
 from trefoilpin.gateway.fleet.grant_checks import is_address
@@ -37,8 +36,8 @@
     on_ask : callable
         ``on_ask(function)`` has ``function(ask)`` called with each ask of this host.
     grant : callable
-        ``grant(address, ask, time, held_since, own_address)`` returns the response of
-        the holder of the lease to a host.
+        ``grant(ask, time, held_since, own_address)`` returns the response of the holder
+        of the lease.
     refuse : callable
         ``refuse(ask, holder)`` returns the response of another host, which names the
         holder, or the empty text.
@@ -87,27 +86,24 @@
         self.waiting_since: float | None = None
 
 
-def create_kind(name, service, create_response, knows_asker=False):
+def create_kind(name, service, create_response):
     """Return the kind of the grants of a service.
 
     Parameters
     ----------
     name : str
-    service : ColdGrants, RetryBudgets or RateParts
+    service : ColdGrants or RetryBudgets
     create_response : callable
         Creates the response from the number of the ask, whether this host grants, the
         address of the holder, and what is granted.
-    knows_asker : bool, optional
-        Whether the service is told which host asks.
 
     Returns
     -------
     GrantKind
     """
 
-    def grant(address, ask, time, held_since, own_address):
-        asker = (address,) if knows_asker else ()
-        granted = service.answer(*asker, ask, time, held_since)
+    def grant(ask, time, held_since, own_address):
+        granted = service.answer(ask, time, held_since)
         return create_response(ask.number, True, own_address, granted)
 
     def refuse(ask, holder):
@@ -138,7 +134,6 @@
     return (
         create_kind("cold", kernel.find("cold_grants"), ColdGrant),
         create_kind("retry", kernel.find("retry_budgets"), RetryGrant),
-        create_kind("rate", kernel.find("rate_parts"), RateGrant, True),
     )
 
 
@@ -204,7 +199,7 @@
         pass_over_silent_host(kind)
         address = target(kind.name)
         if address == own_address:
-            take_response(kind, own_address, respond(kind, own_address, ask))
+            take_response(kind, own_address, respond(kind, ask))
             return
         state = state_by_name[kind.name]
         if state.waiting_since is None:
@@ -219,7 +214,7 @@
 
         send_queues.enqueue(address, field, build)
 
-    def respond(kind, address, ask):
+    def respond(kind, ask):
         """Return the response to an ask; have this host hold the lease from now on."""
         time = now()
         leases = kernel.find("leases")
@@ -227,7 +222,7 @@
         leases.want()
         if held_since is None:
             return kind.refuse(ask, leases.holder())
-        return kind.grant(address, ask, time, held_since, own_address)
+        return kind.grant(ask, time, held_since, own_address)
 
     def take_response(kind, address, response):
         state = state_by_name[kind.name]
@@ -251,7 +246,7 @@
         for kind in kinds:
             ask = getattr(message, kind.ask_field)
             if ask is not None:
-                send(address, kind.grant_field, respond(kind, address, ask))
+                send(address, kind.grant_field, respond(kind, ask))
             response = getattr(message, kind.grant_field)
             if response is not None:
                 take_response(kind, address, response)
--- a/trefoilpin/gateway/fleet/messages.py
+++ b/trefoilpin/gateway/fleet/messages.py
@@ -4,7 +4,6 @@
 
 from trefoilpin.gateway.admission.account_usage import PoolReport
 from trefoilpin.gateway.admission.pressure_estimates import PressureReport
-from trefoilpin.gateway.admission.rate_pools import RateAsk, RateGrant
 from trefoilpin.gateway.admission.retry_pools import RetryAsk, RetryGrant
 from trefoilpin.gateway.balancing.cold_checks import ColdReport
 from trefoilpin.gateway.balancing.cold_grants import ColdAsk, ColdGrant
@@ -170,10 +169,6 @@
         Retries that the sender wants.
     retry_grant : RetryGrant or None
         Response to an ask of the receiver.
-    rate_ask : RateAsk or None
-        Parts of the rates of accounts that the sender has and wants.
-    rate_grant : RateGrant or None
-        Response to an ask of the receiver.
     """
 
     incarnation: int
@@ -207,8 +202,6 @@
     cold_grant: ColdGrant | None = None
     retry_ask: RetryAsk | None = None
     retry_grant: RetryGrant | None = None
-    rate_ask: RateAsk | None = None
-    rate_grant: RateGrant | None = None
 
 
 def aged(message, seconds):
--- a/trefoilpin/gateway/store/lease_asks.py
+++ b/trefoilpin/gateway/store/lease_asks.py
@@ -71,7 +71,7 @@
         self.listeners: list[Callable] = []
 
 
-def create(kernel, name, period, valid_seconds, take_wants, first_number=None):
+def create(kernel, name, period, valid_seconds, take_wants):
     """Create the asks of one kind.
 
     Parameters
@@ -86,17 +86,12 @@
     take_wants : callable
         Returns what is wanted by now, which later asks don't want again; an ask with
         nothing in it isn't sent.
-    first_number : int, optional
-        Number before that of the first ask, which no ask of an earlier start had; drawn
-        at random by default.
 
     Returns
     -------
     LeaseAsks
     """
-    if first_number is None:
-        first_number = kernel.rng.randrange(MAX_FIRST_NUMBER)
-    state = AskState(first_number)
+    state = AskState(kernel.rng.randrange(MAX_FIRST_NUMBER))
     now, sleep = kernel.clock.now, kernel.clock.sleep
     metrics = kernel.find("metrics")
 
--- a/trefoilpin/gateway/store/leases.py
+++ b/trefoilpin/gateway/store/leases.py
@@ -73,8 +73,6 @@
     ``holder()`` is the address of the host that was last seen to hold it, or empty.
     ``end()`` has this host release the lease and never take it again. ``handover()`` is
     what the earlier holder handed over to this one by its release, or None.
-    ``resumed_at()`` is the time from which this host has held it, or would, without a
-    gap for which the store was away.
     """
 
     want: Callable[[], None]
@@ -82,7 +80,6 @@
     holder: Callable[[], str]
     end: Callable[[], None]
     handover: Callable[[], Any]
-    resumed_at: Callable[[], float]
 
 
 class LeaseState:
@@ -106,10 +103,6 @@
         True while a call to the store is under way.
     is_ended : bool
         True when this host has released the lease, or is about to.
-    has_failed : bool
-        True when a call failed since the last successful write.
-    resumed_at : float
-        Clock time before the last write after failed calls that outlasted the right.
     handover : Any
         What the earlier holder handed over, untrusted.
     """
@@ -127,8 +120,6 @@
         self.began_at = float("-inf")
         self.wanted_at = float("-inf")
         self.failures = 0
-        self.has_failed = False
-        self.resumed_at = float("-inf")
         self.is_kept = False
         self.is_calling = False
         self.is_ended = False
@@ -304,9 +295,6 @@
             state.is_in_doubt = True
             return record_failure(outcome.failure())
         state.failures = 0
-        if state.has_failed and state.sent_at >= state.right_until:
-            state.resumed_at = state.sent_at
-        state.has_failed = False
         state.seen, state.seen_at = outcome.unwrap(), now()
         if not is_own(state.seen):
             # The store was restored since the object was read.
@@ -358,7 +346,6 @@
         if failure.is_conflict:
             return 0.0
         state.failures += 1
-        state.has_failed = True
         metrics.count("lease_calls_failed")
         if state.failures == 1:
             emit(events.LEASE_CALL_FAILED, lease=name, detail=failure.detail)
@@ -390,7 +377,6 @@
         holder,
         end,
         lambda: state.handover,
-        lambda: state.resumed_at,
     )
     kernel.register(
         "leases",
--- a/trefoilpin/idl/bulletins.thrift
+++ b/trefoilpin/idl/bulletins.thrift
@@ -114,32 +114,6 @@
   4: list<GrantedRetriesStruct> granted
 }
 
-struct RateWantStruct {
-  1: string account
-  2: i32 held
-  3: i32 used
-  4: i32 wanted
-}
-
-struct RateAskStruct {
-  1: i64 number
-  2: i64 incarnation
-  3: list<RateWantStruct> wants
-}
-
-struct GrantedPartStruct {
-  1: string account
-  2: i32 part
-  3: bool is_scarce
-}
-
-struct RateGrantStruct {
-  1: i64 number
-  2: bool is_holder
-  3: string holder
-  4: list<GrantedPartStruct> granted
-}
-
 struct BulletinStruct {
   1: i64 incarnation
   2: i64 sequence
@@ -185,6 +159,4 @@
   51: ColdGrantStruct cold_grant
   52: RetryAskStruct retry_ask
   53: RetryGrantStruct retry_grant
-  54: RateAskStruct rate_ask
-  55: RateGrantStruct rate_grant
 }
--- a/trefoilpin/thrift_gen/bulletins/ttypes.py
+++ b/trefoilpin/thrift_gen/bulletins/ttypes.py
@@ -1504,362 +1504,6 @@
         return not (self == other)
 
 
-class RateWantStruct(object):
-    """
-    Attributes:
-     - account
-     - held
-     - used
-     - wanted
-
-    """
-
-
-    def __init__(self, account=None, held=None, used=None, wanted=None,):
-        self.account = account
-        self.held = held
-        self.used = used
-        self.wanted = wanted
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.held = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.used = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.wanted = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('RateWantStruct')
-        if self.account is not None:
-            oprot.writeFieldBegin('account', TType.STRING, 1)
-            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
-            oprot.writeFieldEnd()
-        if self.held is not None:
-            oprot.writeFieldBegin('held', TType.I32, 2)
-            oprot.writeI32(self.held)
-            oprot.writeFieldEnd()
-        if self.used is not None:
-            oprot.writeFieldBegin('used', TType.I32, 3)
-            oprot.writeI32(self.used)
-            oprot.writeFieldEnd()
-        if self.wanted is not None:
-            oprot.writeFieldBegin('wanted', TType.I32, 4)
-            oprot.writeI32(self.wanted)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class RateAskStruct(object):
-    """
-    Attributes:
-     - number
-     - incarnation
-     - wants
-
-    """
-
-
-    def __init__(self, number=None, incarnation=None, wants=None,):
-        self.number = number
-        self.incarnation = incarnation
-        self.wants = wants
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.number = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.wants = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = RateWantStruct()
-                        _elem47.read(iprot)
-                        self.wants.append(_elem47)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('RateAskStruct')
-        if self.number is not None:
-            oprot.writeFieldBegin('number', TType.I64, 1)
-            oprot.writeI64(self.number)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
-        if self.wants is not None:
-            oprot.writeFieldBegin('wants', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.wants))
-            for iter48 in self.wants:
-                iter48.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class GrantedPartStruct(object):
-    """
-    Attributes:
-     - account
-     - part
-     - is_scarce
-
-    """
-
-
-    def __init__(self, account=None, part=None, is_scarce=None,):
-        self.account = account
-        self.part = part
-        self.is_scarce = is_scarce
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.part = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.is_scarce = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('GrantedPartStruct')
-        if self.account is not None:
-            oprot.writeFieldBegin('account', TType.STRING, 1)
-            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
-            oprot.writeFieldEnd()
-        if self.part is not None:
-            oprot.writeFieldBegin('part', TType.I32, 2)
-            oprot.writeI32(self.part)
-            oprot.writeFieldEnd()
-        if self.is_scarce is not None:
-            oprot.writeFieldBegin('is_scarce', TType.BOOL, 3)
-            oprot.writeBool(self.is_scarce)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class RateGrantStruct(object):
-    """
-    Attributes:
-     - number
-     - is_holder
-     - holder
-     - granted
-
-    """
-
-
-    def __init__(self, number=None, is_holder=None, holder=None, granted=None,):
-        self.number = number
-        self.is_holder = is_holder
-        self.holder = holder
-        self.granted = granted
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.number = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.BOOL:
-                    self.is_holder = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.granted = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = GrantedPartStruct()
-                        _elem54.read(iprot)
-                        self.granted.append(_elem54)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('RateGrantStruct')
-        if self.number is not None:
-            oprot.writeFieldBegin('number', TType.I64, 1)
-            oprot.writeI64(self.number)
-            oprot.writeFieldEnd()
-        if self.is_holder is not None:
-            oprot.writeFieldBegin('is_holder', TType.BOOL, 2)
-            oprot.writeBool(self.is_holder)
-            oprot.writeFieldEnd()
-        if self.holder is not None:
-            oprot.writeFieldBegin('holder', TType.STRING, 3)
-            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
-            oprot.writeFieldEnd()
-        if self.granted is not None:
-            oprot.writeFieldBegin('granted', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.granted))
-            for iter55 in self.granted:
-                iter55.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class BulletinStruct(object):
     """
     Attributes:
@@ -1907,13 +1551,11 @@
      - cold_grant
      - retry_ask
      - retry_grant
-     - rate_ask
-     - rate_grant
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None, retry_ask=None, retry_grant=None, rate_ask=None, rate_grant=None,):
+    def __init__(self, incarnation=None, sequence=None, zone=None, region=None, capacity=None, load=None, stopping=None, serving=None, wants_reply=None, stamps=None, members=None, outcome_upstreams=None, outcome_kinds=None, outcome_numbers=None, flight_upstreams=None, flight_counts=None, admitted_accounts=None, admitted_counts=None, broken_fingerprints=None, broken_upstreams=None, knowledge_age=None, documents=None, tells_on=None, zone_views=None, answered_fingerprints=None, pressed_pools=None, pressed_levels=None, usage_accounts=None, usage_seconds=None, reads_compressed=None, departed_upstreams=None, departed_born=None, pressure_pools=None, pressure_rooms=None, pressure_drain_rates=None, pressure_shed_shares=None, pressure_waits=None, rollout_stages=None, rollout_counts=None, cold_reports=None, cold_ask=None, cold_grant=None, retry_ask=None, retry_grant=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.zone = zone
@@ -1958,8 +1600,6 @@
         self.cold_grant = cold_grant
         self.retry_ask = retry_ask
         self.retry_grant = retry_grant
-        self.rate_ask = rate_ask
-        self.rate_grant = rate_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2018,11 +1658,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.stamps = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = StampStruct()
-                        _elem61.read(iprot)
-                        self.stamps.append(_elem61)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = StampStruct()
+                        _elem47.read(iprot)
+                        self.stamps.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2034,90 +1674,90 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.outcome_upstreams = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.outcome_upstreams.append(_elem67)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.outcome_upstreams.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.outcome_kinds = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = iprot.readByte()
-                        self.outcome_kinds.append(_elem73)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readByte()
+                        self.outcome_kinds.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.outcome_numbers = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = iprot.readI64()
-                        self.outcome_numbers.append(_elem79)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI64()
+                        self.outcome_numbers.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.flight_upstreams = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.flight_upstreams.append(_elem85)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.flight_upstreams.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.flight_counts = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = iprot.readI32()
-                        self.flight_counts.append(_elem91)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readI32()
+                        self.flight_counts.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.admitted_accounts = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_accounts.append(_elem97)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_accounts.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.admitted_counts = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readI64()
-                        self.admitted_counts.append(_elem103)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.admitted_counts.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.broken_fingerprints = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = iprot.readI64()
-                        self.broken_fingerprints.append(_elem109)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readI64()
+                        self.broken_fingerprints.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.broken_upstreams = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.broken_upstreams.append(_elem115)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.broken_upstreams.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2129,11 +1769,11 @@
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = DocumentStruct()
-                        _elem121.read(iprot)
-                        self.documents.append(_elem121)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = DocumentStruct()
+                        _elem107.read(iprot)
+                        self.documents.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2145,76 +1785,76 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.zone_views = []
-                    (_etype125, _size122) = iprot.readListBegin()
-                    for _i126 in range(_size122):
-                        _elem127 = ZoneViewStruct()
-                        _elem127.read(iprot)
-                        self.zone_views.append(_elem127)
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = ZoneViewStruct()
+                        _elem113.read(iprot)
+                        self.zone_views.append(_elem113)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 25:
                 if ftype == TType.LIST:
                     self.answered_fingerprints = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = iprot.readI64()
-                        self.answered_fingerprints.append(_elem133)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = iprot.readI64()
+                        self.answered_fingerprints.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 35:
                 if ftype == TType.LIST:
                     self.pressed_pools = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressed_pools.append(_elem139)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressed_pools.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 36:
                 if ftype == TType.LIST:
                     self.pressed_levels = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = []
-                        (_etype149, _size146) = iprot.readListBegin()
-                        for _i150 in range(_size146):
-                            _elem151 = iprot.readDouble()
-                            _elem145.append(_elem151)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = []
+                        (_etype135, _size132) = iprot.readListBegin()
+                        for _i136 in range(_size132):
+                            _elem137 = iprot.readDouble()
+                            _elem131.append(_elem137)
                         iprot.readListEnd()
-                        self.pressed_levels.append(_elem145)
+                        self.pressed_levels.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 37:
                 if ftype == TType.LIST:
                     self.usage_accounts = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = []
-                        (_etype161, _size158) = iprot.readListBegin()
-                        for _i162 in range(_size158):
-                            _elem163 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem157.append(_elem163)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = []
+                        (_etype147, _size144) = iprot.readListBegin()
+                        for _i148 in range(_size144):
+                            _elem149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem143.append(_elem149)
                         iprot.readListEnd()
-                        self.usage_accounts.append(_elem157)
+                        self.usage_accounts.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 38:
                 if ftype == TType.LIST:
                     self.usage_seconds = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = []
-                        (_etype173, _size170) = iprot.readListBegin()
-                        for _i174 in range(_size170):
-                            _elem175 = iprot.readDouble()
-                            _elem169.append(_elem175)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = []
+                        (_etype159, _size156) = iprot.readListBegin()
+                        for _i160 in range(_size156):
+                            _elem161 = iprot.readDouble()
+                            _elem155.append(_elem161)
                         iprot.readListEnd()
-                        self.usage_seconds.append(_elem169)
+                        self.usage_seconds.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2226,103 +1866,103 @@
             elif fid == 33:
                 if ftype == TType.LIST:
                     self.departed_upstreams = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.departed_upstreams.append(_elem181)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.departed_upstreams.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 34:
                 if ftype == TType.LIST:
                     self.departed_born = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = iprot.readI64()
-                        self.departed_born.append(_elem187)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readI64()
+                        self.departed_born.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 39:
                 if ftype == TType.LIST:
                     self.pressure_pools = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pressure_pools.append(_elem193)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pressure_pools.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.pressure_rooms = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = iprot.readBool()
-                        self.pressure_rooms.append(_elem199)
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = iprot.readBool()
+                        self.pressure_rooms.append(_elem185)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 41:
                 if ftype == TType.LIST:
                     self.pressure_drain_rates = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = iprot.readDouble()
-                        self.pressure_drain_rates.append(_elem205)
+                    (_etype189, _size186) = iprot.readListBegin()
+                    for _i190 in range(_size186):
+                        _elem191 = iprot.readDouble()
+                        self.pressure_drain_rates.append(_elem191)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 42:
                 if ftype == TType.LIST:
                     self.pressure_shed_shares = []
-                    (_etype209, _size206) = iprot.readListBegin()
-                    for _i210 in range(_size206):
-                        _elem211 = iprot.readDouble()
-                        self.pressure_shed_shares.append(_elem211)
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = iprot.readDouble()
+                        self.pressure_shed_shares.append(_elem197)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 43:
                 if ftype == TType.LIST:
                     self.pressure_waits = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readBinary()
-                        self.pressure_waits.append(_elem217)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = iprot.readBinary()
+                        self.pressure_waits.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 26:
                 if ftype == TType.LIST:
                     self.rollout_stages = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = RolloutStageStruct()
-                        _elem223.read(iprot)
-                        self.rollout_stages.append(_elem223)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = RolloutStageStruct()
+                        _elem209.read(iprot)
+                        self.rollout_stages.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 27:
                 if ftype == TType.LIST:
                     self.rollout_counts = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = RolloutCountStruct()
-                        _elem229.read(iprot)
-                        self.rollout_counts.append(_elem229)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = RolloutCountStruct()
+                        _elem215.read(iprot)
+                        self.rollout_counts.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 80:
                 if ftype == TType.LIST:
                     self.cold_reports = []
-                    (_etype233, _size230) = iprot.readListBegin()
-                    for _i234 in range(_size230):
-                        _elem235 = ColdReportStruct()
-                        _elem235.read(iprot)
-                        self.cold_reports.append(_elem235)
+                    (_etype219, _size216) = iprot.readListBegin()
+                    for _i220 in range(_size216):
+                        _elem221 = ColdReportStruct()
+                        _elem221.read(iprot)
+                        self.cold_reports.append(_elem221)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2350,18 +1990,6 @@
                     self.retry_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 54:
-                if ftype == TType.STRUCT:
-                    self.rate_ask = RateAskStruct()
-                    self.rate_ask.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 55:
-                if ftype == TType.STRUCT:
-                    self.rate_grant = RateGrantStruct()
-                    self.rate_grant.read(iprot)
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2411,8 +2039,8 @@
         if self.stamps is not None:
             oprot.writeFieldBegin('stamps', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.stamps))
-            for iter236 in self.stamps:
-                iter236.write(oprot)
+            for iter222 in self.stamps:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
@@ -2422,64 +2050,64 @@
         if self.outcome_upstreams is not None:
             oprot.writeFieldBegin('outcome_upstreams', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.outcome_upstreams))
-            for iter237 in self.outcome_upstreams:
-                oprot.writeString(iter237.encode('utf-8') if sys.version_info[0] == 2 else iter237)
+            for iter223 in self.outcome_upstreams:
+                oprot.writeString(iter223.encode('utf-8') if sys.version_info[0] == 2 else iter223)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_kinds is not None:
             oprot.writeFieldBegin('outcome_kinds', TType.LIST, 13)
             oprot.writeListBegin(TType.BYTE, len(self.outcome_kinds))
-            for iter238 in self.outcome_kinds:
-                oprot.writeByte(iter238)
+            for iter224 in self.outcome_kinds:
+                oprot.writeByte(iter224)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcome_numbers is not None:
             oprot.writeFieldBegin('outcome_numbers', TType.LIST, 14)
             oprot.writeListBegin(TType.I64, len(self.outcome_numbers))
-            for iter239 in self.outcome_numbers:
-                oprot.writeI64(iter239)
+            for iter225 in self.outcome_numbers:
+                oprot.writeI64(iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_upstreams is not None:
             oprot.writeFieldBegin('flight_upstreams', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.flight_upstreams))
-            for iter240 in self.flight_upstreams:
-                oprot.writeString(iter240.encode('utf-8') if sys.version_info[0] == 2 else iter240)
+            for iter226 in self.flight_upstreams:
+                oprot.writeString(iter226.encode('utf-8') if sys.version_info[0] == 2 else iter226)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flight_counts is not None:
             oprot.writeFieldBegin('flight_counts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.flight_counts))
-            for iter241 in self.flight_counts:
-                oprot.writeI32(iter241)
+            for iter227 in self.flight_counts:
+                oprot.writeI32(iter227)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_accounts is not None:
             oprot.writeFieldBegin('admitted_accounts', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.admitted_accounts))
-            for iter242 in self.admitted_accounts:
-                oprot.writeString(iter242.encode('utf-8') if sys.version_info[0] == 2 else iter242)
+            for iter228 in self.admitted_accounts:
+                oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_counts is not None:
             oprot.writeFieldBegin('admitted_counts', TType.LIST, 18)
             oprot.writeListBegin(TType.I64, len(self.admitted_counts))
-            for iter243 in self.admitted_counts:
-                oprot.writeI64(iter243)
+            for iter229 in self.admitted_counts:
+                oprot.writeI64(iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_fingerprints is not None:
             oprot.writeFieldBegin('broken_fingerprints', TType.LIST, 19)
             oprot.writeListBegin(TType.I64, len(self.broken_fingerprints))
-            for iter244 in self.broken_fingerprints:
-                oprot.writeI64(iter244)
+            for iter230 in self.broken_fingerprints:
+                oprot.writeI64(iter230)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.broken_upstreams is not None:
             oprot.writeFieldBegin('broken_upstreams', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.broken_upstreams))
-            for iter245 in self.broken_upstreams:
-                oprot.writeString(iter245.encode('utf-8') if sys.version_info[0] == 2 else iter245)
+            for iter231 in self.broken_upstreams:
+                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.knowledge_age is not None:
@@ -2489,8 +2117,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter246 in self.documents:
-                iter246.write(oprot)
+            for iter232 in self.documents:
+                iter232.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tells_on is not None:
@@ -2500,115 +2128,115 @@
         if self.zone_views is not None:
             oprot.writeFieldBegin('zone_views', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.zone_views))
-            for iter247 in self.zone_views:
-                iter247.write(oprot)
+            for iter233 in self.zone_views:
+                iter233.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_fingerprints is not None:
             oprot.writeFieldBegin('answered_fingerprints', TType.LIST, 25)
             oprot.writeListBegin(TType.I64, len(self.answered_fingerprints))
-            for iter248 in self.answered_fingerprints:
-                oprot.writeI64(iter248)
+            for iter234 in self.answered_fingerprints:
+                oprot.writeI64(iter234)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_stages is not None:
             oprot.writeFieldBegin('rollout_stages', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_stages))
-            for iter249 in self.rollout_stages:
-                iter249.write(oprot)
+            for iter235 in self.rollout_stages:
+                iter235.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.LIST, 27)
             oprot.writeListBegin(TType.STRUCT, len(self.rollout_counts))
-            for iter250 in self.rollout_counts:
-                iter250.write(oprot)
+            for iter236 in self.rollout_counts:
+                iter236.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_upstreams is not None:
             oprot.writeFieldBegin('departed_upstreams', TType.LIST, 33)
             oprot.writeListBegin(TType.STRING, len(self.departed_upstreams))
-            for iter251 in self.departed_upstreams:
-                oprot.writeString(iter251.encode('utf-8') if sys.version_info[0] == 2 else iter251)
+            for iter237 in self.departed_upstreams:
+                oprot.writeString(iter237.encode('utf-8') if sys.version_info[0] == 2 else iter237)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departed_born is not None:
             oprot.writeFieldBegin('departed_born', TType.LIST, 34)
             oprot.writeListBegin(TType.I64, len(self.departed_born))
-            for iter252 in self.departed_born:
-                oprot.writeI64(iter252)
+            for iter238 in self.departed_born:
+                oprot.writeI64(iter238)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_pools is not None:
             oprot.writeFieldBegin('pressed_pools', TType.LIST, 35)
             oprot.writeListBegin(TType.STRING, len(self.pressed_pools))
-            for iter253 in self.pressed_pools:
-                oprot.writeString(iter253.encode('utf-8') if sys.version_info[0] == 2 else iter253)
+            for iter239 in self.pressed_pools:
+                oprot.writeString(iter239.encode('utf-8') if sys.version_info[0] == 2 else iter239)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressed_levels is not None:
             oprot.writeFieldBegin('pressed_levels', TType.LIST, 36)
             oprot.writeListBegin(TType.LIST, len(self.pressed_levels))
-            for iter254 in self.pressed_levels:
-                oprot.writeListBegin(TType.DOUBLE, len(iter254))
-                for iter255 in iter254:
-                    oprot.writeDouble(iter255)
+            for iter240 in self.pressed_levels:
+                oprot.writeListBegin(TType.DOUBLE, len(iter240))
+                for iter241 in iter240:
+                    oprot.writeDouble(iter241)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_accounts is not None:
             oprot.writeFieldBegin('usage_accounts', TType.LIST, 37)
             oprot.writeListBegin(TType.LIST, len(self.usage_accounts))
-            for iter256 in self.usage_accounts:
-                oprot.writeListBegin(TType.STRING, len(iter256))
-                for iter257 in iter256:
-                    oprot.writeString(iter257.encode('utf-8') if sys.version_info[0] == 2 else iter257)
+            for iter242 in self.usage_accounts:
+                oprot.writeListBegin(TType.STRING, len(iter242))
+                for iter243 in iter242:
+                    oprot.writeString(iter243.encode('utf-8') if sys.version_info[0] == 2 else iter243)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage_seconds is not None:
             oprot.writeFieldBegin('usage_seconds', TType.LIST, 38)
             oprot.writeListBegin(TType.LIST, len(self.usage_seconds))
-            for iter258 in self.usage_seconds:
-                oprot.writeListBegin(TType.DOUBLE, len(iter258))
-                for iter259 in iter258:
-                    oprot.writeDouble(iter259)
+            for iter244 in self.usage_seconds:
+                oprot.writeListBegin(TType.DOUBLE, len(iter244))
+                for iter245 in iter244:
+                    oprot.writeDouble(iter245)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_pools is not None:
             oprot.writeFieldBegin('pressure_pools', TType.LIST, 39)
             oprot.writeListBegin(TType.STRING, len(self.pressure_pools))
-            for iter260 in self.pressure_pools:
-                oprot.writeString(iter260.encode('utf-8') if sys.version_info[0] == 2 else iter260)
+            for iter246 in self.pressure_pools:
+                oprot.writeString(iter246.encode('utf-8') if sys.version_info[0] == 2 else iter246)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_rooms is not None:
             oprot.writeFieldBegin('pressure_rooms', TType.LIST, 40)
             oprot.writeListBegin(TType.BOOL, len(self.pressure_rooms))
-            for iter261 in self.pressure_rooms:
-                oprot.writeBool(iter261)
+            for iter247 in self.pressure_rooms:
+                oprot.writeBool(iter247)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_drain_rates is not None:
             oprot.writeFieldBegin('pressure_drain_rates', TType.LIST, 41)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_drain_rates))
-            for iter262 in self.pressure_drain_rates:
-                oprot.writeDouble(iter262)
+            for iter248 in self.pressure_drain_rates:
+                oprot.writeDouble(iter248)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_shed_shares is not None:
             oprot.writeFieldBegin('pressure_shed_shares', TType.LIST, 42)
             oprot.writeListBegin(TType.DOUBLE, len(self.pressure_shed_shares))
-            for iter263 in self.pressure_shed_shares:
-                oprot.writeDouble(iter263)
+            for iter249 in self.pressure_shed_shares:
+                oprot.writeDouble(iter249)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pressure_waits is not None:
             oprot.writeFieldBegin('pressure_waits', TType.LIST, 43)
             oprot.writeListBegin(TType.STRING, len(self.pressure_waits))
-            for iter264 in self.pressure_waits:
-                oprot.writeBinary(iter264)
+            for iter250 in self.pressure_waits:
+                oprot.writeBinary(iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_compressed is not None:
@@ -2631,19 +2259,11 @@
             oprot.writeFieldBegin('retry_grant', TType.STRUCT, 53)
             self.retry_grant.write(oprot)
             oprot.writeFieldEnd()
-        if self.rate_ask is not None:
-            oprot.writeFieldBegin('rate_ask', TType.STRUCT, 54)
-            self.rate_ask.write(oprot)
-            oprot.writeFieldEnd()
-        if self.rate_grant is not None:
-            oprot.writeFieldBegin('rate_grant', TType.STRUCT, 55)
-            self.rate_grant.write(oprot)
-            oprot.writeFieldEnd()
         if self.cold_reports is not None:
             oprot.writeFieldBegin('cold_reports', TType.LIST, 80)
             oprot.writeListBegin(TType.STRUCT, len(self.cold_reports))
-            for iter265 in self.cold_reports:
-                iter265.write(oprot)
+            for iter251 in self.cold_reports:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2790,36 +2410,6 @@
     (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
     (4, TType.LIST, 'granted', (TType.STRUCT, [GrantedRetriesStruct, None], False), None, ),  # 4
 )
-all_structs.append(RateWantStruct)
-RateWantStruct.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'held', None, None, ),  # 2
-    (3, TType.I32, 'used', None, None, ),  # 3
-    (4, TType.I32, 'wanted', None, None, ),  # 4
-)
-all_structs.append(RateAskStruct)
-RateAskStruct.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'number', None, None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.LIST, 'wants', (TType.STRUCT, [RateWantStruct, None], False), None, ),  # 3
-)
-all_structs.append(GrantedPartStruct)
-GrantedPartStruct.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'part', None, None, ),  # 2
-    (3, TType.BOOL, 'is_scarce', None, None, ),  # 3
-)
-all_structs.append(RateGrantStruct)
-RateGrantStruct.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'number', None, None, ),  # 1
-    (2, TType.BOOL, 'is_holder', None, None, ),  # 2
-    (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
-    (4, TType.LIST, 'granted', (TType.STRUCT, [GrantedPartStruct, None], False), None, ),  # 4
-)
 all_structs.append(BulletinStruct)
 BulletinStruct.thrift_spec = (
     None,  # 0
@@ -2876,8 +2466,8 @@
     (51, TType.STRUCT, 'cold_grant', [ColdGrantStruct, None], None, ),  # 51
     (52, TType.STRUCT, 'retry_ask', [RetryAskStruct, None], None, ),  # 52
     (53, TType.STRUCT, 'retry_grant', [RetryGrantStruct, None], None, ),  # 53
-    (54, TType.STRUCT, 'rate_ask', [RateAskStruct, None], None, ),  # 54
-    (55, TType.STRUCT, 'rate_grant', [RateGrantStruct, None], None, ),  # 55
+    None,  # 54
+    None,  # 55
     None,  # 56
     None,  # 57
     None,  # 58
