Hand no counts over that were not taken in this lease

Cause, found by reading the change again: a holder that nobody had asked for retries handed over an empty count when it stopped, so that a third holder granted the whole slack although the first one's grants may lie in the same window. And a request that waited for another retry was not checked again for its caller, keys and stop after it. Change: the handover begins to count for the lease that is released, as an ask does; the wait for a retry comes before the last checks.

--- a/trefoilpin/gateway/admission/retry_budgets.py
+++ b/trefoilpin/gateway/admission/retry_budgets.py
@@ -61,7 +61,7 @@
     the clock time by which the retry has to be sent, or None. ``give_back(pool,
     send_by)`` returns one that was not sent. ``balance(pool, reserved)`` is about what
     is left. ``on_ask``, ``receive`` and ``answer`` are as in ``ColdGrants``, and
-    ``handover()`` is what the next holder of the lease has to know.
+    ``handover(held_since)`` is what the next holder of the lease has to know.
     """
 
     deposit: Callable[[str], None]
--- a/trefoilpin/gateway/admission/retry_pools.py
+++ b/trefoilpin/gateway/admission/retry_pools.py
@@ -108,8 +108,8 @@
     """``answer(ask, time, held_since)`` returns what a host is granted, by its wants.
 
     It had asked by that time of the clock, at which this host held the lease, without
-    another holder since ``held_since``. ``handover()`` is what the next holder has to
-    know, or None.
+    another holder since ``held_since``. ``handover(held_since)`` is what the next
+    holder has to know, or None.
     """
 
     answer: Callable
@@ -239,8 +239,11 @@
             if not (is_used or retries.beyond):
                 del state.retries_by_pool[pool]
 
-    def handover():
+    def handover(held_since):
         now = kernel.clock.now()
+        if state.held_since != held_since:
+            # Nobody asked in this lease; the earlier holder may have granted some.
+            begin(now, held_since)
         if now < state.counts_since + span or len(state.retries_by_pool) > MAX_HANDOVER:
             return None
         count_by_pool = {}
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -137,7 +137,7 @@
                 decisions.give_back(context)
                 context.refusal = outcome.failure()
                 return
-            if not (may_send(context) and decisions.may_send(context)):
+            if not (decisions.may_send(context) and may_send(context)):
                 decisions.give_back(context)
                 release(outcome.unwrap(), None, context.typical_seconds)
                 queues.notify_release(
--- a/trefoilpin/gateway/store/leases.py
+++ b/trefoilpin/gateway/store/leases.py
@@ -160,7 +160,7 @@
     own,
     is_first,
     is_first_start=False,
-    create_handover=lambda: None,
+    create_handover=lambda held_since: None,
     name=COLD_UPSTREAMS,
 ):
     """Create the service ``leases``.
@@ -175,7 +175,8 @@
     is_first_start : bool, optional
         True only when the whole system starts for the first time.
     create_handover : callable, optional
-        Returns what the next holder has to know, as it stands in JSON.
+        ``create_handover(held_since)`` returns what the next holder has to know, as it
+        stands in JSON; this host held the lease since that time of the clock.
     name : str, optional
         Name of the object in the store, one for each right.
 
@@ -327,7 +328,7 @@
         state.is_in_doubt = True
         metrics.count("lease_writes")
         spec = {**own_spec(), "released": seen.era}
-        spec["handover"] = create_handover()
+        spec["handover"] = create_handover(state.began_at)
         outcome = store.write_object(LEASES, name, spec, seen.revision)
         if isinstance(outcome, Failure):
             record_failure(outcome.failure())
--- a/trefoilpin/tests/gateway/test_retry_budgets.py
+++ b/trefoilpin/tests/gateway/test_retry_budgets.py
@@ -501,3 +501,14 @@
 
 def count_budgets():
     return sum(isinstance(found, PoolBudget) for found in gc.get_objects())
+
+
+def test_holder_that_nobody_asked_hands_no_counts_over():
+    """Guards against a third holder that grants what the first one did."""
+    kernel, clock, _ = create_host()
+    pools = retry_pools.create(kernel, RETRY_BOUNDS, TOKEN_SECONDS, lambda: None)
+    held_since = clock.time
+    clock.time += 1.0
+    assert pools.handover(held_since) is None
+    clock.time += SPAN
+    assert pools.handover(held_since) == {}
