--- a/trefoilpin/tests/test_imports.py
+++ b/trefoilpin/tests/test_imports.py
@@ -7,6 +7,8 @@
 
 # Modules that encode messages or perform input and output, and the programs.
 ADAPTERS = {
+    "body_readers",
+    "chunk_decoders",
     "caller_progress",
     "__main__",
     "admin",
@@ -28,6 +30,7 @@
     "settings",
     "stores",
     "strict_reads",
+    "strict_responses",
     "wsgi_messages",
     "gateway/fleet/gossip_codecs",
     "gateway/fleet/rollout_codecs",
