Read answers of upstreams by strict framing

Cause: the response class of http.client reads to the end of the stream for a negative size, whatever number of bytes was asked for.

A faulty framing is a failure of the upstream, as before.

Evidence: with an answer that floods a chunk of size -1 the two tests of memory failed on the code before (bounds: 2,000,000 bytes that are set as the limit of what is held, and 200 MB over the connections kept to an upstream); both pass, with five more endless scenarios.

--- a/trefoilpin/answer_checks.py
+++ b/trefoilpin/answer_checks.py
@@ -3,7 +3,7 @@
 import re
 from typing import Callable, NamedTuple
 
-from trefoilpin import events, exchanges
+from trefoilpin import events
 from trefoilpin.headers import read_retry_after
 
 __all__ = ["MAX_PAUSE_SECONDS", "AnswerChecks", "create", "read_max_idle"]
@@ -63,7 +63,7 @@
     def is_refusal(response):
         if response is None:
             return False
-        value_by_name = dict(exchanges.read_fields(response))
+        value_by_name = dict(response.fields)
         return dialect.states_not_run(response.status, value_by_name)
 
     def identity_fault(connection, outgoing, response, value_by_name):
--- a/trefoilpin/exchanges.py
+++ b/trefoilpin/exchanges.py
@@ -1,19 +1,25 @@
 """One persistent connection to an upstream: writes a request and reads its answer.
 
-Bytes are handled by urllib3's connection and the standard library's response class.
+Requests are written by urllib3's connection and answers read by ``strict_responses``.
 This module checks whether an answer is complete and a connection can be reused.
 """
 
 import http.client
 import socket
 import struct
-from typing import Any, Callable, NamedTuple
 
 import eventlet
 import eventlet.hubs
+from returns.result import Failure
 from urllib3.connection import HTTPConnection
 
-from trefoilpin.strict_reads import create_strict_readline, create_strict_recv_into
+from trefoilpin.strict_reads import create_strict_recv_into
+from trefoilpin.strict_responses import (
+    SWITCHING_PROTOCOLS,
+    create_parser,
+    open_response,
+    skip_informational,
+)
 
 __all__ = [
     "UpstreamConnection",
@@ -26,7 +32,6 @@
     "open_connection",
     "prepare_request",
     "read_body",
-    "read_fields",
     "read_head",
     "read_next_head",
     "read_rest",
@@ -38,13 +43,9 @@
 READ_BYTES = 65_536
 # Linger for no time: a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-# Chunks that are joined at a time.
-JOINED_BYTES = 8_192
-# Status line and headers of an answer, with those of the 1xx answers before it.
-MAX_HEAD_BYTES = 65_536
+# For which memory is reserved at a time while a body in chunks is read.
+CHUNKED_PART_BYTES = 8_192
 METHODS_WITHOUT_BODY = frozenset(("DELETE", "GET", "HEAD", "OPTIONS"))
-INFORMATIONAL = range(100, 200)
-SWITCHING_PROTOCOLS = 101
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 2
 # Enough for two retransmissions on a path of a few milliseconds, and less than a
@@ -52,22 +53,6 @@
 USER_TIMEOUT_MS = 2000
 
 
-class ResponseFile(NamedTuple):
-    """File that the response class reads; closing it keeps the connection open."""
-
-    read: Callable
-    readinto: Callable
-    readline: Callable
-    flush: Callable
-    close: Callable
-
-
-class ResponseSocket(NamedTuple):
-    """Stand-in for the socket that the response class expects."""
-
-    makefile: Callable
-
-
 class UpstreamConnection:
     """An open connection with its read buffer.
 
@@ -90,8 +75,6 @@
     may_repeat_refusal : bool
         True once a refusal that names no request arrived on it. A copy of it could be
         taken for the answer to a later request.
-    head_bytes_left : int or None
-        How much longer the head that is being read may be; None outside of a head.
     """
 
     def __init__(self, address, http_connection):
@@ -106,7 +89,6 @@
         self.is_reused = False
         self.is_suspect = False
         self.may_repeat_refusal = False
-        self.head_bytes_left = None
 
 
 def set_dead_peer_timeouts(sock):
@@ -138,18 +120,9 @@
     http_connection.sock.settimeout(None)
     set_dead_peer_timeouts(http_connection.sock)
     connection = UpstreamConnection(address, http_connection)
-    reader = connection.reader
-    file = ResponseFile(
-        reader.read,
-        reader.readinto,
-        create_strict_readline(connection),
-        lambda: None,
-        lambda: None,
-    )
-    source = ResponseSocket(lambda mode: file)
 
-    def create_response(sock, method=None) -> Any:
-        return http.client.HTTPResponse(source, method=method)
+    def create_response(sock, method=None):
+        return create_parser(connection.reader, method)
 
     http_connection.response_class = create_response
     return connection
@@ -240,30 +213,29 @@
     return True
 
 
-def read_head(connection):
+def read_head(connection, method):
     """Read status and headers of the final answer, skipping 1xx answers.
 
+    Parameters
+    ----------
+    connection : UpstreamConnection
+    method : str
+        Of the request.
+
     Returns
     -------
-    http.client.HTTPResponse
+    Response
 
     Raises
     ------
     OSError, http.client.HTTPException
         When the connection broke, or the answer is malformed or ends in its head.
     """
-    connection.head_bytes_left = MAX_HEAD_BYTES
-    response = http.client.HTTPConnection.getresponse(connection.http_connection)
-    return skip_informational(connection, response)
-
-
-def skip_informational(connection, response):
-    """Return the final answer of a response that has read its first head."""
-    while response.status in INFORMATIONAL and response.status != SWITCHING_PROTOCOLS:
-        response.headers = None
-        response.begin()
-    connection.head_bytes_left = None
-    return response
+    parser = http.client.HTTPConnection.getresponse(connection.http_connection)
+    skip_informational(parser)
+    # The next request may be prepared: whether the body was read is known elsewhere.
+    parser.close()
+    return open_response(connection.reader, method, parser)
 
 
 def read_next_head(connection, method):
@@ -274,43 +246,27 @@
     OSError, http.client.HTTPException
         When the connection broke, or the answer is malformed or ends in its head.
     """
-    connection.head_bytes_left = MAX_HEAD_BYTES
-    response = connection.http_connection.response_class(connection.sock, method=method)
-    response.begin()
-    return skip_informational(connection, response)
+    parser = create_parser(connection.reader, method)
+    parser.begin()
+    skip_informational(parser)
+    return open_response(connection.reader, method, parser)
 
 
-def read_fields(response):
-    """Return the headers of an answer in order, names in lower case."""
-    return [(name.lower(), value) for name, value in response.headers.raw_items()]
-
-
-def framing_fault(response, fields, allows_unframed=False):
+def framing_fault(response, allows_unframed=False):
     """Return why the length of an answer is ambiguous or unknown, or None.
 
     Parameters
     ----------
-    response : http.client.HTTPResponse
-    fields : sequence of (str, str)
-        Its headers, names in lower case.
+    response : Response
     allows_unframed : bool
         True when an answer may be delimited by the end of its connection.
     """
     if response.status == SWITCHING_PROTOCOLS:
         return "the upstream switched protocols"
-    if response.headers.defects:
-        return "the headers are malformed"
-    lengths = {value for name, value in fields if name == "content-length"}
-    encoded = any(name == "transfer-encoding" for name, _ in fields)
-    if lengths and encoded:
-        return "there is both a length and a transfer encoding"
-    if len(lengths) > 1:
-        return "there are differing lengths"
-    if encoded and not response.chunked:
-        return "the transfer encoding is unknown"
-    if lengths and not min(lengths).isdecimal():
-        return "the length is not a number"
-    if response.length is None and not response.chunked and not allows_unframed:
+    if isinstance(response.framing, Failure):
+        return response.framing.failure()
+    framing = response.framing.unwrap()
+    if framing.length is None and not framing.is_chunked and not allows_unframed:
         return "there is neither a length nor a final chunk"
     return None
 
@@ -320,7 +276,7 @@
 
     Parameters
     ----------
-    response : http.client.HTTPResponse
+    response : Response
     max_buffered : int
         Bytes.
     reserve : callable, optional
@@ -335,50 +291,22 @@
     Raises
     ------
     OSError, http.client.HTTPException
-        When the body ends before its length or final chunk.
-    """
-    if response.chunked:
-        body = read_chunks(response, max_buffered + 1, reserve)
-        return body, response.isclosed()
-    if response.length is None:
-        return read_unframed(response, max_buffered + 1, reserve)
-    if not reserve(min(response.length, max_buffered)):
-        return b"", False
-    if response.length <= max_buffered:
-        return response.read(), True
-    body = response.read(max_buffered)
-    if len(body) < max_buffered:
-        raise http.client.IncompleteRead(body, response.length)
-    return body, False
-
-
-def read_unframed(response, size, reserve):
-    """Read up to a number of bytes of a body that ends with its connection."""
-    body = bytearray()
-    while len(body) < size:
-        expected = min(READ_BYTES, size - len(body))
-        if not reserve(expected):
-            return bytes(body), False
-        part = response.read(expected)
-        body += part
-        if len(part) < expected:
-            return bytes(body), True
-    return bytes(body), False
-
-
-def read_chunks(response, size, reserve=lambda size: True):
-    """Read up to a number of bytes of a chunked body.
-
-    Small chunks need many times their size in memory until they are joined, so that is
-    done for a part of the body at a time.
+        When the body ends before its length or final chunk, or is malformed.
     """
+    framing = response.framing.unwrap()
+    if framing.length is not None:
+        size = min(framing.length, max_buffered)
+        if not reserve(size):
+            return b"", False
+        return bytes(response.body.read(size)), response.body.is_complete()
+    part_bytes = CHUNKED_PART_BYTES if framing.is_chunked else READ_BYTES
     body = bytearray()
-    while not response.isclosed() and len(body) < size:
-        expected = min(JOINED_BYTES, size - len(body))
-        if not reserve(expected):
+    while len(body) <= max_buffered and not response.body.is_complete():
+        size = min(part_bytes, max_buffered + 1 - len(body))
+        if not reserve(size):
             break
-        body += response.read(expected)
-    return bytes(body)
+        body += response.body.read(size)
+    return bytes(body), response.body.is_complete()
 
 
 def read_rest(response, size=READ_BYTES):
@@ -387,14 +315,6 @@
     Raises
     ------
     OSError, http.client.HTTPException
-        When the body ends before its length or final chunk.
+        When the body ends before its length or final chunk, or is malformed.
     """
-    if response.isclosed():
-        return b""
-    if response.chunked:
-        return read_chunks(response, size)
-    expected = response.length
-    part = response.read(size)
-    if not part and expected:
-        raise http.client.IncompleteRead(part, expected)
-    return part
+    return bytes(response.body.read(size))
--- a/trefoilpin/fakes/endless_upstreams.py
+++ b/trefoilpin/fakes/endless_upstreams.py
@@ -37,6 +37,20 @@
     "chunks_flood": (CHUNKED_HEAD, CHUNK * 60, 0.0),
     "tiny_chunks_flood": (CHUNKED_HEAD, b"1\r\nx\r\n" * 10_000, 0.0),
     "two_byte_chunks_flood": (CHUNKED_HEAD, b"2\r\nxx\r\n" * 10_000, 0.0),
+    "chunk_of_negative_size_floods": (CHUNKED_HEAD + b"-1\r\n", b"x" * 65_536, 0.0),
+    "chunk_of_huge_size_floods": (
+        CHUNKED_HEAD + b"7" + b"f" * 15 + b"\r\n",
+        b"x" * 65_536,
+        0.0,
+    ),
+    "chunk_size_drips": (CHUNKED_HEAD, b"0", 0.02),
+    "chunk_size_floods": (CHUNKED_HEAD, b"0" * 65_536, 0.0),
+    "extension_floods": (CHUNKED_HEAD + b"1;a=", b"b" * 65_536, 0.0),
+    "extensions_flood": (
+        CHUNKED_HEAD,
+        (b"1;a=" + b"b" * 4_000 + b"\r\nx\r\n") * 16,
+        0.0,
+    ),
     "trailers_drip": (CHUNKED_HEAD + CHUNK + b"0\r\n", HEADER_LINE, 0.02),
     "trailers_flood": (CHUNKED_HEAD + CHUNK + b"0\r\n", HEADER_LINE * 6_000, 0.0),
 }
--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -214,14 +214,14 @@
 
     def read_matching_head(connection, outgoing):
         """Read the head of the answer, skipping complete answers to other requests."""
-        response = exchanges.read_head(connection)
+        response = exchanges.read_head(connection, outgoing.request.method)
         for _ in range(MAX_SKIPPED_ANSWERS):
-            fields = exchanges.read_fields(response)
+            fields = response.fields
             echoed = dict(fields).get(dialect.request_id)
             is_mismatched = echoed not in (None, outgoing.request.request_id)
             if not (is_mismatched and dialect.skips_mismatched_answers):
                 return response
-            if exchanges.framing_fault(response, fields) is not None:
+            if exchanges.framing_fault(response) is not None:
                 return response
             if not read_body(outgoing, response)[1]:
                 return response
@@ -255,9 +255,9 @@
         return b"", response_streams.read_ahead(source, memory, holding, now)
 
     def read_answer(connection, outgoing, response):
-        fields = exchanges.read_fields(response)
+        fields = response.fields
         value_by_name = dict(fields)
-        fault = exchanges.framing_fault(response, fields, dialect.allows_unframed)
+        fault = exchanges.framing_fault(response, dialect.allows_unframed)
         fault = fault or checks.identity_fault(
             connection, outgoing, response, value_by_name
         )
--- a/trefoilpin/health_probes.py
+++ b/trefoilpin/health_probes.py
@@ -48,7 +48,7 @@
             response = send_question(connection, upstream, path)
             if response.status not in ANSWER_STATUSES:
                 return Failure(f"the status is {response.status}")
-            return read_cold_seconds(upstream.id, exchanges.read_fields(response))
+            return read_cold_seconds(upstream.id, response.fields)
         except eventlet.Timeout as timeout:
             if timeout is not timer:
                 raise
@@ -65,7 +65,7 @@
         headers = (("host", upstream.address), ("connection", "close"))
         exchanges.prepare_request(connection, "GET", path, headers, b"")
         exchanges.write_request(connection, b"")
-        return exchanges.read_head(connection)
+        return exchanges.read_head(connection, "GET")
 
     service = HealthProbes(ask)
     kernel.register("health_probes", service)
--- a/trefoilpin/refusal_checks.py
+++ b/trefoilpin/refusal_checks.py
@@ -74,20 +74,19 @@
         own_id = outgoing.request.request_id
         decoy_ids = []
         sends_decoy = not refusal.will_close
+        method = outgoing.request.method
         for _ in range(MAX_ANSWERS):
             if sends_decoy:
                 decoy_ids.append(send_decoy(connection, outgoing))
-                response = exchanges.read_head(connection)
+                response = exchanges.read_head(connection, method)
             else:
-                method = outgoing.request.method
                 response = exchanges.read_next_head(connection, method)
-            fields = exchanges.read_fields(response)
-            value_by_name = dict(fields)
+            value_by_name = dict(response.fields)
             echoed = value_by_name.get(dialect.request_id)
             is_refusal = dialect.states_not_run(response.status, value_by_name)
             if echoed == own_id and not is_refusal:
                 return response
-            fault = exchanges.framing_fault(response, fields)
+            fault = exchanges.framing_fault(response)
             if fault is not None or not read_body(outgoing, response)[1]:
                 raise ValueError(fault or "the answer is too long")
             if echoed is None and not is_refusal:
--- a/trefoilpin/strict_reads.py
+++ b/trefoilpin/strict_reads.py
@@ -1,20 +1,16 @@
-"""Reads from an upstream's connection that raise where the libraries see an end."""
-
-import http.client
-import re
+"""Reads from connections that raise where the libraries see an end, and give way."""
 
 import eventlet
 import eventlet.hubs
 
-__all__ = ["create_strict_readline", "create_strict_recv_into"]
+from trefoilpin.clocks import boot_seconds
+
+__all__ = ["create_give_way", "create_strict_recv_into"]
 
-# A status has three digits and its class is 1 to 5 (RFC 9112, section 4, and RFC 9110,
-# section 15). The response class takes any text that is an integer, such as +200 or
-# 2_00, and integers up to 999.
-STATUS_LINE_START = b"HTTP/"
-STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
 # Reads of 8 KB; other tasks wait a few milliseconds meanwhile.
 READS_PER_YIELD = 8
+# For which a task reads a body that has all arrived before others have their turn.
+RUN_SECONDS = 0.002
 
 
 def create_strict_recv_into(sock):
@@ -45,26 +41,20 @@
     return recv_into
 
 
-def create_strict_readline(connection):
-    """Return a ``readline`` that raises on a malformed status line or an early end.
+def create_give_way(now=boot_seconds):
+    """Return a function that lets other tasks run once this one has run for a while.
 
-    The response class takes the end of the stream for the end of the headers, and so
-    an answer that was cut there for one with an empty body. It also raises on a head
-    that is too long.
+    Parameters
+    ----------
+    now : callable
+        Seconds of a clock.
     """
-    reader = connection.reader
+    resumed_at = now()
 
-    def readline(limit):
-        line = reader.readline(limit)
-        if connection.head_bytes_left is None:
-            return line
-        connection.head_bytes_left -= len(line)
-        if connection.head_bytes_left < 0:
-            raise http.client.HTTPException("the head is too long")
-        if not line.endswith(b"\n") and len(line) < limit:
-            raise http.client.HTTPException("the head ended early")
-        if line.startswith(STATUS_LINE_START) and not STATUS_LINE.fullmatch(line):
-            raise http.client.HTTPException("the status line is malformed")
-        return line
+    def give_way():
+        nonlocal resumed_at
+        if now() - resumed_at >= RUN_SECONDS:
+            eventlet.sleep(0)
+            resumed_at = now()
 
-    return readline
+    return give_way
--- a/trefoilpin/tests/test_endless_answers.py
+++ b/trefoilpin/tests/test_endless_answers.py
@@ -16,9 +16,10 @@
 import eventlet
 import pytest
 
-from trefoilpin import clocks, forwarders
+from trefoilpin import clocks, forwarders, metrics
 from trefoilpin.dialects import DEFAULT
 from trefoilpin.fakes.endless_upstreams import RESPONSE_BY_SCENARIO
+from trefoilpin.gateway.admission import body_memory, response_memory
 from trefoilpin.gateway.daemons import MAX_BUFFERED_BYTES
 from trefoilpin.kernel import create_kernel
 from trefoilpin.messages import CallerRequest
@@ -35,6 +36,8 @@
 # A host has 300 MB and needs 100 MB of them; a request on each connection that it keeps
 # to a faulty upstream must fit.
 MAX_PEAK_BYTES = 200_000_000 // forwarders.MAX_IDLE_CONNECTIONS
+# Limit of a host on what it holds for its callers; one answer may have all of it.
+HELD_BYTES = 2_000_000
 # Time to receive a whole buffer of small chunks while allocations are traced.
 MEMORY_DEADLINE_SECONDS = 3.0
 
@@ -52,18 +55,31 @@
         self.process.communicate()
 
 
-def time_request(upstream, max_buffered=MAX_BUFFERED, seconds=DEADLINE_SECONDS):
-    """Return the seconds that a request and its answer, read to the end, take."""
+def time_request(
+    upstream, max_buffered=MAX_BUFFERED, seconds=DEADLINE_SECONDS, held_bytes=None
+):
+    """Return the seconds that a request and its answer, read to the end, take.
+
+    With ``held_bytes`` what is held of the answer counts toward that limit.
+    """
     kernel = create_kernel(
         clocks.system_clock(eventlet.sleep), lambda *task: None, random.Random(1)
     )
     kernel.register("events", Events(lambda *event, **fields: None, lambda: None))
     dialect = DEFAULT._replace(allows_unframed=True)
+    memory, holding = None, None
+    if held_bytes is not None:
+        metrics.create(kernel)
+        body_memory.create(kernel, held_bytes)
+        memory = response_memory.create(kernel, held_bytes)
+        caller = response_memory.Caller("c", "c", lambda: None, lambda: None)
+        holding = memory.open(caller)
+        assert memory.admit(holding) is None
     service = forwarders.create(
-        kernel, forwarders.ForwarderBounds(max_buffered), dialect
+        kernel, forwarders.ForwarderBounds(max_buffered), dialect, memory
     )
     request = CallerRequest(
-        "r1", "GET", "h", "/", "", (), b"", "127.0.0.1", 0.0, lambda: False
+        "r1", "GET", "h", "/", "", (), b"", "127.0.0.1", 0.0, lambda: False, holding
     )
     began = clocks.boot_seconds()
     deadline = began + seconds
@@ -112,3 +128,18 @@
         tracemalloc.stop()
         upstream.stop()
     assert peak <= MAX_PEAK_BYTES
+
+
+@pytest.mark.parametrize("behavior", RESPONSE_BY_SCENARIO)
+def test_an_endless_answer_takes_no_more_memory_than_is_reserved(behavior):
+    """Guards against a chunk of size -1, of which a host read all that came."""
+    upstream = EndlessUpstream(behavior)
+    tracemalloc.start()
+    try:
+        with eventlet.Timeout(10 * DEADLINE_SECONDS):
+            time_request(upstream, MAX_BUFFERED, DEADLINE_SECONDS, HELD_BYTES)
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+        upstream.stop()
+    assert peak <= HELD_BYTES
