Drop answers that end within the size of a chunk

Cause: the response class takes the digits before the end of the stream for the size of the last chunk.

--- /dev/null
+++ b/trefoilpin/tests/test_answer_bodies.py
@@ -0,0 +1,82 @@
+"""Answers whose bodies are malformed or cut, from a scripted upstream to their callers.
+
+Guards against answers that end within the size of a chunk and reach callers as whole,
+and against sizes that only a lenient reader understands.
+"""
+
+import pytest
+
+from trefoilpin.dialects import DEFAULT
+from trefoilpin.tests.drawn_bodies import ENDLESS_BODIES, MALFORMED_BODIES
+from trefoilpin.tests.scripted_upstreams import MAX_BUFFERED, create_exchange
+from trefoilpin.verdicts import Reason, Verdict
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# Sizes have eight digits (RFC 9112, section 7.1: chunk-size = 1*HEXDIG).
+CHUNKS = b"00000004\r\nwhol\r\n00000004\r\ne!!!\r\n00000000;a=b\r\nX-Sum: 1\r\n\r\n"
+BODY = b"whole!!!"
+
+
+def send_and_end(answer):
+    """Return the step of an upstream that ends the connection behind an answer."""
+    return lambda sock: (sock.sendall(answer), sock.shutdown(1))
+
+
+def assert_dropped(attempt):
+    assert attempt.answer is None
+    assert attempt.verdict is Verdict.MAY_HAVE_RUN
+    assert attempt.reason is Reason.UPSTREAM_BROKEN
+    # It counts as a failure of the upstream.
+    assert attempt.broke_connection
+
+
+def test_a_whole_answer_in_chunks_keeps_its_connection(upstream):
+    upstream.steps = [CHUNKED_HEAD + CHUNKS] * 2
+    assert upstream.call("POST").answer.body == BODY
+    assert upstream.call("POST").answer.body == BODY
+    assert upstream.connections == 1
+
+
+@pytest.mark.parametrize("allows_unframed", [False, True])
+def test_an_answer_that_is_cut_anywhere_is_dropped(upstream, allows_unframed):
+    exchange = create_exchange(DEFAULT._replace(allows_unframed=allows_unframed))
+    for end in range(len(CHUNKS)):
+        upstream.steps = [send_and_end(CHUNKED_HEAD + CHUNKS[:end])]
+        assert_dropped(upstream.call("POST", exchange=exchange))
+
+
+@pytest.mark.parametrize("name", [*MALFORMED_BODIES, *ENDLESS_BODIES])
+def test_a_malformed_answer_is_dropped(upstream, name):
+    wire = (MALFORMED_BODIES | ENDLESS_BODIES)[name]
+    upstream.steps = [send_and_end(CHUNKED_HEAD + wire)]
+    assert_dropped(upstream.call("POST"))
+
+
+@pytest.mark.parametrize("name", MALFORMED_BODIES)
+def test_a_malformed_answer_breaks_off_where_it_is_streamed(upstream, name):
+    begun = b"%x\r\n" % (2 * MAX_BUFFERED) + b"x" * 2 * MAX_BUFFERED + b"\r\n"
+    upstream.steps = [send_and_end(CHUNKED_HEAD + begun + MALFORMED_BODIES[name])]
+    answer = upstream.call("POST").answer
+    with pytest.raises(OSError):
+        list(answer.rest)
+
+
+@pytest.mark.parametrize(
+    "length", ["-1", "+2", "0x2", "2_0", "2, 2", "9" * 19, "9" * 5000, "2 2", ""]
+)
+def test_an_answer_of_a_malformed_length_is_dropped(upstream, length):
+    """Guards against lengths that are taken for none, so that the end delimits."""
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"
+    exchange = create_exchange(DEFAULT._replace(allows_unframed=True))
+    upstream.steps = [send_and_end(head.encode() + b"ok")]
+    assert_dropped(upstream.call("POST", exchange=exchange))
+
+
+@pytest.mark.parametrize("method, status", [("HEAD", 200), ("GET", 204), ("GET", 304)])
+def test_answers_that_have_no_body_keep_their_connection(upstream, method, status):
+    """Guards against chunks that are awaited where an answer can't have any."""
+    head = f"HTTP/1.1 {status} OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    upstream.steps = [head.encode()] * 2
+    assert upstream.call(method).answer.body == b""
+    assert upstream.call(method).answer.body == b""
+    assert upstream.connections == 1
