Read bodies of requests by strict framing

What callers could do: have requests run with bodies that another reader would delimit differently (+5, 0x5, 0_5, bare LF, NUL in an extension), on all listeners, and have a host keep all that follows a size of -1 or a line without an end.

Cause: eventlet.wsgi.Input reads sizes by int() and lines without a bound, also where it discards a body, and takes an unknown transfer encoding for no body.

Change: request_inputs puts body_readers in its place; a connection closes after a request of a faulty framing. The checks of heads use the same framings.

--- a/trefoilpin/connections.py
+++ b/trefoilpin/connections.py
@@ -18,6 +18,8 @@
 import eventlet.semaphore
 import eventlet.wsgi
 
+from trefoilpin.request_inputs import replace_reads
+
 __all__ = [
     "ARRIVED_AT",
     "CONNECTION",
@@ -334,6 +336,7 @@
         # The parser reduces several slashes at the start of a path to one.
         parsed.path = parsed.requestline.split()[1]
         environ = get_environ()
+        replace_reads(environ, parsed)
         environ[CONNECTION] = connection
         environ[PROTOCOL] = parsed
         environ[ARRIVED_AT] = connection.request_at
--- a/trefoilpin/framings.py
+++ b/trefoilpin/framings.py
@@ -9,7 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-__all__ = ["Framing", "read_answer_framing", "read_framing"]
+__all__ = ["HTTP_1_1", "Framing", "read_answer_framing", "read_framing"]
 
 # Content-Length = 1*DIGIT (RFC 9110, section 8.6); the value fits in 63 bits.
 LENGTH = re.compile("0*([0-9]{1,18})")
--- a/trefoilpin/headers.py
+++ b/trefoilpin/headers.py
@@ -9,6 +9,7 @@
 from email.utils import parsedate_to_datetime
 from urllib.parse import unquote
 
+from trefoilpin.framings import HTTP_1_1, read_framing
 from trefoilpin.verdicts import Reason, Refusal, Verdict
 
 __all__ = ["HOP_BY_HOP", "drop_hop_by_hop", "find_fault", "read_retry_after"]
@@ -139,25 +140,10 @@
 
 def framing_fault(headers):
     """Return the fault of the headers that frame the body, or of ``Host``, or None."""
-    lengths = set()
-    encodings = []
     host_count = 0
-    for name, value in headers:
-        if name == "content-length":
-            lengths.add(value)
-        elif name == "transfer-encoding":
-            encodings.append(value.lower())
-        elif name == "host":
+    for name, _ in headers:
+        if name == "host":
             host_count += 1
     if host_count > 1:
         return "there is more than one host"
-    if lengths and encodings:
-        return "there is both a length and a transfer encoding"
-    if len(lengths) > 1:
-        return "there are differing lengths"
-    for length in lengths:
-        if not (length.isascii() and length.isdecimal()):
-            return "the length is not a number"
-    if encodings and encodings != ["chunked"]:
-        return "the transfer encoding is not known"
-    return None
+    return read_framing(headers, HTTP_1_1).swap().value_or(None)
--- a/trefoilpin/tests/test_imports.py
+++ b/trefoilpin/tests/test_imports.py
@@ -26,6 +26,7 @@
     "peer_codecs",
     "peer_connections",
     "peers",
+    "request_inputs",
     "response_streams",
     "settings",
     "stores",
--- a/trefoilpin/wsgi_messages.py
+++ b/trefoilpin/wsgi_messages.py
@@ -8,7 +8,8 @@
 
 __all__ = ["BODYLESS_STATUSES", "read_body", "status_line", "stream_body"]
 
-READ_BYTES = 65_536
+# Of a body in chunks that are read before memory is reserved for them.
+PART_BYTES = 16_384
 MAX_COPIED_BYTES = 1_048_576
 BODYLESS_STATUSES = frozenset((204, 304))
 
@@ -58,20 +59,24 @@
         return refusal
     if len(body) < length:
         return Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, "the body ended early")
-    return body
+    return copy_small(body)
 
 
 def read_chunked_body(source, max_body, reserve):
     """Return a body that comes in chunks, or a ``Refusal``."""
     body = bytearray()
-    while part := source.read(READ_BYTES):
+    while part := source.read(PART_BYTES):
         if len(body) + len(part) > max_body:
             return refuse_large_body(max_body)
         refusal = reserve(len(part))
         if refusal is not None:
             return refusal
         body += part
-    # A large body is not copied, as it may take half of the host's memory.
+    return copy_small(body)
+
+
+def copy_small(body):
+    """Return a body as bytes; a large one may take half of the host's memory."""
     return bytes(body) if len(body) <= MAX_COPIED_BYTES else body
 
 
