--- a/trefoilpin/tests/test_request_inputs.py
+++ b/trefoilpin/tests/test_request_inputs.py
@@ -166,3 +166,28 @@
     finally:
         tracemalloc.stop()
     assert peak <= COPIES * MAX_BODY_BYTES
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 10, 1000, 65_536])
+def test_other_tasks_run_while_a_body_comes_in_small_chunks(server, chunk_bytes):
+    """Guards against an upload that keeps a host from all its other work."""
+    size = min(100_000 * chunk_bytes, MAX_BODY_BYTES)
+    chunk = b"%x\r\n" % chunk_bytes + b"x" * chunk_bytes + b"\r\n"
+    data = HEAD + chunk * (size // chunk_bytes) + b"0\r\n\r\n"
+    gaps, ticked_at = [], clocks.boot_seconds()
+
+    def tick():
+        nonlocal ticked_at
+        while True:
+            eventlet.sleep(0)
+            gaps.append(clocks.boot_seconds() - ticked_at)
+            ticked_at += gaps[-1]
+
+    ticker = eventlet.spawn(tick)
+    try:
+        assert server.send(data) == [200]
+    finally:
+        ticker.kill()
+    # Half of the time is for others at least; the largest gap is the machine's, too.
+    assert sorted(gaps)[int(len(gaps) * 0.99)] <= 0.02
+    assert len(server.runs[0][1]) == size // chunk_bytes * chunk_bytes
