Read answers of the store and of other hosts by strict framing

What went wrong: such answers, read by urllib3, were whole for sizes such as +5 or an end within a size, and one chunk of size -1 took memory without a bound.

--- a/trefoilpin/gateway/fleet/transports.py
+++ b/trefoilpin/gateway/fleet/transports.py
@@ -2,7 +2,6 @@
 
 import logging
 
-import urllib3
 from eventlet.green import socket
 from returns.result import Failure, Result
 from urllib3.exceptions import HTTPError
@@ -11,6 +10,7 @@
 from trefoilpin.bounded_reads import read_body
 from trefoilpin.gateway.fleet import compression, gossip_codecs
 from trefoilpin.gateway.fleet.messages import Document
+from trefoilpin.strict_responses import create_pool_manager
 
 __all__ = ["QUEUE_CHECK_INTERVAL_SECONDS", "create_fetch", "open_datagrams"]
 
@@ -129,7 +129,7 @@
     port : int
         Port of the control listener, the same on every host.
     """
-    manager = urllib3.PoolManager(maxsize=1, retries=False)
+    manager = create_pool_manager(maxsize=1, retries=False)
 
     def fetch(address, kind, base) -> Result[Document, str]:
         try:
--- a/trefoilpin/stores.py
+++ b/trefoilpin/stores.py
@@ -15,6 +15,7 @@
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from trefoilpin import events
+from trefoilpin.bounded_reads import read_body
 from trefoilpin.services import (
     Store,
     StoreChange,
@@ -22,6 +23,7 @@
     StoreFailure,
     StoreOutcome,
 )
+from trefoilpin.strict_responses import create_pool_manager
 
 __all__ = ["create"]
 
@@ -31,6 +33,8 @@
 MAX_BACKOFF_DOUBLINGS = 10
 FAILURES_WITHOUT_BACKOFF = 1
 WATCH_TIMEOUT_MARGIN_SECONDS = 2.0
+# A page of objects, or the changes since a version.
+MAX_ANSWER_BYTES = 67_108_864
 
 
 class ClientState:
@@ -67,7 +71,14 @@
 
 
 def classify(response):
-    """Return the decoded body of a response of the store, or a failure."""
+    """Return the decoded body of a response of the store, or a failure.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If the response ends early or is malformed.
+    """
+    data = read_body(response, MAX_ANSWER_BYTES)
     if response.status == 404:
         return refused("no such object", missing=True)
     if response.status in (409, 412):
@@ -78,8 +89,10 @@
         return unknown(f"the store answered {response.status}")
     if response.status >= 400:
         return refused(f"the store answered {response.status}")
+    if isinstance(data, Failure):
+        return unknown(data.failure())
     try:
-        return Success(json.loads(response.data or b"null"))
+        return Success(json.loads(data.unwrap() or b"null"))
     except ValueError:
         return unknown("the store's answer is not JSON")
 
@@ -125,7 +138,7 @@
     Store
     """
     emit = kernel.find("events").emit
-    manager = urllib3.PoolManager(
+    manager = create_pool_manager(
         num_pools=len(addresses), maxsize=MAX_CONNECTIONS, block=False, retries=False
     )
     now, rng = kernel.clock.now, kernel.rng
@@ -156,6 +169,7 @@
                 body=body,
                 headers=headers or {},
                 timeout=urllib3.Timeout(total=seconds),
+                preload_content=False,
             )
             outcome = classify(response)
         except NewConnectionError:
