Take no malformed or cut answer to a health check

What went wrong: a cold time was believed from an answer with a negative length, two lengths, malformed chunks or a cut body.

Cause: a health check read the head alone and not its framing.

Change: it refuses a faulty framing and reads up to 64 KiB of the body.

--- a/trefoilpin/health_probes.py
+++ b/trefoilpin/health_probes.py
@@ -19,6 +19,8 @@
 ANSWER_TIMEOUT_SECONDS = 1.0
 # Status of an upstream that is well, and of one that is not or is leaving.
 ANSWER_STATUSES = frozenset((200, 503))
+# What is read of an answer's body, to find it cut or malformed.
+MAX_BODY_BYTES = 65_536
 EXCHANGE_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
 
@@ -48,6 +50,10 @@
             response = send_question(connection, upstream, path)
             if response.status not in ANSWER_STATUSES:
                 return Failure(f"the status is {response.status}")
+            fault = exchanges.framing_fault(response, allows_unframed=True)
+            if fault is not None:
+                return Failure(fault)
+            exchanges.read_body(response, MAX_BODY_BYTES)
             return read_cold_seconds(upstream.id, response.fields)
         except eventlet.Timeout as timeout:
             if timeout is not timer:
--- a/trefoilpin/tests/test_health_probes.py
+++ b/trefoilpin/tests/test_health_probes.py
@@ -6,6 +6,7 @@
 
 from trefoilpin import health_probes
 from trefoilpin.fakes.gateways import create_host, upstream
+from trefoilpin.tests.drawn_bodies import ENDLESS_BODIES, MALFORMED_BODIES
 
 WELL = b"HTTP/1.1 200 OK\r\nx-cold: 3\r\ncontent-length: 0\r\n\r\n"
 
@@ -77,3 +78,28 @@
     address = f"127.0.0.1:{listener.getsockname()[1]}"
     listener.close()
     assert isinstance(ask(address), Failure)
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        *(
+            b"transfer-encoding: chunked\r\n\r\n" + wire
+            for wire in (MALFORMED_BODIES | ENDLESS_BODIES).values()
+        ),
+        b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+        b"content-length: 3\r\n\r\nab",
+        b"content-length: -1\r\n\r\n",
+        b"content-length: 0\r\ncontent-length: 1\r\n\r\n",
+    ],
+)
+def test_answer_of_a_malformed_or_cut_body_tells_nothing(rest):
+    """Guards against a cold time that is taken from a part of an answer."""
+    address, _ = start_upstream(b"HTTP/1.1 200 OK\r\nx-cold: 3\r\n" + rest)
+    assert isinstance(ask(address), Failure)
+
+
+def test_answer_of_a_whole_body_tells_it():
+    chunks = b"transfer-encoding: chunked\r\n\r\n02\r\nok\r\n0\r\n\r\n"
+    address, _ = start_upstream(b"HTTP/1.1 200 OK\r\nx-cold: 3\r\n" + chunks)
+    assert ask(address) == Success(3.0)
