Drop answers whose heads have malformed lines

What callers saw: an answer with NUL, a lone CR or LF, or folded lines in its head, which the next reader may read otherwise.

Cause: the standard library's parser joins folded lines and takes such characters; only length, end and status of a head were checked.

Change: each line is a status line, a header by RFC 9112, section 5, or empty.

--- a/trefoilpin/chunk_decoders.py
+++ b/trefoilpin/chunk_decoders.py
@@ -8,6 +8,8 @@
 from http.client import HTTPException
 from typing import NamedTuple
 
+from trefoilpin.framings import FIELD_LINE, TOKEN
+
 __all__ = ["ChunkState", "Decoded", "decode"]
 
 CRLF = b"\r\n"
@@ -17,13 +19,11 @@
 # Extensions may take as many bytes as the chunks, and this many more.
 MAX_EXTENSION_BYTES = 65_536
 MAX_CHUNK_BYTES = 2**63 - 1
-TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++"
 QUOTED = rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*+"'
 VALUE = rb"[ \t]*+=[ \t]*+(?:" + TOKEN + rb"|" + QUOTED + rb")"
 EXTENSION = rb"[ \t]*+;[ \t]*+" + TOKEN + rb"(?:" + VALUE + rb")?+"
 PLAIN_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})\r\n")
 SIZE_LINE = re.compile(rb"([0-9A-Fa-f]++)((?:" + EXTENSION + rb")*+)\r\n")
-TRAILER_LINE = re.compile(TOKEN + rb":[\t \x21-\x7e\x80-\xff]*+\r\n")
 
 
 class Decoded(NamedTuple):
@@ -157,5 +157,5 @@
     state.trailer_bytes -= len(line)
     if state.trailer_bytes < 0:
         raise HTTPException("the trailers are too long")
-    if TRAILER_LINE.fullmatch(line) is None:
+    if FIELD_LINE.fullmatch(line) is None:
         raise HTTPException("a trailer is malformed")
--- a/trefoilpin/strict_responses.py
+++ b/trefoilpin/strict_responses.py
@@ -16,7 +16,7 @@
 
 from trefoilpin import body_readers
 from trefoilpin.body_readers import BodyReader
-from trefoilpin.framings import Framing, read_answer_framing
+from trefoilpin.framings import FIELD_LINE, Framing, read_answer_framing
 from trefoilpin.strict_reads import create_give_way, create_strict_recv_into
 
 __all__ = [
@@ -33,8 +33,10 @@
 # A status has three digits and its class is 1 to 5 (RFC 9112, section 4, and RFC 9110,
 # section 15). The response class takes any text that is an integer, such as +200 or
 # 2_00, and integers up to 999.
-STATUS_LINE_START = b"HTTP/"
-STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
+STATUS_LINE = re.compile(
+    rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [\t \x21-\x7e\x80-\xff]*)?\r\n"
+)
+CRLF = b"\r\n"
 INFORMATIONAL = range(100, 200)
 SWITCHING_PROTOCOLS = 101
 
@@ -83,11 +85,11 @@
 
 
 def create_strict_readline(reader, state):
-    """Return a ``readline`` that raises on a malformed status line or an early end.
+    """Return a ``readline`` that raises on a malformed line or an early end of a head.
 
     The response class takes the end of the stream for the end of the headers, and so
-    an answer that was cut there for one with an empty body. It also raises on a head
-    that is too long.
+    an answer that was cut there for one with an empty body. It also joins folded lines,
+    and takes control characters and line feeds alone.
     """
 
     def readline(limit):
@@ -97,9 +99,9 @@
             raise http.client.HTTPException("the head is too long")
         if not line.endswith(b"\n") and len(line) < limit:
             raise http.client.HTTPException("the head ended early")
-        if line.startswith(STATUS_LINE_START) and not STATUS_LINE.fullmatch(line):
-            raise http.client.HTTPException("the status line is malformed")
-        return line
+        if line == CRLF or FIELD_LINE.fullmatch(line) or STATUS_LINE.fullmatch(line):
+            return line
+        raise http.client.HTTPException("a line of the head is malformed")
 
     return readline
 
--- a/trefoilpin/tests/test_answer_bodies.py
+++ b/trefoilpin/tests/test_answer_bodies.py
@@ -80,3 +80,55 @@
     assert upstream.call(method).answer.body == b""
     assert upstream.call(method).answer.body == b""
     assert upstream.connections == 1
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"X-Odd: a\x00b\r\n",
+        b"X-Odd: a\x01b\r\n",
+        b"X-Odd: a\x7fb\r\n",
+        b"X-Odd: a\rContent-Length: 1\r\n",
+        b"X-Odd: a\n",
+        b"X-Odd: a\r\n folded\r\n",
+        b"X-Odd: a\r\n\tContent-Length: 1\r\n",
+        b" X-Odd: a\r\n",
+        b"X-Odd : a\r\n",
+        b"X Odd: a\r\n",
+        b"X(Odd): a\r\n",
+        b"X\xe9: a\r\n",
+        b": a\r\n",
+        b"X-Odd\r\n",
+    ],
+)
+@pytest.mark.parametrize("is_first", [True, False])
+def test_an_answer_of_a_malformed_head_is_dropped(upstream, line, is_first):
+    """Guards against heads in which a caller's reader sees other headers."""
+    length = b"Content-Length: 2\r\n"
+    lines = line + length if is_first else length + line
+    upstream.steps = [send_and_end(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\nok")]
+    assert_dropped(upstream.call("POST"))
+
+
+@pytest.mark.parametrize(
+    "status_line",
+    [
+        b"HTTP/1.1 200 OK\n",
+        b"HTTP/1.1 200 O\x00K\r\n",
+        b"HTTP/1.1 200 O\rK\r\n",
+        b"HTTP/1.1  200 OK\r\n",
+        b"HTTP/2.0 200 OK\r\n",
+        b"http/1.1 200 OK\r\n",
+        b"\r\nHTTP/1.1 200 OK\r\n",
+    ],
+)
+def test_an_answer_of_a_malformed_status_line_is_dropped(upstream, status_line):
+    upstream.steps = [send_and_end(status_line + b"Content-Length: 2\r\n\r\nok")]
+    assert_dropped(upstream.call("POST"))
+
+
+@pytest.mark.parametrize("reason", [b" OK", b" ", b"", b" Tr\xe8s bien\t!"])
+def test_an_answer_of_an_unusual_head_is_whole(upstream, reason):
+    head = b"HTTP/1.1 200" + reason + b"\r\nX:\r\nX-Odd:\t\xe9a  \r\n"
+    upstream.steps = [head + b"Content-Length:2 \r\n\r\nok"]
+    assert upstream.call("POST").answer.body == b"ok"
