Count answers that break off on their way as failures

What callers saw: the beginning of a long answer, again and again from the same upstream.

Cause: an answer that is streamed was recorded as a good one when its head and buffered part had come; a later break or malformed chunk was only logged.

Change: forwarders tells of it and upstreams records and shares a failure. Answers that are late are not counted, as a slow caller may hold them up.

Evidence: the new tests need what the code before lacks; with a scripted upstream a chunk of size -1 and a cut chunk are told, a whole one is not.

--- a/trefoilpin/forwarders.py
+++ b/trefoilpin/forwarders.py
@@ -77,6 +77,7 @@
     now = kernel.clock.now
     idle = idle_connections.create(now, bounds.max_idle)
     emit = kernel.find("events").emit
+    broken_answer_listeners = []
 
     def request_headers(outgoing, seconds):
         request = outgoing.request
@@ -322,6 +323,10 @@
             is_complete = not (response.will_close or connection.is_suspect)
         except (*EXCHANGE_ERRORS, eventlet.Timeout) as error:
             report_dropped(outgoing, f"answer ended early: {type(error).__name__}")
+            # One that takes too long may be held up by its caller.
+            if not isinstance(error, (TimeoutError, eventlet.Timeout)):
+                for function in broken_answer_listeners:
+                    function(outgoing.upstream)
             raise OSError("the upstream's answer ended early") from error
         finally:
             if is_complete:
@@ -378,7 +383,7 @@
 
     checks = answer_checks.create(kernel, dialect)
     refusals = refusal_checks.create(kernel, dialect, read_body)
-    service = Forwarders(exchange)
+    service = Forwarders(exchange, broken_answer_listeners.append)
     kernel.register(
         "forwarders", service, lambda: kernel.spawn(sweep_forever), idle.close_all
     )
--- a/trefoilpin/gateway/balancing/upstreams.py
+++ b/trefoilpin/gateway/balancing/upstreams.py
@@ -62,7 +62,8 @@
     that no longer report.
     ``recent_outcomes(is_same_zone)`` and ``in_flight_counts(zone)`` return what to
     report to others. ``on_outcome(function)`` has ``function(is_urgent)`` called for
-    each outcome to be shared. ``check_overdue()`` records requests that hang as slow.
+    each outcome to be shared. ``check_overdue()`` records requests that hang as slow,
+    and ``record_broken_answer(upstream_id)`` an answer that broke off on its way.
     ``pool_health(pool)`` returns the ``UpstreamHealth`` of each upstream of a pool.
     """
 
@@ -76,6 +77,7 @@
     on_outcome: Callable
     check_overdue: Callable
     pool_health: Callable
+    record_broken_answer: Callable
 
 
 class UpstreamState:
@@ -343,6 +345,12 @@
         for function in state.outcome_listeners:
             function(is_urgent)
 
+    def record_broken_answer(upstream_id):
+        """Record the failure of an answer that was released as a good one."""
+        health = state.health.by_id.get(upstream_id)
+        if health is not None:
+            record_outcome(health, Outcome.FAILED)
+
     def update_health(health, prior, outcome, source):
         health.failure_probability = failure_models.update(prior, outcome)
         health.updated_at = now()
@@ -401,6 +409,7 @@
         state.outcome_listeners.append,
         check_overdue,
         pool_health,
+        record_broken_answer,
     )
     kernel.register("upstreams", service)
     return service
--- a/trefoilpin/gateway/requests/dispatchers.py
+++ b/trefoilpin/gateway/requests/dispatchers.py
@@ -116,6 +116,7 @@
     send_pacing = kernel.find("send_pacing")
     upstreams = kernel.find("upstreams")
     forwarders = kernel.find("forwarders")
+    forwarders.on_broken_answer(upstreams.record_broken_answer)
     release = upstreams.release if rollouts is None else rollouts.release
 
     def dispatch(context):
--- a/trefoilpin/request_services.py
+++ b/trefoilpin/request_services.py
@@ -142,9 +142,11 @@
     extra_headers, uses_new_connection, send_by, allows_decoys)`` sends a request and
     gives an ``Attempt``; the last four may be left out. From the time ``send_by`` on
     nothing is written, and the request did not run. An upstream that bears few requests
-    allows no decoys."""
+    allows no decoys. ``on_broken_answer(function)`` has ``function(upstream_id)``
+    called when an answer that is passed on already breaks off or is malformed."""
 
     exchange: Callable[..., Attempt]
+    on_broken_answer: Callable[[Callable[[str], None]], None] = lambda function: None
 
 
 class ResponseMemory(NamedTuple):
--- a/trefoilpin/tests/gateway/test_upstreams.py
+++ b/trefoilpin/tests/gateway/test_upstreams.py
@@ -68,6 +68,20 @@
         assert send(service, GOOD) != bad
 
 
+def test_upstream_whose_answer_broke_off_on_its_way_gets_no_requests(host):
+    """Guards against an upstream that counts as good by the heads of its answers."""
+    service, put, clock = host
+    put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
+    bad = send(service, GOOD)
+    service.record_broken_answer(bad)
+    service.record_broken_answer("unknown")
+    latest = max(service.recent_outcomes(True), key=lambda shared: shared[0])
+    assert (latest.upstream, latest.outcome) == (bad, Outcome.FAILED)
+    for _ in range(20):
+        clock.time += 0.02
+        assert send(service, GOOD) != bad
+
+
 def test_outcomes_of_other_hosts_count_once(host):
     service, put, clock = host
     put(UPSTREAMS, 1, table(upstream(1), upstream(2)))
--- a/trefoilpin/tests/scripted_upstreams.py
+++ b/trefoilpin/tests/scripted_upstreams.py
@@ -20,6 +20,7 @@
     "MAX_BUFFERED",
     "Script",
     "create_exchange",
+    "create_forwarders",
     "kept_upstream",
     "upstream",
 ]
@@ -71,14 +72,19 @@
         sock.sendall(step)
 
 
-def create_exchange(dialect):
-    """Return the function that sends a request to an upstream in a dialect."""
+def create_forwarders(dialect):
+    """Return the service that sends requests to upstreams in a dialect."""
     kernel = create_kernel(
         clocks.system_clock(eventlet.sleep), lambda *task: None, random.Random(1)
     )
     kernel.register("events", Events(lambda event, **fields: None, lambda: None))
     bounds = forwarders.ForwarderBounds(MAX_BUFFERED)
-    return forwarders.create(kernel, bounds, dialect).exchange
+    return forwarders.create(kernel, bounds, dialect)
+
+
+def create_exchange(dialect):
+    """Return the function that sends a request to an upstream in a dialect."""
+    return create_forwarders(dialect).exchange
 
 
 @pytest.fixture
--- a/trefoilpin/tests/test_answer_bodies.py
+++ b/trefoilpin/tests/test_answer_bodies.py
@@ -4,11 +4,17 @@
 and against sizes that only a lenient reader understands.
 """
 
+from contextlib import nullcontext
+
 import pytest
 
 from trefoilpin.dialects import DEFAULT
 from trefoilpin.tests.drawn_bodies import ENDLESS_BODIES, MALFORMED_BODIES
-from trefoilpin.tests.scripted_upstreams import MAX_BUFFERED, create_exchange
+from trefoilpin.tests.scripted_upstreams import (
+    MAX_BUFFERED,
+    create_exchange,
+    create_forwarders,
+)
 from trefoilpin.verdicts import Reason, Verdict
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -61,6 +67,37 @@
         list(answer.rest)
 
 
+@pytest.mark.parametrize(
+    "rest, is_failure",
+    [(b"-1\r\nabc", True), (b"5\r\nab", True), (b"2\r\nab\r\n0\r\n\r\n", False)],
+)
+def test_an_answer_that_breaks_off_on_its_way_is_a_failure(upstream, rest, is_failure):
+    """Guards against an upstream that counts as good by the heads of its answers."""
+    service = create_forwarders(DEFAULT)
+    failed = []
+    service.on_broken_answer(failed.append)
+    begun = b"%x\r\n" % (2 * MAX_BUFFERED) + b"x" * 2 * MAX_BUFFERED + b"\r\n"
+    upstream.steps = [send_and_end(CHUNKED_HEAD + begun + rest)]
+    answer = upstream.call("POST", exchange=service.exchange).answer
+    with nullcontext() if not is_failure else pytest.raises(OSError):
+        list(answer.rest)
+    assert failed == (["u1"] if is_failure else [])
+
+
+def test_an_answer_that_is_late_or_left_is_no_failure_on_its_way(upstream):
+    """A slow caller may hold up either of them."""
+    service = create_forwarders(DEFAULT)
+    failed = []
+    service.on_broken_answer(failed.append)
+    begun = CHUNKED_HEAD + b"%x\r\n" % (3 * MAX_BUFFERED) + b"x" * 2 * MAX_BUFFERED
+    upstream.steps = [begun] * 2
+    answer = upstream.call("POST", exchange=service.exchange, seconds=0.2).answer
+    with pytest.raises(OSError):
+        list(answer.rest)
+    upstream.call("POST", exchange=service.exchange).answer.rest.close()
+    assert failed == []
+
+
 @pytest.mark.parametrize(
     "length", ["-1", "+2", "0x2", "2_0", "2, 2", "9" * 19, "9" * 5000, "2 2", ""]
 )
