--- a/trefoilpin/commands.py
+++ b/trefoilpin/commands.py
@@ -18,8 +18,10 @@
 from returns.result import Failure
 
 from trefoilpin import clocks, daemons, explanations, settings
+from trefoilpin.bounded_reads import read_body
 from trefoilpin.fakes import stores as fake_stores
 from trefoilpin.fakes import upstreams as fake_upstreams
+from trefoilpin.strict_responses import create_pool_manager
 
 __all__ = ["COMMANDS", "run"]
 
@@ -27,6 +29,8 @@
 EXIT_USAGE = 2
 EXIT_UNKNOWN = 3
 CALL_TIMEOUT_SECONDS = 30.0
+# The state of a whole fleet, or an answer to a caller.
+MAX_ANSWER_BYTES = 67_108_864
 DEFAULT_ADMIN = "127.0.0.1:7070"
 STRING_ARGUMENTS = ("address", "admin", "caller", "file", "key", "name", "settings")
 DEFAULT_CALLER = "127.0.0.1:8080"
@@ -41,15 +45,18 @@
 def request(method, address, path, body=None, headers=None):
     """Send a request to a host; return status and decoded body, or exit."""
     try:
-        response = urllib3.request(
+        response = create_pool_manager(retries=False).request(
             method,
             f"http://{address}{path}",
             body=body,
             headers=headers,
             timeout=CALL_TIMEOUT_SECONDS,
-            retries=False,
+            preload_content=False,
         )
-        return response.status, json.loads(response.data)
+        data = read_body(response, MAX_ANSWER_BYTES)
+        if isinstance(data, Failure):
+            exit_with(EXIT_UNKNOWN, f"no valid response: {data.failure()}")
+        return response.status, json.loads(data.unwrap())
     except urllib3.exceptions.LocationParseError:
         exit_with(
             EXIT_USAGE, f"{address!r} is not a valid address such as {DEFAULT_ADMIN}"
--- a/trefoilpin/tests/test_strict_responses.py
+++ b/trefoilpin/tests/test_strict_responses.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Success
 from urllib3.exceptions import HTTPError
 
-from trefoilpin import clocks, stores
+from trefoilpin import clocks, commands, stores
 from trefoilpin.bounded_reads import read_body
 from trefoilpin.gateway.fleet import transports
 from trefoilpin.gateway.store.document_cache import CONFIGURATION
@@ -139,3 +139,11 @@
         response = manager.request("GET", url, preload_content=False, timeout=2.0)
         assert read_body(response, MAX_BYTES) == Success(BODY)
     assert len(connections) == 1
+
+
+@pytest.mark.parametrize("wire", [CHUNKS[:-1], *FAULTS])
+def test_a_command_takes_no_malformed_answer_for_one(wire):
+    address = f"{HOST}:{start_server(CHUNKED_HEAD + wire)}"
+    with pytest.raises(SystemExit) as stopped:
+        commands.request("GET", address, "/status")
+    assert stopped.value.code == commands.EXIT_UNKNOWN
